--- /dev/null
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what briarrelay serves, load, and measurements."""
--- /dev/null
+++ b/packages/briarrelay-bench/src/briarrelay_bench/processes.py
@@ -0,0 +1,234 @@
+"""Starts real daemons and stand-ins on loopback, and ends just those."""
+
+import json
+import socket
+import subprocess
+import sys
+import tempfile
+from http.client import HTTPConnection
+from pathlib import Path
+from time import monotonic, sleep
+
+from attrs import define, field
+
+from briarrelay_core.configuration import hash_key
+
+__all__ = ["OPERATOR_KEY", "Cluster", "Process", "free_port"]
+
+HOST = "127.0.0.1"
+OPERATOR_KEY = "operator-key"
+
+START_S = 20.0
+"""Longest time for a process to be ready."""
+
+END_S = 20.0
+"""Longest time for a process to end after it was told to."""
+
+
+def free_port() -> int:
+    """Return a port on loopback that nothing listens on."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+@define(slots=True, eq=False)
+class Process:
+    """One process that this program started.
+
+    :param port: where it listens for HTTP.
+    :param peer_port: where a daemon listens for peers.
+    """
+
+    name: str
+    popen: subprocess.Popen
+    port: int
+    peer_port: int = 0
+
+    def call(self, method: str, path: str, value=None, timeout: float = 10.0):
+        """Make an HTTP call; return the status and the JSON value."""
+        connection = HTTPConnection(HOST, self.port, timeout=timeout)
+        try:
+            body = None if value is None else json.dumps(value)
+            headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            raw = response.read()
+            return response.status, json.loads(raw) if raw else None
+        finally:
+            connection.close()
+
+    def set_faults(self, **faults: float) -> None:
+        """Set faults of a stand-in."""
+        self.call("PUT", "/faults", faults)
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def wait(self) -> int:
+        """Wait for the process to end; return its exit code."""
+        return self.popen.wait(END_S)
+
+
+@define(slots=True, eq=False)
+class Cluster:
+    """Stand-ins and daemons of one data centre, for a demo or a test.
+
+    :param log_dir: where the processes' log lines go.
+    """
+
+    data_centre: str = "dc1"
+    log_dir: Path = field(factory=lambda: Path(tempfile.mkdtemp(prefix="briarrelay-")))
+    platform: Process | None = None
+    engines: dict[str, Process] = field(factory=dict)
+    services: dict[str, Process] = field(factory=dict)
+    daemons: dict[str, Process] = field(factory=dict)
+    ignoring: set[str] = field(factory=set)
+    left: set[str] = field(factory=set)
+    _starts: int = 0
+
+    def __enter__(self) -> "Cluster":
+        return self
+
+    def __exit__(self, *_) -> None:
+        processes = [*self.daemons.values(), *self.services.values()]
+        processes += [*self.engines.values(), self.platform]
+        for process in processes:
+            if process is not None and process.popen.poll() is None:
+                process.kill()
+
+    def start_platform(self, list_lag: float = 0.2) -> Process:
+        """Start the platform stand-in."""
+        arguments = ["platform", "--port", "0", "--list-lag", str(list_lag)]
+        self.platform = self._start_stand_in("platform", arguments)
+        return self.platform
+
+    def start_engine(self, name: str, *arguments: str) -> Process:
+        """Start an engine stand-in and list it."""
+        if "--ignores-fencing" in arguments:
+            self.ignoring.add(name)
+        command = ["engine", "--port", "0", "--name", name, *arguments]
+        self.engines[name] = self._start_stand_in(name, command)
+        return self.engines[name]
+
+    def start_service(self, name: str) -> Process:
+        """Start a plain service stand-in and list it."""
+        command = ["service", "--port", "0", "--name", name]
+        self.services[name] = self._start_stand_in(name, command)
+        return self.services[name]
+
+    def _start_stand_in(self, name: str, arguments: list[str]) -> Process:
+        command = [sys.executable, "-m", "briarrelay_bench.stand_in_main", *arguments]
+        popen = subprocess.Popen(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=self._log_file(name),
+            text=True,
+        )
+        port = int(popen.stdout.readline().split()[1])
+        return Process(name, popen, port)
+
+    def _log_file(self, name: str):
+        return (self.log_dir / f"{name}.log").open("a")
+
+    def prepare_daemon(self, name: str) -> Process:
+        """Choose ports and write the settings of a daemon, without starting it."""
+        port, peer_port = free_port(), free_port()
+        address = lambda p: {"host": HOST, "port": p}
+        settings = {
+            "name": name,
+            "data_centre": self.data_centre,
+            "listen": address(port),
+            "peer_listen": address(peer_port),
+            "log": address(self.platform.port),
+            "instance_list": address(self.platform.port),
+            "weight_store": address(self.platform.port),
+            "operator_key_hash": hash_key(OPERATOR_KEY),
+        }
+        self.settings_path(name).write_text(json.dumps(settings, indent=2))
+        self.daemons[name] = Process(name, None, port, peer_port)
+        return self.daemons[name]
+
+    def settings_path(self, name: str) -> Path:
+        """Return the settings file of a daemon."""
+        return self.log_dir / f"{name}.jsonc"
+
+    def start_daemon(self, name: str, wait: bool = True) -> Process:
+        """Start a daemon, again if it has ended."""
+        if name not in self.daemons:
+            self.prepare_daemon(name)
+        daemon = self.daemons[name]
+        command = [
+            sys.executable,
+            "-m",
+            "briarrelay_daemon.main",
+            "--settings",
+            str(self.settings_path(name)),
+        ]
+        daemon.popen = subprocess.Popen(command, stderr=self._log_file(name))
+        self._starts += 1
+        if wait:
+            self.wait_ready(name)
+        return daemon
+
+    def publish_list(self) -> None:
+        """Give the platform the list of what runs now."""
+        entries = [
+            *[self._entry(p, "engine") for p in self.engines.values()],
+            *[self._entry(p, "service") for p in self.services.values()],
+            *[self._entry(p, "entry") for p in self.daemons.values()],
+        ]
+        self.platform.call("PUT", "/v1/instances", {"instances": entries})
+
+    def _entry(self, process: Process, kind: str) -> dict:
+        return {
+            "name": process.name,
+            "incarnation": 1,
+            "kind": kind,
+            "data_centre": self.data_centre,
+            "host": HOST,
+            "port": process.peer_port or process.port,
+            "state": "leaving" if process.name in self.left else "live",
+            "checks_fencing": process.name not in self.ignoring,
+            "service": "booking" if kind == "service" else "",
+        }
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until a daemon says that it is ready."""
+        self.wait_until(lambda: self._is_ready(name), f"{name} is ready")
+
+    def _is_ready(self, name: str) -> bool:
+        try:
+            return self.daemons[name].call("GET", "/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def wait_until(self, is_so, what: str, limit: float = START_S) -> None:
+        """Wait until something is so.
+
+        :raises TimeoutError: naming what was waited for.
+        """
+        end = monotonic() + limit
+        while not is_so():
+            if monotonic() > end:
+                raise TimeoutError(f"waited {limit} s until {what}; see {self.log_dir}")
+            sleep(0.05)
+
+    def write_ctl_settings(self) -> Path:
+        """Write the settings of briarrelayctl and return the file."""
+        address = lambda p: {"host": HOST, "port": p}
+        settings = {
+            "log": address(self.platform.port),
+            "instances": [address(p.port) for p in self.daemons.values()],
+            "operator_key": OPERATOR_KEY,
+            "author": "demo",
+        }
+        path = self.log_dir / "ctl.jsonc"
+        path.write_text(json.dumps(settings, indent=2))
+        return path
--- /dev/null
+++ b/packages/briarrelay-bench/src/briarrelay_bench/virtual.py
@@ -0,0 +1,331 @@
+"""Small fakes at the interfaces of entry instances, in virtual time."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from heapq import heappop, heappush
+
+from attrs import define, field
+
+from briarrelay_bench.engine_model import EngineModel
+from briarrelay_bench.fakelog import FakeLog
+from briarrelay_core.ports.caller import AnswerText, Finish
+from briarrelay_core.ports.engine import (
+    Cancelled,
+    CancelRequest,
+    EngineLost,
+    ReadReport,
+    ReadResidents,
+    ReportLost,
+    Residents,
+    ResumeStream,
+    SendRequest,
+    StartGang,
+)
+from briarrelay_core.ports.log import (
+    AppendDone,
+    AppendFailed,
+    AppendLog,
+    LogRead,
+    ReadLog,
+)
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.ports.peer import FromPeer, PeerUnreachable, SendPeer
+from briarrelay_core.ports.platform import (
+    InstanceList,
+    ListedInstance,
+    OrderAnswer,
+    ReadEngineState,
+    ReadInstanceList,
+    SendOrder,
+)
+
+__all__ = ["EngineHost", "InstanceHost", "World"]
+
+LATENCY_S = 0.001
+"""One-way delay between any two processes of a data centre."""
+
+REPORT_LAG_S = 0.5
+"""Seconds by which an engine's report is late."""
+
+CONNECT_TIMEOUT_S = 1.0
+"""Seconds after which an unanswered read or cancel counts as lost."""
+
+
+@define(slots=True, eq=False)
+class EngineHost:
+    """An engine in the world; it can die, or fall silent and wake."""
+
+    model: EngineModel
+    data_centre: str = "dc1"
+    alive: bool = True
+    silent: bool = False
+    stepping: bool = False
+
+    @property
+    def answers(self) -> bool:
+        """Whether messages reach it and come back."""
+        return self.alive and not self.silent
+
+
+@define(slots=True, eq=False)
+class InstanceHost:
+    """An entry instance in the world; anything with the core's seam will do."""
+
+    core: object
+    data_centre: str = "dc1"
+    alive: bool = True
+    timer_at: float = float("inf")
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.core.identity.name
+
+
+@define(slots=True)
+class World:
+    """Event loop, engines, the log and the instance list.
+
+    :param now: virtual Unix seconds.
+    :param is_cut: tells whether messages between two data centres are lost; the
+        platform is in a data centre of its own, named ``platform``.
+    """
+
+    now: float = 1_000.0
+    engines: dict[str, EngineHost] = field(factory=dict)
+    instances: dict[str, InstanceHost] = field(factory=dict)
+    log: FakeLog = field(factory=FakeLog)
+    listed: tuple[ListedInstance, ...] = ()
+    list_version: int = 1
+    is_cut: Callable[[str, str], bool] = lambda a, b: False
+    on_text: Callable[[str, str, float], None] = lambda i, t, now: None
+    on_finish: Callable[[Finish, float], None] = lambda f, now: None
+    counters: dict[str, int] = field(factory=dict)
+    _heap: list = field(factory=list)
+    _order: int = 0
+    _waiting: list = field(factory=list)
+
+    def at(self, due: float, action: Callable[[], None]) -> None:
+        """Run an action at a time."""
+        self._order += 1
+        heappush(self._heap, (due, self._order, action))
+
+    def run_until(self, end: float) -> None:
+        """Run everything that is due before a time."""
+        while self._heap and self._heap[0][0] <= end:
+            due, _, action = heappop(self._heap)
+            self.now = max(self.now, due)
+            action()
+        self.now = max(self.now, end)
+
+    def start(self, host: InstanceHost) -> None:
+        """Add an instance and let it begin."""
+        self.instances[host.name] = host
+        self.perform_all(host, host.core.start(self.now))
+
+    def tell(self, host: InstanceHost, message) -> None:
+        """Hand a message to an instance now."""
+        if host.alive:
+            self.perform_all(host, host.core.handle(message, self.now))
+
+    def tell_later(self, host: InstanceHost, message, delay: float) -> None:
+        """Hand a message to an instance after a delay."""
+        self.at(self.now + delay, lambda: self.tell(host, message))
+
+    def perform_all(self, host: InstanceHost, effects: list) -> None:
+        """Carry effects out and set the instance's timer."""
+        for effect in effects:
+            self.perform(effect, host)
+        due = host.core.next_due
+        if due is not None and due < host.timer_at:
+            host.timer_at = due
+            self.at(max(due, self.now), lambda: self._run_timers(host, due))
+
+    def _run_timers(self, host: InstanceHost, due: float) -> None:
+        if not host.alive or host.timer_at != due:
+            return
+        host.timer_at = float("inf")
+        self.perform_all(host, host.core.run_timers(self.now))
+
+    def reaches_platform(self, host: InstanceHost) -> bool:
+        """Return whether an instance's messages reach the platform."""
+        return not self.is_cut(host.data_centre, "platform")
+
+    @singledispatchmethod
+    def perform(self, effect, host: InstanceHost) -> None:
+        """Carry one effect out for an instance."""
+        raise TypeError(f"given {effect!r}, which this world does not know")
+
+    @perform.register
+    def _(self, effect: Count, host: InstanceHost) -> None:
+        total = self.counters.get(effect.name, 0) + effect.amount
+        self.counters[effect.name] = total
+
+    @perform.register
+    def _(self, effect: Note, host: InstanceHost) -> None:
+        pass
+
+    @perform.register
+    def _(self, effect: AnswerText, host: InstanceHost) -> None:
+        self.on_text(effect.request_id, effect.text, self.now)
+
+    @perform.register
+    def _(self, effect: Finish, host: InstanceHost) -> None:
+        self.on_finish(effect, self.now)
+
+    @perform.register
+    def _(self, effect: SendRequest, host: InstanceHost) -> None:
+        self.at(self.now + LATENCY_S, lambda: self._submit(effect, host))
+
+    def _submit(self, effect: SendRequest, host: InstanceHost) -> None:
+        engine = self.engines[effect.engine]
+        if not engine.alive:
+            key = (effect.engine, effect.request_id, effect.attempt)
+            self.tell_later(host, EngineLost(*key, sent=False), LATENCY_S)
+        elif not engine.silent:
+            frame = engine.model.submit(effect)
+            self.tell_later(host, frame, LATENCY_S)
+            self._ensure_stepping(engine)
+
+    def _ensure_stepping(self, engine: EngineHost) -> None:
+        if not engine.stepping and not engine.model.is_idle:
+            engine.stepping = True
+            self._step(engine)
+
+    def _step(self, engine: EngineHost) -> None:
+        if not engine.alive or engine.model.is_idle:
+            engine.stepping = False
+            return
+        owners = {(r.request_id, r.attempt): r.owner for r in engine.model.residents()}
+        seconds, frames = engine.model.step()
+        due = self.now + seconds
+        for frame in frames:
+            host = self.instances.get(owners[(frame.request_id, frame.attempt)])
+            self.at(due + LATENCY_S, lambda f=frame, h=host: self._emit(engine, h, f))
+        self.at(due, lambda: self._step(engine))
+
+    def _emit(self, engine: EngineHost, host: InstanceHost, frame) -> None:
+        if engine.answers and host is not None:
+            self.tell(host, frame)
+
+    @perform.register
+    def _(self, effect: StartGang, host: InstanceHost) -> None:
+        self.at(self.now + LATENCY_S, lambda: self._start_gang(effect))
+
+    def _start_gang(self, effect: StartGang) -> None:
+        engine = self.engines[effect.engine]
+        if engine.answers:
+            engine.model.start(effect.request_id, effect.attempt)
+            self._ensure_stepping(engine)
+
+    @perform.register
+    def _(self, effect: CancelRequest, host: InstanceHost) -> None:
+        self.at(self.now + LATENCY_S, lambda: self._cancel(effect, host))
+
+    def _cancel(self, effect: CancelRequest, host: InstanceHost) -> None:
+        engine = self.engines[effect.engine]
+        if engine.answers:
+            engine.model.cancel(effect.request_id, effect.attempt)
+        key = (effect.engine, effect.request_id, effect.attempt)
+        delay = LATENCY_S if engine.answers else CONNECT_TIMEOUT_S
+        self.tell_later(host, Cancelled(*key, engine.answers), delay)
+
+    @perform.register
+    def _(self, effect: ResumeStream, host: InstanceHost) -> None:
+        self.at(self.now + LATENCY_S, lambda: self._resume(effect, host))
+
+    def _resume(self, effect: ResumeStream, host: InstanceHost) -> None:
+        engine = self.engines[effect.engine]
+        key = (effect.engine, effect.request_id, effect.attempt)
+        if not engine.alive:
+            self.tell_later(host, EngineLost(*key, sent=False), LATENCY_S)
+        elif not engine.silent:
+            for frame in engine.model.resume(*key[1:], effect.start_at):
+                self.tell_later(host, frame, LATENCY_S)
+
+    @perform.register
+    def _(self, effect: ReadReport, host: InstanceHost) -> None:
+        engine = self.engines[effect.engine]
+        if not engine.answers:
+            lost = ReportLost(effect.engine, refused=not engine.alive)
+            delay = CONNECT_TIMEOUT_S if engine.alive else LATENCY_S
+            self.tell_later(host, lost, delay)
+            return
+        self.tell_later(host, engine.model.report(self.now), REPORT_LAG_S)
+        events = engine.model.events(effect.events_from)
+        self.tell_later(host, events, REPORT_LAG_S)
+
+    @perform.register
+    def _(self, effect: ReadResidents, host: InstanceHost) -> None:
+        engine = self.engines[effect.engine]
+        if engine.answers:
+            residents = Residents(effect.engine, engine.model.residents())
+            self.tell_later(host, residents, 2 * LATENCY_S)
+
+    @perform.register
+    def _(self, effect: ReadEngineState, host: InstanceHost) -> None:
+        self._tell_state(host, effect.engine, True)
+
+    @perform.register
+    def _(self, effect: SendOrder, host: InstanceHost) -> None:
+        engine = self.engines[effect.engine]
+        accepted = engine.answers and engine.model.order(
+            effect.kind.value, effect.value, effect.fencing
+        )
+        self._tell_state(host, effect.engine, accepted)
+
+    def _tell_state(self, host: InstanceHost, name: str, accepted: bool) -> None:
+        engine = self.engines[name]
+        if not engine.answers:
+            return
+        model = engine.model
+        answer = OrderAnswer(
+            engine=name,
+            accepted=accepted,
+            highest_fencing=model.highest_fencing,
+            models=model.models,
+            adapters=model.adapters,
+            role=model.role,
+        )
+        self.tell_later(host, answer, 2 * LATENCY_S)
+
+    @perform.register
+    def _(self, effect: ReadInstanceList, host: InstanceHost) -> None:
+        if self.reaches_platform(host):
+            answer = InstanceList(self.list_version, self.listed)
+            self.tell_later(host, answer, 2 * LATENCY_S)
+
+    @perform.register
+    def _(self, effect: AppendLog, host: InstanceHost) -> None:
+        if not self.reaches_platform(host):
+            failed = AppendFailed(effect.append_id)
+            self.tell_later(host, failed, CONNECT_TIMEOUT_S)
+            return
+        offset = self.log.append(effect.stream, effect.bodies)
+        self.tell_later(host, AppendDone(effect.append_id, offset), 2 * LATENCY_S)
+        waiting, self._waiting = self._waiting, []
+        for read, reader in waiting:
+            self.perform(read, reader)
+
+    @perform.register
+    def _(self, effect: ReadLog, host: InstanceHost) -> None:
+        if not self.reaches_platform(host):
+            failed = LogRead(effect.stream, effect.start, (), 0, 0, failed=True)
+            self.tell_later(host, failed, CONNECT_TIMEOUT_S)
+        elif effect.wait_s and not self.log.has_news(effect.stream, effect.start):
+            self._waiting.append((effect, host))
+        else:
+            answer = self.log.read(effect.stream, effect.start)
+            self.tell_later(host, answer, 2 * LATENCY_S)
+
+    @perform.register
+    def _(self, effect: SendPeer, host: InstanceHost) -> None:
+        peer = self.instances.get(effect.peer)
+        cut = peer is None or self.is_cut(host.data_centre, peer.data_centre)
+        if cut or not peer.alive:
+            lost = PeerUnreachable(effect.peer, effect.message)
+            self.tell_later(host, lost, CONNECT_TIMEOUT_S)
+            return
+        identity = host.core.identity
+        message = FromPeer(identity.name, identity.incarnation, effect.message)
+        self.tell_later(peer, message, LATENCY_S)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/chatdesk.py
@@ -0,0 +1,220 @@
+"""Prompts from their arrival to their final answer."""
+
+from attrs import define
+
+from briarrelay_core.admission import Admission
+from briarrelay_core.cancels import CancelKeeper
+from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.context import Context
+from briarrelay_core.dispatch import Dispatcher
+from briarrelay_core.outcomes import Done, Failed, NotRun, Outcome
+from briarrelay_core.ports.caller import CallerGone, ChatRequest, Finish
+from briarrelay_core.ports.observe import Count
+from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
+from briarrelay_core.reservations import ReservationKeeper
+from briarrelay_core.retries import retry_delay
+from briarrelay_core.spill import Spill
+
+__all__ = ["ChatDesk"]
+
+FAILURE_REASONS = {RetryReason.STREAM_SILENT, RetryReason.ENGINE_LOST}
+"""Retry reasons that speak against the engine."""
+
+
+@define(slots=True)
+class ChatDesk:
+    """Takes prompts in, retries them and gives each one final answer."""
+
+    context: Context
+    admission: Admission
+    dispatcher: Dispatcher
+    reservations: ReservationKeeper
+    cancels: CancelKeeper
+    spill: Spill
+
+    def on_request(self, request: ChatRequest, now: float) -> list:
+        """Take a prompt of a caller or of a peer."""
+        checked = self.admission.check_chat(request, now)
+        if isinstance(checked, NotRun):
+            return self.refuse(request, "", checked, now)
+        self._count_demand(request, now)
+        chat = Chat(request, checked.workspace, checked.weight, now)
+        problem = self._find_problem(chat, now)
+        if problem is not None:
+            relayed = self.spill.try_relay(chat, problem, now)
+            if relayed is None:
+                return self.refuse(request, checked.workspace, problem, now)
+            self._admit(chat, now)
+            return relayed
+        self._admit(chat, now)
+        return self.dispatcher.submit(chat, now)
+
+    def _count_demand(self, request: ChatRequest, now: float) -> None:
+        self.context.total_demand.add(request.prompt_tokens, now)
+        self.context.budget.earn(self.context.preset.retry_ratio, now)
+
+    def _find_problem(self, chat: Chat, now: float) -> NotRun | None:
+        if not self.context.fleet.usable(chat.request.model, now):
+            return NotRun(RefusalReason.NO_ENGINE, 2.0)
+        return self.dispatcher.feasible(chat, now)
+
+    def _admit(self, chat: Chat, now: float) -> None:
+        self.context.chats[chat.id] = chat
+        timer = self.context.timers.at(
+            chat.request.deadline, lambda t: self._on_deadline(chat, t)
+        )
+        chat.set_timer("deadline", timer)
+        margin = self.context.preset.admit_margin_s
+        latest = chat.request.deadline - margin - self.dispatcher.service_s(chat)
+        if latest > now:
+            timer = self.context.timers.at(latest, lambda t: self._on_too_late(chat, t))
+            chat.set_timer("latest", timer)
+
+    def _on_too_late(self, chat: Chat, now: float) -> list:
+        """Give up on a prompt that has not started and can not finish any more."""
+        waiting = chat.phase in (Phase.QUEUED, Phase.PAUSED, Phase.RESERVING)
+        if not waiting:
+            return []
+        if chat.next_seq or chat.attempt and chat.why and chat.tried:
+            return self.finish(chat, Failed(FailureReason.DEADLINE), now)
+        wait = max(1.0, self.dispatcher.expected_wait(chat, now))
+        return self.finish(chat, NotRun(RefusalReason.OVERLOADED, wait), now)
+
+    def _on_deadline(self, chat: Chat, now: float) -> list:
+        return self.finish(chat, Failed(FailureReason.DEADLINE), now)
+
+    def refuse(
+        self, request: ChatRequest, workspace: str, refusal: NotRun, now: float
+    ) -> list:
+        """Refuse a prompt that holds nothing yet."""
+        effects = [
+            Count(f"refused.{refusal.reason.value}"),
+            Finish(request.request_id, refusal),
+        ]
+        if refusal.reason is not RefusalReason.DUPLICATE_REQUEST:
+            why = (refusal.message,)
+            effects += self.context.note(
+                now,
+                "refusal",
+                request.request_id,
+                workspace,
+                refusal.reason.value,
+                why,
+            )
+        return effects
+
+    def retry(self, chat: Chat, engine: str, reason: RetryReason, now: float) -> list:
+        """End an attempt and start another elsewhere, if budget and time allow."""
+        fleet = self.context.fleet
+        if reason in FAILURE_REASONS:
+            silent = reason is RetryReason.STREAM_SILENT
+            fleet.health.note_failure(engine, now, certain=silent)
+        effects = self._end_attempt(chat, now)
+        if reason is RetryReason.ENGINE_REFUSED and len(chat.tried) > 2:
+            chat.tried.clear()
+        chat.tried.add(engine)
+        chat.why.append(f"{engine} failed: {reason.value}")
+        effects.append(Count(f"retried.{reason.value}"))
+        effects += self.context.note(
+            now, "retry", chat.id, chat.workspace, reason.value, (engine,)
+        )
+        if not self.context.budget.spend(now):
+            failed = Failed(FailureReason.RETRY_BUDGET)
+            return effects + self.finish(chat, failed, now)
+        return effects + self._pause(chat, now)
+
+    def _pause(self, chat: Chat, now: float) -> list:
+        due = now + retry_delay(chat.id, chat.attempt)
+        if due >= chat.request.deadline:
+            return self.finish(chat, Failed(FailureReason.DEADLINE), now)
+        chat.phase = Phase.PAUSED
+        timer = self.context.timers.at(due, lambda t: self._resubmit(chat, t))
+        chat.set_timer("resubmit", timer)
+        return []
+
+    def _resubmit(self, chat: Chat, now: float) -> list:
+        if chat.phase is not Phase.PAUSED:
+            return []
+        usable = self.context.fleet.usable(chat.request.model, now)
+        if usable and not set(usable) - chat.tried:
+            chat.tried.clear()
+        return self.dispatcher.submit(chat, now)
+
+    def _end_attempt(self, chat: Chat, now: float) -> list:
+        """Free all that the attempt in progress holds or may hold."""
+        effects = []
+        if chat.phase in (Phase.SENT, Phase.STREAMING):
+            for engine in chat.engines:
+                self.context.fleet.view(engine).remove_sent(chat.id)
+                effects += self.cancels.cancel(
+                    engine, chat.id, chat.attempt, chat.request.deadline, now
+                )
+        elif chat.phase is Phase.QUEUED:
+            self.dispatcher.withdraw(chat)
+        elif chat.phase is Phase.RELAYED:
+            effects += self.spill.cancel(chat)
+        effects += self.reservations.release_all(chat, now)
+        chat.set_timer("silence", None)
+        chat.engines = ()
+        return effects
+
+    def finish(self, chat: Chat, outcome: Outcome, now: float) -> list:
+        """Give the final answer, once, and free everything."""
+        if chat.phase is Phase.DONE:
+            return []
+        effects = []
+        if isinstance(outcome, Done) and chat.phase is Phase.STREAMING:
+            effects += self._free_done(chat, now)
+        else:
+            effects += self._end_attempt(chat, now)
+        chat.phase = Phase.DONE
+        chat.cancel_timers()
+        self.spill.forget(chat)
+        del self.context.chats[chat.id]
+        effects.append(Finish(chat.id, outcome, chat.next_seq))
+        effects += self._observe(chat, outcome, now)
+        return effects + self.dispatcher.pump(now)
+
+    def _free_done(self, chat: Chat, now: float) -> list:
+        """Free the other members of a gang; the lead has freed itself."""
+        effects = []
+        for engine in chat.engines[1:]:
+            effects += self.cancels.cancel(
+                engine, chat.id, chat.attempt, chat.request.deadline, now
+            )
+        return effects + self.reservations.release_all(chat, now)
+
+    def _observe(self, chat: Chat, outcome: Outcome, now: float) -> list:
+        reason = getattr(outcome, "reason", "")
+        label = f"{outcome.tag}.{reason.value}" if reason else outcome.tag
+        name = f"refused.{reason.value}" if outcome.tag == "not_run" else label
+        kind = "refusal" if outcome.tag == "not_run" else "request"
+        if chat.first_token_at is not None:
+            chat.why.append(
+                f"first token after {chat.first_token_at - chat.arrived:.3f} s"
+            )
+        chat.why.append(f"{label} after {now - chat.arrived:.3f} s")
+        return [
+            Count(name),
+            *self.context.note(
+                now, kind, chat.id, chat.workspace, label, tuple(chat.why)
+            ),
+        ]
+
+    def on_caller_gone(self, message: CallerGone, now: float) -> list:
+        """Stop a request whose caller is gone or does not read."""
+        chat = self.context.chats.get(message.request_id)
+        if chat is None:
+            return []
+        slow = message.slow
+        reason = FailureReason.CALLER_SLOW if slow else FailureReason.CALLER_GONE
+        return self.finish(chat, Failed(reason), now)
+
+    def on_engine_gone(self, engine: str, now: float) -> list:
+        """Retry at once what an engine that is gone was working on."""
+        effects = []
+        for chat in list(self.context.chats.values()):
+            active = chat.phase in (Phase.SENT, Phase.STREAMING)
+            if active and engine in chat.engines:
+                effects += self.retry(chat, engine, RetryReason.ENGINE_LOST, now)
+        return effects
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/checked.py
@@ -0,0 +1,81 @@
+"""Checked conversion between plain mappings and attrs classes."""
+
+from enum import Enum
+
+import cattrs
+from cattrs import Converter, transform_error
+
+__all__ = ["CheckedError", "from_mapping", "to_mapping"]
+
+
+class CheckedError(ValueError):
+    """A mapping does not fit its class; the message is one line with the remedy."""
+
+    def __init__(self, source: str, field: str, problem: str):
+        self.source = source
+        self.field = field
+        self.problem = problem
+        super().__init__(f"{source}: {field}: {problem}; correct this field")
+
+
+def _strict(kind: type):
+    def structure(value, _):
+        if type(value) is not kind and not (kind is float and type(value) is int):
+            raise TypeError(f"given {value!r}, expected {kind.__name__}")
+        return kind(value)
+
+    return structure
+
+
+def _is_enum(cls) -> bool:
+    return isinstance(cls, type) and issubclass(cls, Enum)
+
+
+def _structure_enum(value, cls):
+    known = [member.value for member in cls]
+    if value not in known:
+        raise TypeError(f"given {value!r}, expected one of {', '.join(known)}")
+    return cls(value)
+
+
+def _make_converter() -> Converter:
+    converter = Converter(forbid_extra_keys=True)
+    for kind in (int, float, str, bool):
+        converter.register_structure_hook_func(
+            lambda cls, kind=kind: cls is kind, _strict(kind)
+        )
+    converter.register_structure_hook_func(_is_enum, _structure_enum)
+    return converter
+
+
+_CONVERTER = _make_converter()
+
+
+def _explain(exc: Exception, type_) -> str:
+    if isinstance(exc, KeyError):
+        return f"required field {exc} is missing"
+    if isinstance(exc, cattrs.errors.ForbiddenExtraKeysError):
+        return f"unknown field {', '.join(sorted(exc.extra_fields))}"
+    text = " ".join(str(part) for part in exc.args if isinstance(part, str))
+    return text or f"not a valid {getattr(type_, '__name__', type_)}"
+
+
+def from_mapping(cls: type, mapping: object, source: str):
+    """Build an attrs class from a mapping.
+
+    :param source: file or stream that the mapping was read from.
+    :raises CheckedError: naming the first field that does not fit.
+    """
+    if not isinstance(mapping, dict):
+        raise CheckedError(source, "$", f"given {mapping!r}, expected an object")
+    try:
+        return _CONVERTER.structure(mapping, cls)
+    except Exception as error:
+        lines = transform_error(error, format_exception=_explain)
+        problem, _, path = lines[0].rpartition(" @ ")
+        raise CheckedError(source, path.removeprefix("$.") or "$", problem) from error
+
+
+def to_mapping(value: object):
+    """Return the plain mapping of an attrs object."""
+    return _CONVERTER.unstructure(value)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/dispatch.py
@@ -0,0 +1,241 @@
+"""Which prompt goes to which engine, and when."""
+
+from attrs import define, evolve, field
+
+from briarrelay_core.admission import Admission, whole_seconds
+from briarrelay_core.allocator import GangPlan, plan_gang
+from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.context import Context
+from briarrelay_core.estimate import Estimate, priority_key
+from briarrelay_core.fairqueue import FairQueue, Waiting
+from briarrelay_core.lengths import LengthClass
+from briarrelay_core.outcomes import NotRun
+from briarrelay_core.ports.engine import SendRequest
+from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.reservations import ReservationKeeper
+
+__all__ = ["Dispatcher"]
+
+PUMP_S = 0.02
+"""Seconds between looks at the queues while they are not empty."""
+
+DENIED_PAUSE_S = 0.2
+"""Seconds before a prompt whose reservation was denied is tried again."""
+
+DECODE_STRETCH = 1.2
+"""Steps that one generated token is expected to take."""
+
+
+@define(slots=True)
+class Dispatcher:
+    """Fair queues by length class, and the start of attempts.
+
+    Prompts stay in the queue until an engine has little work before them: late
+    choice uses newer news of the engines and leaves the order to fairness.
+    """
+
+    context: Context
+    admission: Admission
+    reservations: ReservationKeeper | None = None
+    _short: FairQueue = field(factory=FairQueue)
+    _others: FairQueue = field(factory=FairQueue)
+    _pumping: bool = False
+
+    @property
+    def queued(self) -> int:
+        """Number of prompts that wait for an engine."""
+        return len(self._short) + len(self._others)
+
+    def _queue_of(self, length_class: LengthClass) -> FairQueue:
+        return self._short if length_class is LengthClass.SHORT else self._others
+
+    def _window(self, length_class: LengthClass) -> float:
+        preset = self.context.preset
+        if length_class is LengthClass.SHORT:
+            return preset.short_window_s
+        return preset.long_window_s
+
+    def service_s(self, chat: Chat) -> float:
+        """Return seconds that a prompt takes on an idle engine."""
+        engines = self.context.fleet.live_engines()
+        views = [self.context.fleet.view(name) for name in engines]
+        rate = max((view.rate for view in views), default=1.0)
+        step = max((view.step_s for view in views), default=0.0)
+        prompt = chat.request.prompt_tokens + chat.next_seq
+        return prompt / rate + chat.remaining_tokens * step * DECODE_STRETCH
+
+    def feasible(self, chat: Chat, now: float) -> NotRun | None:
+        """Return a refusal if a prompt cannot finish in its time, else None."""
+        margin = self.context.preset.admit_margin_s
+        slack = chat.request.deadline - margin - now - self.service_s(chat)
+        if slack < 0:
+            return NotRun(
+                RefusalReason.CANNOT_FINISH,
+                whole_seconds(-slack),
+                f"given {chat.request.deadline - now:.1f} s, "
+                f"needs {self.service_s(chat) + margin:.1f} s.",
+            )
+        wait = self.expected_wait(chat, now)
+        if wait > slack:
+            return NotRun(RefusalReason.OVERLOADED, whole_seconds(wait - slack))
+        return None
+
+    def expected_wait(self, chat: Chat, now: float) -> float:
+        """Return seconds that a prompt would wait in the queue."""
+        queue = self._queue_of(chat.length_class)
+        waiting = queue.queued_of(chat.workspace)
+        if waiting == 0:
+            return 0.0
+        return waiting / self.admission.fair_rate(chat.workspace, now)
+
+    def submit(self, chat: Chat, now: float) -> list:
+        """Put a prompt in its queue and serve what can be served."""
+        key = priority_key(
+            self.context.preset.objective,
+            chat.length_class,
+            chat.arrived,
+            self.service_s(chat),
+        )
+        chat.priority = key
+        chat.phase = Phase.QUEUED
+        cost = chat.request.prompt_tokens
+        item = Waiting(chat.id, chat.workspace, cost, key)
+        self._queue_of(chat.length_class).push(item, chat.weight)
+        return self.pump(now)
+
+    def withdraw(self, chat: Chat) -> None:
+        """Take a prompt out of its queue."""
+        self._queue_of(chat.length_class).remove(chat.id)
+
+    def pump(self, now: float) -> list:
+        """Start every attempt that an engine has room for."""
+        effects = []
+        for queue in (self._short, self._others):
+            while queue:
+                chosen: dict[str, Estimate | GangPlan] = {}
+                item = queue.pop(lambda i, c=chosen: self._choose(i, c, now))
+                if item is None:
+                    break
+                chat = self.context.chats[item.request_id]
+                effects.extend(self._start(chat, chosen[item.request_id], now))
+        if self.queued and not self._pumping:
+            self._pumping = True
+            self.context.timers.at(now + PUMP_S, self._on_pump)
+        return effects
+
+    def _on_pump(self, now: float) -> list:
+        self._pumping = False
+        return self.pump(now)
+
+    def _choose(self, item: Waiting, chosen: dict, now: float) -> bool:
+        chat = self.context.chats[item.request_id]
+        if chat.needs_reservation:
+            choice = self._plan(chat, now)
+        else:
+            window = self._window(chat.length_class)
+            choice = self.context.fleet.best(chat.need, now, window)
+        if choice is not None:
+            chosen[item.request_id] = choice
+        return choice is not None
+
+    def _plan(self, chat: Chat, now: float) -> GangPlan | None:
+        fleet = self.context.fleet
+        headroom = 1 - self.context.preset.memory_headroom
+        room, waits = {}, {}
+        for name in fleet.usable(chat.request.model, now):
+            if name in chat.tried:
+                continue
+            view = fleet.view(name)
+            wait = fleet.estimate(name, chat.need, now).wait_s
+            if wait <= self._window(chat.length_class):
+                waits[name] = wait
+                room[name] = min(view.memory_free, int(view.memory_total * headroom))
+        prompt = chat.request.prompt_tokens + chat.next_seq
+        return plan_gang(prompt, chat.request.output_tokens, room, waits)
+
+    def _start(self, chat: Chat, choice: Estimate | GangPlan, now: float) -> list:
+        if isinstance(choice, GangPlan):
+            return self.reservations.start(chat, choice, now)
+        chat.attempt += 1
+        chat.expected_s = choice.first_token_s
+        chat.why.append(
+            f"attempt {chat.attempt} to {choice.engine} after "
+            f"{now - chat.arrived:.3f} s, first token expected in "
+            f"{choice.first_token_s:.3f} s, {choice.cached} tokens cached"
+        )
+        return self.launch(
+            chat, (choice.engine,), (chat.need.tokens,), now, choice.cached
+        )
+
+    def on_granted(self, chat: Chat, now: float) -> list:
+        """Send a prompt whose memory is reserved."""
+        plan = chat.plan
+        rate = self.context.fleet.view(plan.engines[0]).rate
+        chat.expected_s = max(plan.tokens) / rate + self._window(chat.length_class)
+        chat.why.append(
+            f"attempt {chat.attempt} to {'+'.join(plan.engines)} after "
+            f"{now - chat.arrived:.3f} s, memory reserved"
+        )
+        return self.launch(chat, plan.engines, plan.tokens, now)
+
+    def on_denied(self, chat: Chat, engine: str, now: float) -> list:
+        """Queue a prompt again after a pause; its reservation was denied."""
+        chat.why.append(f"no memory at {engine}")
+        queue = self._queue_of(chat.length_class)
+        queue.refund(chat.workspace, chat.request.prompt_tokens)
+        chat.phase = Phase.PAUSED
+        timer = self.context.timers.at(
+            now + DENIED_PAUSE_S, lambda t: self._resubmit(chat, t)
+        )
+        chat.set_timer("resubmit", timer)
+        return []
+
+    def _resubmit(self, chat: Chat, now: float) -> list:
+        if chat.phase is not Phase.PAUSED:
+            return []
+        return self.submit(chat, now)
+
+    def launch(
+        self,
+        chat: Chat,
+        engines: tuple[str, ...],
+        tokens: tuple[int, ...],
+        now: float,
+        cached: int = 0,
+    ) -> list:
+        """Send an attempt to its engines."""
+        chat.phase = Phase.SENT
+        chat.engines = engines
+        chat.ready = set()
+        chat.probed = False
+        effects = []
+        for index, engine in enumerate(engines):
+            part = tokens[index]
+            self.context.fleet.note_sent(
+                engine, evolve(chat.need, tokens=part), min(cached, part - 1), now
+            )
+            effects.append(self._request(chat, engine, index, part))
+        return effects
+
+    def _request(self, chat: Chat, engine: str, index: int, tokens: int) -> SendRequest:
+        request = chat.request
+        identity = self.context.identity
+        return SendRequest(
+            engine=engine,
+            request_id=chat.id,
+            attempt=chat.attempt,
+            owner=identity.name,
+            incarnation=identity.incarnation,
+            model=request.model,
+            tokens=tokens,
+            output_tokens=request.output_tokens,
+            reserve=tokens + chat.remaining_tokens,
+            priority=chat.priority,
+            deadline=request.deadline,
+            blocks=request.blocks if len(chat.engines) == 1 else (),
+            start_at=chat.next_seq,
+            generated="".join(chat.generated),
+            segment=index,
+            segments=len(chat.engines),
+            payload=request.payload,
+        )
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/drain.py
@@ -0,0 +1,94 @@
+"""The planned stop: nothing in progress is cut, nothing unsent is lost."""
+
+from attrs import define
+
+from briarrelay_core.calls import CallDesk
+from briarrelay_core.context import Context
+from briarrelay_core.gossip import Gossip
+from briarrelay_core.ports.control import Stopped
+from briarrelay_core.ports.observe import Note
+from briarrelay_core.ports.peer import HandOver, HandOverTaken, SendPeer
+from briarrelay_core.ports.platform import LifeState
+from briarrelay_core.record import AUDIT_STREAM
+from briarrelay_core.rendezvous import ranked
+from briarrelay_core.timers import Timer
+
+__all__ = ["Drain"]
+
+CHECK_S = 0.2
+"""Seconds between looks at what is still in progress."""
+
+HAND_OVER_S = 2.0
+"""Seconds that the log may fail before records go to a peer."""
+
+HAND_OVER_PERIOD_S = 2.0
+"""Seconds between tries to hand records over."""
+
+HAND_OVER_RECORDS = 200
+"""Records of one message to a peer."""
+
+
+@define(slots=True)
+class Drain:
+    """Finishes what is in progress, empties the outbox, then stops."""
+
+    context: Context
+    calls: CallDesk
+    gossip: Gossip
+    _timer: Timer | None = None
+    _handed_at: float = -HAND_OVER_PERIOD_S
+
+    def start(self, now: float) -> list:
+        """Begin the stop; a second request to stop changes nothing."""
+        if self.context.draining:
+            return []
+        self.context.draining = True
+        identity = self.context.identity
+        self.context.membership.observe(
+            identity.name, identity.incarnation, LifeState.LEAVING, now
+        )
+        self._timer = self.context.timers.every(CHECK_S, self._check, now + CHECK_S)
+        return [Note("info", "drain_started"), *self.gossip.broadcast(now)]
+
+    def _check(self, now: float) -> list:
+        if self.context.chats or self.calls.calls:
+            return []
+        effects = []
+        while (batch := self.context.recorder.cut()) is not None:
+            effects += self.context.outbox.add(AUDIT_STREAM, batch.to_json(), now)
+        effects += self.context.outbox.flush(now)
+        if not self.context.outbox.is_empty:
+            return effects + self._hand_over(now)
+        self._timer.cancel()
+        return [*effects, Note("info", "drain_finished"), Stopped()]
+
+    def _hand_over(self, now: float) -> list:
+        """Give unsent records to a peer while the log is down."""
+        if not self.context.outbox.is_down(now, HAND_OVER_S):
+            return []
+        if now - self._handed_at < HAND_OVER_PERIOD_S:
+            return []
+        self._handed_at = now
+        peers = ranked(f"hand-over:{now:.0f}", self.context.entry_peers(now))
+        if not peers:
+            return []
+        return [
+            SendPeer(peers[0], HandOver(stream, bodies[:HAND_OVER_RECORDS]))
+            for stream, bodies in self.context.outbox.unsent().items()
+        ]
+
+    def on_hand_over(self, peer: str, message: HandOver, now: float) -> list:
+        """Keep the records of a peer that stops."""
+        if self.context.draining:
+            return []
+        effects = []
+        for body in message.bodies:
+            effects += self.context.outbox.add(message.stream, body, now)
+        taken = HandOverTaken(message.stream, len(message.bodies))
+        return [*effects, SendPeer(peer, taken)]
+
+    def on_taken(self, message: HandOverTaken, now: float) -> list:
+        """Forget records that a peer keeps from now on."""
+        self.context.outbox.drop(message.stream, message.count, now)
+        self._handed_at = -HAND_OVER_PERIOD_S
+        return []
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/entry.py
@@ -0,0 +1,322 @@
+"""An entry instance: the parts wired together behind one typed seam.
+
+Anything that passes messages to :meth:`EntryInstance.handle`, calls
+:meth:`EntryInstance.run_timers` when :attr:`EntryInstance.next_due` comes and
+carries the effects out can drive it: the daemon, a test or an experiment.
+"""
+
+from functools import singledispatchmethod
+
+from attrs import define, field
+
+from briarrelay_core.admission import Admission
+from briarrelay_core.answers import AnswerKeeper
+from briarrelay_core.calls import CallDesk
+from briarrelay_core.cancels import CancelKeeper
+from briarrelay_core.chatdesk import ChatDesk
+from briarrelay_core.claims import CLAIM_STREAM
+from briarrelay_core.context import Context
+from briarrelay_core.dispatch import Dispatcher
+from briarrelay_core.drain import Drain
+from briarrelay_core.fleet import Fleet
+from briarrelay_core.fold import CONFIG_STREAM, SNAPSHOT_STREAM
+from briarrelay_core.gossip import Gossip
+from briarrelay_core.identity import Identity
+from briarrelay_core.leases import LEASE_STREAM
+from briarrelay_core.membership import Membership
+from briarrelay_core.orders import OrderKeeper
+from briarrelay_core.outbox import Outbox
+from briarrelay_core.peermail import PeerMail
+from briarrelay_core.polling import Poller
+from briarrelay_core.ports.caller import CallerGone, ChatRequest, ServiceRequest
+from briarrelay_core.ports.control import DrainRequested
+from briarrelay_core.ports.engine import (
+    CacheEvents,
+    Cancelled,
+    EngineFrame,
+    EngineLost,
+    EngineReport,
+    FrameKind,
+    ReportLost,
+    Residents,
+)
+from briarrelay_core.ports.log import AppendDone, AppendFailed, LogRead
+from briarrelay_core.ports.peer import FromPeer, PeerUnreachable
+from briarrelay_core.ports.platform import (
+    InstanceKind,
+    InstanceList,
+    LifeState,
+    OrderAnswer,
+    WeightsReady,
+)
+from briarrelay_core.ports.service import ServiceAnswer, ServiceLost
+from briarrelay_core.record import AUDIT_STREAM, Recorder
+from briarrelay_core.relays import RelayKeeper
+from briarrelay_core.reservations import ReservationKeeper
+from briarrelay_core.revisions import RevisionKeeper
+from briarrelay_core.spill import Spill
+from briarrelay_core.timers import TimerService
+
+__all__ = ["EntryInstance"]
+
+RECORD_PERIOD_S = 2.0
+"""Seconds between batches of the record."""
+
+
+def _make_context(identity: Identity) -> Context:
+    timers = TimerService()
+    membership = Membership()
+    return Context(
+        identity=identity,
+        timers=timers,
+        membership=membership,
+        fleet=Fleet(identity, membership),
+        outbox=Outbox(identity, timers, {AUDIT_STREAM: RECORD_PERIOD_S}),
+        recorder=Recorder(identity),
+    )
+
+
+@define(slots=True)
+class EntryInstance:
+    """One of the equal entry instances.
+
+    :param identity: name, incarnation and data centre of this process.
+    """
+
+    identity: Identity
+    context: Context = field(init=False)
+    chats: ChatDesk = field(init=False)
+    calls: CallDesk = field(init=False)
+    revisions: RevisionKeeper = field(init=False)
+    orders: OrderKeeper = field(init=False)
+    drain: Drain = field(init=False)
+    gossip: Gossip = field(init=False)
+    poller: Poller = field(init=False)
+    _answers: AnswerKeeper = field(init=False)
+    _relays: RelayKeeper = field(init=False)
+    _peers: PeerMail = field(init=False)
+
+    def __attrs_post_init__(self):
+        context = _make_context(self.identity)
+        self.context = context
+        admission = Admission(context)
+        dispatcher = Dispatcher(context, admission)
+        reservations = ReservationKeeper(
+            context, dispatcher.on_granted, dispatcher.on_denied
+        )
+        dispatcher.reservations = reservations
+        self.chats = ChatDesk(
+            context=context,
+            admission=admission,
+            dispatcher=dispatcher,
+            reservations=reservations,
+            cancels=CancelKeeper(context.timers, context.membership),
+            spill=Spill(context),
+        )
+        self.calls = CallDesk(context, admission)
+        self.revisions = RevisionKeeper(context)
+        self.orders = OrderKeeper(context)
+        self.gossip = Gossip(context)
+        self.poller = Poller(context)
+        self.drain = Drain(context, self.calls, self.gossip)
+        self._answers = AnswerKeeper(self.chats)
+        self._relays = RelayKeeper(self.chats)
+        self._peers = PeerMail(self)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.revisions.is_known and not self.context.draining
+
+    @property
+    def next_due(self) -> float | None:
+        """Time at which timers are to be run, in seconds."""
+        return self.context.timers.next_due
+
+    @property
+    def relays(self) -> RelayKeeper:
+        """Prompts that cross between data centres."""
+        return self._relays
+
+    def start(self, now: float) -> list:
+        """Begin to work; return the first effects."""
+        identity = self.identity
+        self.context.membership.observe(
+            identity.name, identity.incarnation, LifeState.LIVE, now
+        )
+        self.context.timers.every(
+            RECORD_PERIOD_S, self._cut_record, now + RECORD_PERIOD_S
+        )
+        self.gossip.start(now)
+        effects = self.poller.start(now)
+        effects += self.revisions.start(now)
+        effects += self.calls.tail.start(now)
+        effects += self.orders.start(now)
+        return effects
+
+    def handle(self, message, now: float) -> list:
+        """Take a message from outside; return effects to carry out."""
+        return self._complete(self._handle(message, now), now)
+
+    def run_timers(self, now: float) -> list:
+        """Run the timers that are due; return effects to carry out."""
+        return self._complete(self.context.timers.run_due(now), now)
+
+    def _complete(self, effects: list, now: float) -> list:
+        if not effects:
+            return effects
+        return self._relays.redirect(self._answers.watch(effects, now), now)
+
+    def _cut_record(self, now: float) -> list:
+        batch = self.context.recorder.cut()
+        if batch is None:
+            return []
+        return self.context.outbox.add(AUDIT_STREAM, batch.to_json(), now)
+
+    @singledispatchmethod
+    def _handle(self, message, now: float) -> list:
+        raise TypeError(f"given {message!r}, which is no message of any port")
+
+    @_handle.register
+    def _(self, message: EngineFrame, now: float) -> list:
+        effects = self._answers.on_frame(message, now)
+        refused = message.kind is FrameKind.REFUSED and message.text == "leaving"
+        return effects + self._on_leaving(message.engine, now) if refused else effects
+
+    @_handle.register
+    def _(self, message: ChatRequest, now: float) -> list:
+        return self.chats.on_request(message, now)
+
+    @_handle.register
+    def _(self, message: ServiceRequest, now: float) -> list:
+        return self.calls.on_request(message, now)
+
+    @_handle.register
+    def _(self, message: CallerGone, now: float) -> list:
+        if message.request_id in self.calls.calls:
+            return self.calls.on_caller_gone(message, now)
+        return self.chats.on_caller_gone(message, now)
+
+    @_handle.register
+    def _(self, message: EngineLost, now: float) -> list:
+        return self._answers.on_lost(message, now)
+
+    @_handle.register
+    def _(self, message: EngineReport, now: float) -> list:
+        return self.poller.on_report(message, now)
+
+    @_handle.register
+    def _(self, message: ReportLost, now: float) -> list:
+        return self.poller.on_report_lost(message, now)
+
+    @_handle.register
+    def _(self, message: CacheEvents, now: float) -> list:
+        return self.poller.on_events(message)
+
+    @_handle.register
+    def _(self, message: Residents, now: float) -> list:
+        return self.poller.on_residents(message, now)
+
+    @_handle.register
+    def _(self, message: Cancelled, now: float) -> list:
+        self.chats.cancels.on_cancelled(message)
+        return []
+
+    @_handle.register
+    def _(self, message: AppendDone, now: float) -> list:
+        return self.context.outbox.on_done(message, now)
+
+    @_handle.register
+    def _(self, message: AppendFailed, now: float) -> list:
+        return self.context.outbox.on_failed(message, now)
+
+    @_handle.register
+    def _(self, message: LogRead, now: float) -> list:
+        if message.stream == SNAPSHOT_STREAM:
+            return self.revisions.on_snapshot_read(message, now)
+        if message.stream == CONFIG_STREAM:
+            effects = self.revisions.tail.on_read(message, now)
+            return effects + self.revisions.after_read(now)
+        if message.stream == CLAIM_STREAM:
+            return self.calls.tail.on_read(message, now)
+        if message.stream == LEASE_STREAM:
+            return self.orders.tail.on_read(message, now)
+        return []
+
+    @_handle.register
+    def _(self, message: InstanceList, now: float) -> list:
+        if message.failed:
+            return []
+        membership = self.context.membership
+        changed = membership.apply_list(message.version, message.instances, now)
+        here = membership.live(InstanceKind.ENTRY, self.identity.data_centre)
+        self.context.limits.live = max(1, len(here))
+        return self.on_changed(changed, now)
+
+    @_handle.register
+    def _(self, message: FromPeer, now: float) -> list:
+        return self._peers.deliver(message, now)
+
+    @_handle.register
+    def _(self, message: PeerUnreachable, now: float) -> list:
+        return self._peers.on_unreachable(message, now)
+
+    @_handle.register
+    def _(self, message: ServiceAnswer, now: float) -> list:
+        return self.calls.on_answer(message, now)
+
+    @_handle.register
+    def _(self, message: ServiceLost, now: float) -> list:
+        return self.calls.on_lost(message, now)
+
+    @_handle.register
+    def _(self, message: OrderAnswer, now: float) -> list:
+        return self.orders.on_answer(message, now)
+
+    @_handle.register
+    def _(self, message: WeightsReady, now: float) -> list:
+        return self.orders.on_weights(message, now)
+
+    @_handle.register
+    def _(self, message: DrainRequested, now: float) -> list:
+        return self.drain.start(now)
+
+    def _on_leaving(self, name: str, now: float) -> list:
+        """Spread first-hand evidence that a backend server leaves."""
+        member = self.context.membership.get(name)
+        incarnation = member.incarnation if member else 0
+        if not self.context.membership.observe(
+            name, incarnation, LifeState.LEAVING, now
+        ):
+            return []
+        return self.gossip.broadcast(now)
+
+    def on_changed(self, names: list[str], now: float) -> list:
+        """React to instances whose state advanced."""
+        effects = []
+        for name in names:
+            member = self.context.membership.get(name)
+            listed = member.listed
+            if listed is not None and listed.kind is InstanceKind.ENGINE:
+                effects += self._on_engine_changed(name, member.state, now)
+            else:
+                effects += self._on_entry_changed(member, now)
+        return effects
+
+    def _on_engine_changed(self, name: str, state: LifeState, now: float) -> list:
+        if state is LifeState.LEAVING:
+            return []
+        self.chats.reservations.allocator.drop_engine(name)
+        effects = self.chats.on_engine_gone(name, now)
+        self.context.fleet.forget(name)
+        return effects
+
+    def _on_entry_changed(self, member, now: float) -> list:
+        gone = member.state is LifeState.GONE
+        oldest = member.incarnation + (1 if gone else 0)
+        allocator = self.chats.reservations.allocator
+        allocator.release_owner(member.name, oldest)
+        if gone:
+            self.context.limits.drop_peer(member.name)
+            self.context.peer_demand.pop(member.name, None)
+        return self.poller.sweep_now(now) if member.incarnation else []
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/estimate.py
@@ -0,0 +1,75 @@
+"""Estimates of the time to first token on an engine."""
+
+from attrs import frozen
+
+from briarrelay_core.configuration import Objective
+from briarrelay_core.engineview import EngineView
+from briarrelay_core.lengths import LengthClass
+
+__all__ = ["Estimate", "estimate_first_token", "priority_key"]
+
+SHORT_HEAD_START_S = 600.0
+"""Seconds by which short prompts go ahead of others with the short objective."""
+
+SIZE_STRETCH = {Objective.SHORT: 1.0, Objective.TTFT: 2.0}
+"""Seconds of priority that each second of own prefill costs."""
+
+DECODE_SLOT_TOKENS = 1
+"""Tokens of a batch step that each generating request takes."""
+
+
+@frozen(slots=True)
+class Estimate:
+    """Expected delays of a request on an engine.
+
+    :param wait_s: seconds before its first prompt token is processed.
+    :param first_token_s: seconds until its first token.
+    :param cached: prompt tokens that need no processing.
+    """
+
+    engine: str
+    wait_s: float
+    first_token_s: float
+    cached: int = 0
+
+
+def estimate_first_token(
+    view: EngineView,
+    length_class: LengthClass,
+    tokens: int,
+    cached: int,
+    now: float,
+) -> Estimate:
+    """Estimate the time to first token of a prompt.
+
+    Work of the same or a shorter class goes ahead. Work of a longer class delays a
+    prompt by the step in progress, half a step on average.
+    """
+    queued = view.queued(now)
+    ahead = sum(queued[: length_class + 1])
+    behind = sum(queued[length_class + 1 :])
+    if length_class is LengthClass.MEDIUM:
+        ahead += behind / 2
+    slots = view.decoding * DECODE_SLOT_TOKENS / max(view.step_s, 1e-6)
+    rate = max(view.rate - slots, view.rate / 4)
+    interference = view.step_s / 2 if ahead + behind > 0 else view.step_s / 4
+    wait = ahead / rate + interference
+    prefill = max(tokens - cached, 1) / rate
+    return Estimate(view.name, wait, wait + prefill, cached)
+
+
+def priority_key(
+    objective: Objective,
+    length_class: LengthClass,
+    arrived: float,
+    prefill_s: float,
+) -> float:
+    """Return the priority of a request; lower is served sooner.
+
+    The key is a time, so that a waiting request ages without being sent again:
+    each later arrival gets a later key.
+    """
+    key = arrived + SIZE_STRETCH[objective] * prefill_s
+    if objective is Objective.SHORT and length_class is LengthClass.SHORT:
+        key -= SHORT_HEAD_START_S
+    return key
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/gossip.py
@@ -0,0 +1,144 @@
+"""Digests between peers, bounded in size, and news of leaving instances."""
+
+from attrs import define, field
+
+from briarrelay_core.context import Context
+from briarrelay_core.ports.engine import EngineReport
+from briarrelay_core.ports.peer import (
+    Digest,
+    Evidence,
+    ReportEntry,
+    SendPeer,
+    WorkspaceDemand,
+)
+from briarrelay_core.ports.platform import LifeState
+from briarrelay_core.rendezvous import ranked
+
+__all__ = ["Gossip"]
+
+PERIOD_S = 1.0
+"""Seconds between digests."""
+
+NEAR_FANOUT = 4
+"""Most peers of the own data centre that get a digest each period."""
+
+SMALL_FLEET = 5
+"""Number of peers up to which every one gets each digest."""
+
+FAR_PERIODS = 5
+"""Periods between digests to another data centre."""
+
+MAX_REPORTS = 16
+"""Engine reports in one digest."""
+
+MAX_SENDS = 24
+"""Recent sends in one digest."""
+
+MAX_DEMANDS = 12
+"""Workspaces in one digest, the busiest first."""
+
+MAX_EVIDENCE = 8
+"""Changed instances in one digest."""
+
+FRESH_REPORT_S = 3.0
+"""Age up to which a report is passed on."""
+
+
+@define(slots=True)
+class Gossip:
+    """Sends digests to peers and merges theirs."""
+
+    context: Context
+    _turn: int = 0
+    _told: dict[str, float] = field(factory=dict)
+
+    def start(self, now: float) -> None:
+        """Begin to send digests."""
+        self.context.timers.every(PERIOD_S, self._send, now + PERIOD_S)
+
+    def _send(self, now: float) -> list:
+        self._turn += 1
+        here = self.context.identity.data_centre
+        near = self.context.entry_peers(now, here)
+        if len(near) > SMALL_FLEET:
+            turn = f"{self.context.identity.name}:{self._turn}"
+            near = ranked(turn, near)[:1]
+        targets = near[:NEAR_FANOUT]
+        if self._turn % FAR_PERIODS == 0:
+            far = set(self.context.entry_peers(now)) - set(
+                self.context.entry_peers(now, here)
+            )
+            targets = targets + ranked(f"far:{self._turn}", sorted(far))[:1]
+        if not targets:
+            return []
+        digest = self.digest(now)
+        return [SendPeer(peer, digest) for peer in targets]
+
+    def digest(self, now: float) -> Digest:
+        """Return what this instance knows that is new."""
+        context = self.context
+        rates = context.limits.own_rates(now)
+        busiest = sorted(rates, key=lambda name: (-rates[name], name))[:MAX_DEMANDS]
+        return Digest(
+            as_of=now,
+            revision=context.revision,
+            draining=context.draining,
+            demand_rate=round(context.total_demand.rate(now), 1),
+            sends=self._recent_sends(now),
+            evidence=context.membership.recent_evidence(now, MAX_EVIDENCE),
+            reports=context.fleet.report_entries(now - FRESH_REPORT_S, MAX_REPORTS),
+            demands=tuple(
+                WorkspaceDemand(name, round(rates[name], 1)) for name in busiest
+            ),
+        )
+
+    def _recent_sends(self, now: float) -> tuple:
+        sends = list(self.context.fleet.recent_sends)[-MAX_SENDS:]
+        return tuple(send for send in sends if send.at > now - 2 * PERIOD_S)
+
+    def on_digest(self, peer: str, incarnation: int, digest: Digest, now: float):
+        """Merge a peer's digest.
+
+        :returns: names of instances whose state advanced.
+        """
+        context = self.context
+        context.peer_demand[peer] = (digest.demand_rate, now)
+        for entry in digest.reports:
+            context.fleet.apply_report(_to_report(entry), now)
+        context.fleet.note_peer_sends(peer, digest.sends, now)
+        demands = {entry.workspace: entry.rate for entry in digest.demands}
+        context.limits.set_peer_demand(peer, demands, now)
+        evidence = list(digest.evidence)
+        if digest.draining:
+            evidence.append(Evidence(peer, incarnation, LifeState.LEAVING.value))
+        return self.merge(evidence, now)
+
+    def merge(self, evidence: list[Evidence], now: float) -> list[str]:
+        """Merge evidence; return the names of instances whose state advanced."""
+        return [
+            item.name
+            for item in evidence
+            if self.context.membership.observe(
+                item.name, item.incarnation, LifeState(item.state), now
+            )
+        ]
+
+    def broadcast(self, now: float) -> list:
+        """Tell every peer of the own data centre at once, on first-hand evidence."""
+        peers = self.context.entry_peers(now, self.context.identity.data_centre)
+        digest = self.digest(now)
+        return [SendPeer(peer, digest) for peer in peers]
+
+
+def _to_report(entry: ReportEntry) -> EngineReport:
+    return EngineReport(
+        engine=entry.engine,
+        as_of=entry.as_of,
+        queued=(entry.queued_short, entry.queued_medium, entry.queued_long),
+        decoding=entry.decoding,
+        memory_free=entry.memory_free,
+        memory_total=entry.memory_total,
+        rate=entry.rate,
+        step_s=entry.step_s,
+        models=entry.models,
+    )
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/polling.py
@@ -0,0 +1,116 @@
+"""Who reads which engine's reports and residents."""
+
+from attrs import define, field
+
+from briarrelay_core.context import Context
+from briarrelay_core.ports.engine import (
+    CacheEvents,
+    EngineReport,
+    ReadReport,
+    ReadResidents,
+    ReportLost,
+    Residents,
+)
+from briarrelay_core.ports.observe import Count
+from briarrelay_core.ports.platform import ReadInstanceList
+from briarrelay_core.rendezvous import ranked
+from briarrelay_core.sweeper import orphans
+
+__all__ = ["Poller"]
+
+REPORT_PERIOD_S = 1.0
+"""Seconds between reads of an engine's report."""
+
+LIST_PERIOD_S = 1.0
+"""Seconds between reads of the instance list."""
+
+SWEEP_PERIOD_S = 5.0
+"""Seconds between reads of an engine's residents."""
+
+POLL_BUDGET = 6
+"""Engines that one instance may poll each period."""
+
+ANSWER_S = 2.0
+"""Seconds after which a read without an answer may be repeated."""
+
+
+@define(slots=True)
+class Poller:
+    """Reads engines; in a large data centre each engine has few readers.
+
+    The readers of an engine are the first few entry instances in its rendezvous
+    order; the others learn its report from digests.
+    """
+
+    context: Context
+    _asked: dict[str, float] = field(factory=dict)
+
+    def start(self, now: float) -> list:
+        """Begin to read the instance list, reports and residents."""
+        timers = self.context.timers
+        timers.every(LIST_PERIOD_S, self._read_list, now + LIST_PERIOD_S)
+        timers.every(REPORT_PERIOD_S, self._read_reports, now + 0.1)
+        timers.every(SWEEP_PERIOD_S, self._read_residents, now + SWEEP_PERIOD_S)
+        return self._read_list(now)
+
+    def _read_list(self, now: float) -> list:
+        return [ReadInstanceList(self.context.membership.version)]
+
+    def duty(self, now: float, readers: int | None = None) -> list[str]:
+        """Return the engines that this instance reads.
+
+        :param readers: instances that read each engine, by default as many as the
+            budget allows.
+        """
+        identity = self.context.identity
+        peers = self.context.entry_peers(now, identity.data_centre)
+        engines = self.context.fleet.live_engines()
+        instances = [identity.name, *peers]
+        if readers is None:
+            readers = POLL_BUDGET * len(instances) // max(1, len(engines))
+        readers = max(1, readers)
+        if readers >= len(instances):
+            return engines
+        return [e for e in engines if identity.name in ranked(e, instances)[:readers]]
+
+    def _read_reports(self, now: float) -> list:
+        effects = []
+        for engine in self.duty(now):
+            if self._asked.get(engine, 0.0) > now:
+                continue
+            self._asked[engine] = now + ANSWER_S
+            events_from = self.context.fleet.prefix.next_event(engine)
+            effects.append(ReadReport(engine, events_from))
+        return effects
+
+    def on_report(self, report: EngineReport, now: float) -> list:
+        """Take an engine's report."""
+        self._asked.pop(report.engine, None)
+        self.context.fleet.apply_report(report, now)
+        return []
+
+    def on_events(self, events: CacheEvents) -> list:
+        """Take an engine's cache events."""
+        gap = self.context.fleet.prefix.apply(events)
+        return [Count("cache_events.gap")] if gap else []
+
+    def on_report_lost(self, message: ReportLost, now: float) -> list:
+        """Take word that an engine did not answer."""
+        self._asked.pop(message.engine, None)
+        health = self.context.fleet.health
+        if health.note_failure(message.engine, now, certain=message.refused):
+            return [Count("engine.ejected")]
+        return []
+
+    def _read_residents(self, now: float) -> list:
+        return [ReadResidents(engine) for engine in self.duty(now, readers=1)]
+
+    def sweep_now(self, now: float) -> list:
+        """Read residents at once, after an owner was found to be gone."""
+        return self._read_residents(now)
+
+    def on_residents(self, message: Residents, now: float) -> list:
+        """Cancel what nobody owns."""
+        is_gone = self.context.membership.is_gone
+        cancels = orphans(message.engine, message.residents, is_gone, now)
+        return [*[Count("resident.swept") for _ in cancels], *cancels]
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/revisions.py
@@ -0,0 +1,208 @@
+"""Keeping the configuration in force: from the log, snapshots and peers."""
+
+from attrs import define, field
+
+from briarrelay_core.checked import CheckedError
+from briarrelay_core.context import Context
+from briarrelay_core.fold import (
+    CONFIG_STREAM,
+    SNAPSHOT_STREAM,
+    ChangeKind,
+    ChangeRecord,
+    ConfigurationFold,
+    Verdict,
+)
+from briarrelay_core.ports.log import LogRead, LogRecord, ReadLog
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.ports.peer import FetchRevision, RevisionSnapshot, SendPeer
+from briarrelay_core.rendezvous import ranked
+from briarrelay_core.tails import NEWEST, LogTail
+
+__all__ = ["RevisionKeeper"]
+
+SNAPSHOT_RECORDS = 100
+"""Records behind the latest snapshot after which another is due."""
+
+SNAPSHOT_AGE_S = 3_600.0
+"""Age of the latest snapshot after which another is due, if anything changed."""
+
+SNAPSHOT_STAGGER_S = 5.0
+"""Seconds that each further instance waits for the one before to snapshot."""
+
+ASK_PEERS_S = 2.0
+"""Seconds between questions to peers while the log does not answer."""
+
+PEERS_ASKED = 3
+"""Peers asked at a time; the highest revision counts."""
+
+
+@define(slots=True)
+class RevisionKeeper:
+    """Folds the configuration stream and puts each revision in force.
+
+    The revision only rises. Until a revision has been learnt from the log's end or
+    from a peer there is none in force, since an old one would be a revert.
+    """
+
+    context: Context
+    fold: ConfigurationFold = field(factory=ConfigurationFold)
+    tail: LogTail | None = None
+    advanced_at: float = 0.0
+    _snapshot_due: float | None = None
+    _reading_snapshot: bool = False
+
+    def __attrs_post_init__(self):
+        self.tail = LogTail(
+            CONFIG_STREAM, self.context.timers, self._consume, on_gap=self._on_gap
+        )
+
+    @property
+    def is_known(self) -> bool:
+        """Whether a revision is in force."""
+        return self.context.configuration is not None
+
+    def start(self, now: float) -> list:
+        """Read the newest snapshot, then the stream behind it."""
+        self.context.timers.every(ASK_PEERS_S, self._check_peers, now + 0.2)
+        self.context.timers.every(1.0, self._check_snapshot, now + 1.0)
+        return self._read_snapshot(now)
+
+    def _read_snapshot(self, now: float) -> list:
+        self._reading_snapshot = True
+        return [ReadLog(SNAPSHOT_STREAM, NEWEST)]
+
+    def on_snapshot_read(self, message: LogRead, now: float) -> list:
+        """Take the newest snapshot of the log, or the lack of one."""
+        self._reading_snapshot = False
+        if message.failed:
+            self.context.timers.at(now + 1.0, self._read_snapshot)
+            return [Count("log.read_failed.snapshots")]
+        effects = []
+        for record in message.records:
+            effects += self._take_snapshot(record.body)
+        return effects + self.tail.jump(self.fold.next_offset, now)
+
+    def _take_snapshot(self, body: str) -> list:
+        try:
+            self.fold.take_snapshot(body)
+        except (CheckedError, ValueError) as error:
+            return [Note("error", "snapshot_bad", fields=(("problem", str(error)),))]
+        return []
+
+    def _on_gap(self, now: float) -> list:
+        """Look for a snapshot that covers what the log has forgotten."""
+        self.context.timers.at(now + 1.0, self._read_snapshot)
+        return [Count("config.gap")]
+
+    def _consume(self, records: tuple[LogRecord, ...], now: float) -> list:
+        effects = []
+        for record in records:
+            bad = self.fold.bad_records
+            verdict = self.fold.apply(record)
+            if verdict is not None:
+                effects += self._note(verdict, now)
+            if self.fold.bad_records > bad:
+                effects.append(Count("config.bad_record"))
+        return effects
+
+    def after_read(self, now: float) -> list:
+        """Put what was read in force once the end of the log was reached."""
+        return self._put_in_force(now) if self.tail.caught_up else []
+
+    def _note(self, verdict: Verdict, now: float) -> list:
+        outcome = "accepted" if verdict.accepted else "rejected"
+        why = (
+            f"{verdict.kind.value} by {verdict.author} on revision {verdict.base}",
+            verdict.problem or f"revision {verdict.revision}",
+        )
+        return [
+            Count(f"config.{outcome}"),
+            *self.context.note(now, "change", verdict.id, "", outcome, why),
+        ]
+
+    def _put_in_force(self, now: float) -> list:
+        if self.fold.configuration is None:
+            return []
+        if self.fold.revision <= self.context.revision:
+            return []
+        self.context.configuration = self.fold.configuration
+        self.context.workspace_of = self.fold.configuration.keys()
+        self.context.revision = self.fold.revision
+        self.advanced_at = now
+        fields = (
+            ("revision", str(self.fold.revision)),
+            ("preset", self.fold.configuration.preset),
+        )
+        return [Note("info", "revision_in_force", fields=fields)]
+
+    def _check_peers(self, now: float) -> list:
+        """Ask peers while the log can not tell what is in force."""
+        if self.is_known and self.tail.down_since is None:
+            return []
+        if not self.is_known and self.tail.caught_up:
+            return []
+        turn = f"{self.context.identity.name}:{now:.0f}"
+        peers = ranked(turn, self.context.entry_peers(now))[:PEERS_ASKED]
+        question = FetchRevision(self.context.revision)
+        return [SendPeer(peer, question) for peer in peers]
+
+    def on_fetch(self, peer: str, message: FetchRevision) -> list:
+        """Tell a peer the revision in force if it is newer than the peer's."""
+        if not self.is_known or self.context.revision <= message.known:
+            return []
+        body = self.fold.to_snapshot()
+        snapshot = RevisionSnapshot(self.fold.revision, self.fold.next_offset, body)
+        return [SendPeer(peer, snapshot)]
+
+    def on_peer_revision(self, peer: str, revision: int) -> list:
+        """Ask a peer that has a newer revision in force for it."""
+        if revision <= self.context.revision:
+            return []
+        return [SendPeer(peer, FetchRevision(self.context.revision))]
+
+    def on_peer_snapshot(self, message: RevisionSnapshot, now: float) -> list:
+        """Advance to a peer's revision."""
+        effects = self._take_snapshot(message.body)
+        effects += self._put_in_force(now)
+        if self.fold.next_offset > self.tail.next_offset:
+            if not self._reading_snapshot:
+                effects += self.tail.jump(self.fold.next_offset, now)
+        return effects
+
+    def _check_snapshot(self, now: float) -> list:
+        """Write a snapshot when one is due and it is this instance's turn."""
+        if not self._is_snapshot_due(now):
+            self._snapshot_due = None
+            return []
+        if self._snapshot_due is None:
+            peers = self.context.entry_peers(now)
+            name = self.context.identity.name
+            order = ranked(f"snapshot:{self.fold.snapshot_covers}", [name, *peers])
+            self._snapshot_due = now + SNAPSHOT_STAGGER_S * order.index(name)
+        if now < self._snapshot_due:
+            return []
+        self._snapshot_due = now + 60.0
+        return self._write_snapshot(now)
+
+    def _is_snapshot_due(self, now: float) -> bool:
+        if self.fold.configuration is None or not self.tail.caught_up:
+            return False
+        behind = self.fold.next_offset - self.fold.snapshot_covers
+        old = now - self.fold.snapshot_at > SNAPSHOT_AGE_S and behind > 1
+        return behind >= SNAPSHOT_RECORDS or old
+
+    def _write_snapshot(self, now: float) -> list:
+        covers = self.fold.next_offset
+        name = self.context.identity.name
+        announcement = ChangeRecord(
+            id=f"snapshot-{covers}-{name}",
+            kind=ChangeKind.SNAPSHOT,
+            author=name,
+            base=self.fold.revision,
+            at=now,
+            covers=covers,
+        )
+        outbox = self.context.outbox
+        effects = outbox.add(SNAPSHOT_STREAM, self.fold.to_snapshot(), now)
+        effects += outbox.add(CONFIG_STREAM, announcement.to_json(), now)
+        return [Count("config.snapshot"), *effects]
--- /dev/null
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""briarrelayctl, the operators' command."""
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerport.py
@@ -0,0 +1,195 @@
+"""Callers over HTTP: requests in, answers out, whole or in parts."""
+
+from attrs import define, field
+from uuid6 import uuid7
+
+from briarrelay_core.outcomes import Done, NotRun
+from briarrelay_core.ports.caller import (
+    AnswerText,
+    CallerGone,
+    ChatRequest,
+    Finish,
+    ServiceRequest,
+)
+from briarrelay_core.ports.observe import Count
+from briarrelay_core.reasons import RefusalReason
+from briarrelay_daemon.chatapi import (
+    error_body,
+    failure_status,
+    parse_call,
+    parse_chat,
+    sse_end,
+    sse_text,
+    whole_answer,
+)
+from briarrelay_daemon.host import Host
+from briarrelay_daemon.settings import Settings
+from briarrelay_daemon.status import StatusPages
+from briarrelay_daemon.webserver import Exchange, WebServer
+
+__all__ = ["CallerPort"]
+
+CHAT_PATH = "/v1/chat/completions"
+SERVICE_PREFIX = "/v1/services/"
+MAX_ID_CHARS = 128
+
+
+@define(slots=True, eq=False)
+class _Pending:
+    """A request whose answer is still to come.
+
+    :param text: answer so far, for a caller that wants it whole.
+    """
+
+    exchange: Exchange
+    request: ChatRequest | ServiceRequest
+    stream: bool = False
+    text: list[str] = field(factory=list)
+
+
+class CallerPort:
+    """Performs the effects that concern callers."""
+
+    def __init__(self, host: Host, settings: Settings):
+        self._host = host
+        self._settings = settings
+        self._pending: dict[str, _Pending] = {}
+        self._pages = StatusPages(host, settings.operator_key_hash)
+        self.server = WebServer(
+            settings.listen,
+            host.wire,
+            self._on_request,
+            self._on_gone,
+            max_body_bytes=settings.max_body_bytes,
+            buffer_bytes=settings.caller_buffer_bytes,
+            idle_s=settings.caller_idle_s,
+        )
+        host.register(AnswerText, self._on_text)
+        host.register(Finish, self._on_finish)
+
+    def _on_request(self, exchange: Exchange) -> None:
+        if exchange.method == "POST" and exchange.path == CHAT_PATH:
+            self._on_chat(exchange)
+        elif exchange.method == "POST" and exchange.path.startswith(SERVICE_PREFIX):
+            self._on_call(exchange)
+        else:
+            self._pages.answer(exchange)
+
+    def _request_id(self, exchange: Exchange) -> str:
+        given = exchange.headers.get("x-request-id", "")
+        is_good = given.isascii() and given.isprintable() and " " not in given
+        if given and is_good and len(given) <= MAX_ID_CHARS:
+            return given
+        return str(uuid7())
+
+    def _on_chat(self, exchange: Exchange) -> None:
+        request_id = self._request_id(exchange)
+        parsed = parse_chat(exchange.body, exchange.headers, request_id, self._settings)
+        if isinstance(parsed, NotRun):
+            self._refuse(exchange, request_id, parsed)
+            return
+        self._submit(_Pending(exchange, parsed.request, parsed.stream))
+
+    def _on_call(self, exchange: Exchange) -> None:
+        request_id = self._request_id(exchange)
+        rest = exchange.path.removeprefix(SERVICE_PREFIX)
+        service, _, path = rest.partition("/")
+        parsed = parse_call(
+            service, f"/{path}", exchange.body, exchange.headers, request_id
+        )
+        if isinstance(parsed, NotRun):
+            self._refuse(exchange, request_id, parsed)
+            return
+        self._submit(_Pending(exchange, parsed))
+
+    def _submit(self, pending: _Pending) -> None:
+        request_id = pending.request.request_id
+        if request_id in self._pending:
+            refusal = NotRun(
+                RefusalReason.DUPLICATE_REQUEST, detail=f"given {request_id!r}."
+            )
+            self._refuse(pending.exchange, request_id, refusal)
+            return
+        self._pending[request_id] = pending
+        self._host.tell(pending.request)
+
+    def _refuse(self, exchange: Exchange, request_id: str, refusal: NotRun) -> None:
+        """Refuse what is not even a request; it is recorded all the same."""
+        reason = refusal.reason.value
+        context = self._host.core.context
+        effects = context.note(
+            self._host.now, "refusal", request_id, "", reason, (refusal.message,)
+        )
+        for effect in (Count(f"refused.{reason}"), *effects):
+            self._host.counters.add(effect.name, effect.amount)
+        self._reply(exchange, request_id, refusal)
+
+    def _reply(self, exchange: Exchange, request_id: str, outcome) -> None:
+        headers = {"X-Request-Id": request_id}
+        wait = getattr(outcome, "retry_after", 0.0)
+        if wait:
+            headers["Retry-After"] = str(max(1, round(wait)))
+        body = error_body(request_id, outcome)
+        exchange.reply(failure_status(outcome), body, headers)
+
+    def _on_text(self, effect: AnswerText) -> None:
+        pending = self._pending.get(effect.request_id)
+        if pending is None:
+            return
+        if not pending.stream:
+            pending.text.append(effect.text)
+            return
+        exchange = pending.exchange
+        if exchange.stream is None:
+            exchange.open_stream("text/event-stream")
+        if not exchange.stream.write(sse_text(effect.request_id, effect.text)):
+            self._drop_slow(effect.request_id, pending)
+
+    def _drop_slow(self, request_id: str, pending: _Pending) -> None:
+        """End an answer that its caller does not read."""
+        del self._pending[request_id]
+        pending.exchange.cut()
+        gone = CallerGone(request_id, slow=True)
+        wire = self._host.wire
+        wire.at_turn_end(lambda: self._host.tell(gone))
+
+    def _on_finish(self, effect: Finish) -> None:
+        pending = self._pending.pop(effect.request_id, None)
+        if pending is None:
+            return
+        exchange = pending.exchange
+        if exchange.stream is not None:
+            exchange.stream.write(sse_end(effect.request_id, effect.outcome))
+            exchange.close_stream()
+        elif isinstance(effect.outcome, Done):
+            self._reply_done(pending, effect)
+        else:
+            self._reply(exchange, effect.request_id, effect.outcome)
+
+    def _reply_done(self, pending: _Pending, effect: Finish) -> None:
+        headers = {"X-Request-Id": effect.request_id}
+        request = pending.request
+        if isinstance(request, ServiceRequest):
+            done = effect.outcome
+            pending.exchange.reply(done.status, done.body, headers)
+            return
+        if pending.stream:
+            pending.exchange.open_stream("text/event-stream")
+            pending.exchange.stream.write(sse_end(request.request_id, effect.outcome))
+            pending.exchange.close_stream()
+            return
+        body = whole_answer(
+            request.request_id,
+            request.model,
+            "".join(pending.text),
+            request.prompt_tokens,
+            effect.output_tokens,
+        )
+        pending.exchange.reply(200, body, headers)
+
+    def _on_gone(self, exchange: Exchange) -> None:
+        for request_id, pending in list(self._pending.items()):
+            if pending.exchange is exchange:
+                del self._pending[request_id]
+                self._host.tell(CallerGone(request_id))
+                return
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/engineport.py
@@ -0,0 +1,263 @@
+"""Model engines over HTTP: answers as lines of JSON, one for each frame."""
+
+from functools import partial
+from urllib.parse import quote
+
+import orjson
+from attrs import asdict
+
+from briarrelay_core.ports.engine import (
+    CacheEvent,
+    CacheEvents,
+    Cancelled,
+    CancelRequest,
+    EngineFrame,
+    EngineLost,
+    EngineReport,
+    FrameKind,
+    ReadReport,
+    ReadResidents,
+    ReportLost,
+    Resident,
+    Residents,
+    ResumeStream,
+    SendRequest,
+    StartGang,
+)
+from briarrelay_core.ports.platform import OrderAnswer, ReadEngineState, SendOrder
+from briarrelay_daemon.host import Host
+from briarrelay_daemon.httpcall import CallSink, HttpCall, HttpClient
+from briarrelay_daemon.jsoncall import JsonAnswer
+from briarrelay_daemon.settings import Address
+
+__all__ = ["EnginePort"]
+
+CONTROL_TIMEOUT_S = 1.5
+"""Seconds for the answer to anything but a prompt."""
+
+LINGER_S = 5.0
+"""Seconds beyond the deadline for which an answer's connection is kept."""
+
+MAX_LINE_BYTES = 1_000_000
+"""Longest frame that is taken."""
+
+_KINDS = {kind.value: kind for kind in FrameKind}
+
+
+class _FrameSink(CallSink):
+    """Cuts an answer into frames."""
+
+    def __init__(self, port: "EnginePort", engine: str, request_id: str, attempt: int):
+        self._port = port
+        self._key = (engine, request_id, attempt)
+        self._rest = b""
+        self._status = 0
+        self.call: HttpCall | None = None
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        self._status = status
+
+    def on_data(self, data: bytes) -> None:
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_LINE_BYTES:
+            self.call.abort()
+            return
+        for line in lines:
+            self._port.on_line(self._key, line)
+
+    def on_end(self) -> None:
+        self._port.on_stream_over(self._key, self)
+
+    def on_lost(self, sent: bool) -> None:
+        self._port.on_stream_over(self._key, self)
+        self._port.host.tell(EngineLost(*self._key, sent))
+
+
+class EnginePort:
+    """Performs the effects that concern engines."""
+
+    def __init__(self, host: Host, client: HttpClient):
+        self.host = host
+        self._client = client
+        self._streams: dict[tuple[str, str, int], _FrameSink] = {}
+        for effect_class, perform in (
+            (SendRequest, self._send),
+            (ResumeStream, self._resume),
+            (StartGang, self._start_gang),
+            (CancelRequest, self._cancel),
+            (ReadReport, self._read_report),
+            (ReadResidents, self._read_residents),
+            (ReadEngineState, self._read_state),
+            (SendOrder, self._send_order),
+        ):
+            host.register(effect_class, perform)
+
+    def _address(self, engine: str) -> Address | None:
+        member = self.host.core.context.membership.get(engine)
+        if member is None or member.listed is None:
+            return None
+        return Address(member.listed.host, member.listed.port)
+
+    def _open(
+        self, key: tuple, method: str, target: str, body: bytes, timeout: float
+    ) -> None:
+        sink = _FrameSink(self, *key)
+        address = self._address(key[0])
+        if address is None:
+            self.host.tell(EngineLost(*key, sent=False))
+            return
+        old = self._streams.get(key)
+        if old is not None and old.call is not None:
+            old.call.drop()
+        self._streams[key] = sink
+        sink.call = self._client.call(
+            address, method, target, sink, body=body, timeout=timeout, fresh=True
+        )
+
+    def on_stream_over(self, key: tuple, sink: _FrameSink) -> None:
+        """Forget the connection of an answer."""
+        if self._streams.get(key) is sink:
+            del self._streams[key]
+
+    def on_line(self, key: tuple, line: bytes) -> None:
+        """Take one frame; one that does not parse is dropped."""
+        try:
+            value = orjson.loads(line)
+            frame = EngineFrame(
+                key[0],
+                value["r"],
+                value["a"],
+                value["s"],
+                _KINDS[value["k"]],
+                value.get("t", ""),
+            )
+        except (ValueError, KeyError, TypeError):
+            self.host.counters.add("frame.bad")
+            return
+        if (frame.request_id, frame.attempt) != key[1:]:
+            self.host.counters.add("frame.crossed")
+            return
+        self.host.tell(frame)
+
+    def _send(self, effect: SendRequest) -> None:
+        fields = asdict(effect, filter=lambda a, _: a.name != "payload")
+        body = orjson.dumps(fields) + b"\n" + effect.payload
+        key = (effect.engine, effect.request_id, effect.attempt)
+        timeout = max(0.1, effect.deadline - self.host.now) + LINGER_S
+        self._open(key, "POST", "/v1/requests", body, timeout)
+
+    def _resume(self, effect: ResumeStream) -> None:
+        key = (effect.engine, effect.request_id, effect.attempt)
+        name = quote(effect.request_id, safe="")
+        target = f"/v1/requests/{name}/{effect.attempt}?from={effect.start_at}"
+        self._open(key, "GET", target, b"", 3_600.0)
+
+    def _start_gang(self, effect: StartGang) -> None:
+        key = (effect.engine, effect.request_id, effect.attempt)
+        name = quote(effect.request_id, safe="")
+        target = f"/v1/requests/{name}/{effect.attempt}/start"
+        body = orjson.dumps({"members": effect.members})
+        lost = lambda sent: self.host.tell(EngineLost(*key, sent))
+        self._control(key[0], "POST", target, body, lambda s, v: None, lost)
+
+    def _control(self, engine, method, target, body, done, lost) -> None:
+        address = self._address(engine)
+        if address is None:
+            lost(False)
+            return
+        self._client.call(
+            address,
+            method,
+            target,
+            JsonAnswer(done, lost),
+            body=body,
+            timeout=CONTROL_TIMEOUT_S,
+        )
+
+    def _cancel(self, effect: CancelRequest) -> None:
+        key = (effect.engine, effect.request_id, effect.attempt)
+        sink = self._streams.pop(key, None)
+        if sink is not None and sink.call is not None:
+            sink.call.drop()
+        name = quote(effect.request_id, safe="")
+        self._control(
+            effect.engine,
+            "DELETE",
+            f"/v1/requests/{name}/{effect.attempt}",
+            b"",
+            lambda status, value: self.host.tell(Cancelled(*key, status == 200)),
+            lambda sent: self.host.tell(Cancelled(*key, False)),
+        )
+
+    def _read_report(self, effect: ReadReport) -> None:
+        self._control(
+            effect.engine,
+            "GET",
+            f"/v1/report?events={effect.events_from}",
+            b"",
+            partial(self._on_report, effect.engine),
+            lambda sent: self.host.tell(ReportLost(effect.engine, refused=not sent)),
+        )
+
+    def _on_report(self, engine: str, status: int, value) -> None:
+        try:
+            report = EngineReport(engine, **_tuples(value["report"]))
+            events = CacheEvents(
+                engine,
+                value["first_event"],
+                tuple(CacheEvent(block, stored) for block, stored in value["events"]),
+            )
+        except (TypeError, KeyError, ValueError):
+            self.host.tell(ReportLost(engine))
+            return
+        self.host.tell(report)
+        self.host.tell(events)
+
+    def _read_residents(self, effect: ReadResidents) -> None:
+        self._control(
+            effect.engine,
+            "GET",
+            "/v1/residents",
+            b"",
+            partial(self._on_residents, effect.engine),
+            lambda sent: None,
+        )
+
+    def _on_residents(self, engine: str, status: int, value) -> None:
+        try:
+            residents = tuple(Resident(*entry) for entry in value["residents"])
+        except (TypeError, KeyError):
+            return
+        self.host.tell(Residents(engine, residents))
+
+    def _read_state(self, effect: ReadEngineState) -> None:
+        self._ask_state(effect.engine, "GET", "/v1/state", b"")
+
+    def _send_order(self, effect: SendOrder) -> None:
+        body = orjson.dumps(
+            {"kind": effect.kind, "value": effect.value, "fencing": effect.fencing}
+        )
+        self._ask_state(effect.engine, "POST", "/v1/orders", body)
+
+    def _ask_state(self, engine: str, method: str, target: str, body: bytes) -> None:
+        failed = OrderAnswer(engine, False, -1, (), (), "", failed=True)
+
+        def done(status: int, value) -> None:
+            try:
+                answer = OrderAnswer(engine, status == 200, **_tuples(value))
+            except TypeError:
+                answer = failed
+            self.host.tell(answer)
+
+        self._control(
+            engine, method, target, body, done, lambda sent: self.host.tell(failed)
+        )
+
+
+def _tuples(mapping: dict) -> dict:
+    """Return a mapping with lists as tuples, as the core's messages want them."""
+    return {
+        name: tuple(value) if isinstance(value, list) else value
+        for name, value in mapping.items()
+    }
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
@@ -0,0 +1,81 @@
+"""Drives the core: messages in, effects out, timers between."""
+
+from collections.abc import Callable
+from time import monotonic, time
+
+from logbook import Logger
+
+from briarrelay_core.entry import EntryInstance
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_daemon.observe import Counters, write_note
+from briarrelay_daemon.wire import Wire
+
+__all__ = ["Host", "SteadyClock"]
+
+
+class SteadyClock:
+    """Unix seconds that never jump: wall time at the start plus monotonic time."""
+
+    def __init__(self):
+        self._offset = time() - monotonic()
+
+    def __call__(self) -> float:
+        return monotonic() + self._offset
+
+
+class Host:
+    """Passes messages to an entry instance and carries its effects out.
+
+    Each adapter registers the effects that it performs.
+    """
+
+    def __init__(
+        self, core: EntryInstance, wire: Wire, counters: Counters, logger: Logger
+    ):
+        self.core = core
+        self.wire = wire
+        self.counters = counters
+        self.logger = logger
+        self._performers: dict[type, Callable] = {}
+        self._timer = None
+        self.register(Count, lambda effect: counters.add(effect.name, effect.amount))
+        self.register(Note, lambda effect: write_note(logger, effect))
+
+    @property
+    def now(self) -> float:
+        """Unix seconds."""
+        return self.wire.clock()
+
+    def register(self, effect_class: type, perform: Callable) -> None:
+        """Let an adapter perform one class of effects."""
+        self._performers[effect_class] = perform
+
+    def start(self) -> None:
+        """Let the core begin."""
+        self._perform(self.core.start(self.now))
+
+    def tell(self, message) -> None:
+        """Hand a message to the core."""
+        self._perform(self.core.handle(message, self.now))
+
+    def _perform(self, effects: list) -> None:
+        performers = self._performers
+        for effect in effects:
+            performers[type(effect)](effect)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        due = self.core.next_due
+        timer = self._timer
+        if timer is not None and not timer.cancelled and due == timer.due:
+            return
+        if timer is not None:
+            timer.cancel()
+        self._timer = None
+        if due is not None:
+            self._timer = self.wire.timers.at(due, self._on_timer)
+
+    def _on_timer(self, _: float) -> list:
+        self._timer = None
+        self._perform(self.core.run_timers(self.now))
+        return []
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/main.py
@@ -0,0 +1,113 @@
+"""briarrelayd, an entry instance.
+
+Usage:
+  briarrelayd --settings FILE [--check]
+  briarrelayd --help
+
+Options:
+  --settings FILE  settings, JSON with comments
+  --check          read the settings, say what is wrong with them, and end
+
+Signals: SIGTERM and SIGINT begin a graceful stop; a second one changes nothing.
+Exit codes: 0 after a graceful stop, 2 if the settings can not be used.
+"""
+
+import signal
+import sys
+from os import eventfd, eventfd_read, eventfd_write
+
+from circuits import Component
+from circuits.core.pollers import EPoll
+from docopt import docopt
+from logbook import Logger
+
+from briarrelay_core.entry import EntryInstance
+from briarrelay_core.identity import Identity
+from briarrelay_core.ports.control import DrainRequested, Stopped
+from briarrelay_daemon.callerport import CallerPort
+from briarrelay_daemon.engineport import EnginePort
+from briarrelay_daemon.host import Host, SteadyClock
+from briarrelay_daemon.httpcall import HttpClient
+from briarrelay_daemon.observe import Counters, JsonHandler
+from briarrelay_daemon.peerport import PeerPort
+from briarrelay_daemon.platformport import PlatformPort
+from briarrelay_daemon.serviceport import ServicePort
+from briarrelay_daemon.settings import Settings, SettingsError, read_settings
+from briarrelay_daemon.wire import READ, Wire
+
+__all__ = ["Daemon", "main"]
+
+LAST_ANSWERS_S = 0.3
+"""Seconds between the end of the last request and the end of the process."""
+
+
+class Daemon(Component):
+    """The loop and everything that is attached to it."""
+
+    channel = "daemon"
+
+    def __init__(self, settings: Settings, logger: Logger):
+        super().__init__(channel=self.channel)
+        clock = SteadyClock()
+        poller = EPoll().register(self)
+        self.wire = Wire(clock).register(self)
+        self.wire.attach(poller)
+        identity = Identity(settings.name, int(clock() * 1_000), settings.data_centre)
+        core = EntryInstance(identity)
+        self.host = Host(core, self.wire, Counters(settings), logger)
+        client = HttpClient(self.wire)
+        EnginePort(self.host, client)
+        ServicePort(self.host, client)
+        PlatformPort(self.host, client, settings)
+        self.peers = PeerPort(self.host, settings.peer_listen)
+        self.callers = CallerPort(self.host, settings)
+        self.callers.server.register(self)
+        self.host.register(Stopped, self._on_stopped)
+        self._stop_event = eventfd(0)
+        self.wire.watch_fd(self._stop_event, READ, self._on_stop_event)
+
+    def started(self, *_) -> None:
+        """Begin to work once the loop runs."""
+        signal.signal(signal.SIGTERM, self._on_stop_signal)
+        signal.signal(signal.SIGINT, self._on_stop_signal)
+        self.peers.start()
+        self.host.start()
+        self.host.logger.info("started", port=self.callers.server.port)
+
+    def _on_stop_signal(self, *_) -> None:
+        """Wake the loop; a signal handler may not do more."""
+        eventfd_write(self._stop_event, 1)
+
+    def _on_stop_event(self, _: int) -> None:
+        eventfd_read(self._stop_event)
+        self.host.tell(DrainRequested())
+
+    def _on_stopped(self, _: Stopped) -> None:
+        due = self.host.now + LAST_ANSWERS_S
+        self.wire.timers.at(due, lambda _: self._end())
+
+    def _end(self) -> list:
+        self.host.logger.info("stopped")
+        self.peers.stop()
+        self.stop()
+        return []
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon until it is told to stop."""
+    options = docopt(__doc__, argv)
+    try:
+        settings = read_settings(options["--settings"])
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    if options["--check"]:
+        print(f"{options['--settings']}: settings of {settings.name} are good")
+        return 0
+    with JsonHandler(settings.name, settings.log_level).applicationbound():
+        Daemon(settings, Logger("briarrelayd")).run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
