Count a whole step for a busy engine in estimates

Cause: short prompts went to busy engines in half of the cases though every engine was busy in 9 of 100; the estimate counted a quarter step between busy and idle, and ties within 10 ms were broken by hash. Ruled out: late news, since one instance alone (no peers, own sends exact) had the same slowdown, 1.39 to 1.41.

--- a/packages/briarrelay-core/src/briarrelay_core/estimate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/estimate.py
@@ -42,8 +42,9 @@
 ) -> Estimate:
     """Estimate the time to first token of a prompt.
 
-    Work of the same or a shorter class goes ahead. Work of a longer class delays a
-    prompt by the step in progress, half a step on average.
+    Work of the same or a shorter class goes ahead. Work of any class costs a step:
+    half of the one in progress, on average, and half of the last one, which other
+    prompts fill up.
     """
     queued = view.queued(now)
     ahead = sum(queued[: length_class + 1])
@@ -52,7 +53,7 @@
         ahead += behind / 2
     slots = view.decoding * DECODE_SLOT_TOKENS / max(view.step_s, 1e-6)
     rate = max(view.rate - slots, view.rate / 4)
-    interference = view.step_s / 2 if ahead + behind > 0 else view.step_s / 4
+    interference = view.step_s if ahead + behind > 0 else 0.0
     wait = ahead / rate + interference
     prefill = max(tokens - cached, 1) / rate
     return Estimate(view.name, wait, wait + prefill, cached)
--- a/packages/briarrelay-core/src/briarrelay_core/fleet.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fleet.py
@@ -23,7 +23,7 @@
 MAX_CANDIDATES = 16
 """Engines that one routing decision compares in a large data centre."""
 
-TIE_S = 0.010
+TIE_S = 0.002
 """Difference of estimates, in seconds, below which engines count as equal."""
 
 RECENT_SENDS = 64
