Tell peers of recent sends at once; keep engines for short prompts; check goals

Cause: short prompts met busy engines that the view held idle, all of them work that the peer had sent since its last digest. Ruled out: wrong drain rate (the report's figures matched), news of the own sends.

Change: in a data centre of up to 6 instances recent sends go out after 0.0625 s for each peer; longer prompts leave 0.15 of the engines to short ones for 3 s; the command 'goals' checks every stated goal over seeds.

--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -3,6 +3,7 @@
 Usage:
   briarrelay_bench experiment [--scenario NAME] [--policy NAME] [--objective NAME]
                    [--seed N] [--load F] [--duration S] [--prefix-share F] [--json]
+  briarrelay_bench goals [--seeds LIST] [--duration S] [--jobs N] [--json]
 
 Options:
   --scenario NAME   mixed, engine-loss, instance-loss, overload or cut
@@ -14,6 +15,8 @@
   --load F          offered work over what the fleet can serve [default: 0.7]
   --duration S      seconds for which requests arrive [default: 300]
   --prefix-share F  part of the prompts that begin like an earlier one [default: 0]
+  --seeds LIST      seeds after commas [default: 1,2,3]
+  --jobs N          processes to use [default: 4]
   --json            print JSON
 """
 
@@ -24,6 +27,7 @@
 from docopt import docopt
 
 from briarrelay_bench.experiment import POLICIES, SCENARIOS, Settings, run_experiment
+from briarrelay_bench.goals import check_goals
 
 
 def _choice(name: str, given: str, known: tuple[str, ...]) -> str:
@@ -46,9 +50,25 @@
     return asdict(report)
 
 
+def _goals(options: dict) -> int:
+    seeds = [int(seed) for seed in options["--seeds"].split(",")]
+    checks = check_goals(seeds, float(options["--duration"]), int(options["--jobs"]))
+    if options["--json"]:
+        print(json.dumps([asdict(check) for check in checks]))
+    else:
+        for goal in dict.fromkeys(check.goal for check in checks):
+            same = [check for check in checks if check.goal == goal]
+            held = sum(check.held for check in same)
+            figures = " ".join(f"{c.figure:g}/{c.bound:g}" for c in same)
+            print(f"{goal:24} held {held} of {len(same)}  {figures}")
+    return 0 if all(check.held for check in checks) else 1
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run one command."""
     options = docopt(__doc__, argv)
+    if options["goals"]:
+        return _goals(options)
     figures = _experiment(options)
     if options["--json"]:
         print(json.dumps(figures))
--- a/packages/briarrelay-core/src/briarrelay_core/configuration.py
+++ b/packages/briarrelay-core/src/briarrelay_core/configuration.py
@@ -47,6 +47,9 @@
     :param long_window_s: the same for the other length classes.
     :param memory_headroom: share of an engine's memory that long prompts may not
         reserve.
+    :param short_reserve: part of the engines that longer prompts leave to short ones.
+    :param reserve_patience_s: seconds that a longer prompt waits before it may use
+        those engines as well.
     :param retry_ratio: retries allowed for each request of the last minute.
     :param admit_margin_s: seconds by which an answer must be early.
     :param accept_long: False refuses prompts of the longest class.
@@ -57,6 +60,8 @@
     short_window_s: float = field(default=0.4, validator=_between(0.01, 60))
     long_window_s: float = field(default=1.0, validator=_between(0.01, 600))
     memory_headroom: float = field(default=0.15, validator=_between(0.0, 0.9))
+    short_reserve: float = field(default=0.15, validator=_between(0.0, 0.9))
+    reserve_patience_s: float = field(default=3.0, validator=_between(0.0, 600))
     retry_ratio: float = field(default=0.1, validator=_between(0.0, 1.0))
     admit_margin_s: float = field(default=0.5, validator=_between(0.0, 60))
     accept_long: bool = True
--- a/packages/briarrelay-core/src/briarrelay_core/dispatch.py
+++ b/packages/briarrelay-core/src/briarrelay_core/dispatch.py
@@ -132,18 +132,29 @@
         if chat.needs_reservation:
             choice = self._plan(chat, now)
         else:
+            need = evolve(chat.need, tried=chat.need.tried | self._kept(chat, now))
             window = self._window(chat.length_class)
-            choice = self.context.fleet.best(chat.need, now, window)
+            choice = self.context.fleet.best(need, now, window)
         if choice is not None:
             chosen[item.request_id] = choice
         return choice is not None
 
+    def _kept(self, chat: Chat, now: float) -> frozenset[str]:
+        """Return the engines that a prompt has to leave to short ones for now."""
+        preset = self.context.preset
+        patient = now - chat.arrived < preset.reserve_patience_s
+        if chat.length_class is LengthClass.SHORT or not patient:
+            return frozenset()
+        model = chat.request.model
+        return self.context.fleet.reserved(model, preset.short_reserve, now)
+
     def _plan(self, chat: Chat, now: float) -> GangPlan | None:
         fleet = self.context.fleet
         headroom = 1 - self.context.preset.memory_headroom
         room, waits = {}, {}
+        kept = self._kept(chat, now)
         for name in fleet.usable(chat.request.model, now):
-            if name in chat.tried:
+            if name in chat.tried or name in kept:
                 continue
             view = fleet.view(name)
             wait = fleet.estimate(name, chat.need, now).wait_s
--- a/packages/briarrelay-core/src/briarrelay_core/fleet.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fleet.py
@@ -96,6 +96,15 @@
             (size * room for size, room in enumerate(usable, start=1)), default=0
         )
 
+    def reserved(self, model: str, part: float, now: float) -> frozenset[str]:
+        """Return the engines that longer prompts leave to short ones.
+
+        Every instance finds the same ones; at least one engine is never reserved.
+        """
+        usable = self.usable(model, now)
+        count = min(len(usable) - 1, int(part * len(usable) + 0.5))
+        return frozenset(ranked("short-reserve", usable)[: max(0, count)])
+
     def estimate(self, engine: str, need: Need, now: float) -> Estimate:
         """Estimate the time to first token of a request on one engine."""
         view = self.view(engine)
--- a/packages/briarrelay-core/src/briarrelay_core/gossip.py
+++ b/packages/briarrelay-core/src/briarrelay_core/gossip.py
@@ -1,6 +1,6 @@
 """Digests between peers, bounded in size, and news of leaving instances."""
 
-from attrs import define, field
+from attrs import define
 
 from briarrelay_core.context import Context
 from briarrelay_core.ports.engine import EngineReport
@@ -25,6 +25,12 @@
 SMALL_FLEET = 5
 """Number of peers up to which every one gets each digest."""
 
+NEWS_TICK_S = 0.1
+"""Least seconds between messages that carry nothing but recent sends."""
+
+NEWS_PEER_S = 0.0625
+"""Seconds for each peer between such messages, which bounds their cost."""
+
 FAR_PERIODS = 5
 """Periods between digests to another data centre."""
 
@@ -50,11 +56,36 @@
 
     context: Context
     _turn: int = 0
-    _told: dict[str, float] = field(factory=dict)
+    _news_at: float = 0.0
 
     def start(self, now: float) -> None:
         """Begin to send digests."""
         self.context.timers.every(PERIOD_S, self._send, now + PERIOD_S)
+        self.context.timers.every(NEWS_TICK_S, self._send_news, now + NEWS_TICK_S)
+
+    def _send_news(self, now: float) -> list:
+        """Tell the few peers of a small data centre at once where work went.
+
+        Instances that do not know of each other's latest sends choose the same idle
+        engine. In a large data centre each compares other engines, and digests do.
+        """
+        peers = self.context.entry_peers(now, self.context.identity.data_centre)
+        if not peers or len(peers) > SMALL_FLEET:
+            return []
+        if now - self._news_at < NEWS_PEER_S * len(peers):
+            return []
+        sends = [s for s in self.context.fleet.recent_sends if s.at > self._news_at]
+        if not sends:
+            return []
+        self._news_at = now
+        news = Digest(
+            as_of=now,
+            revision=self.context.revision,
+            draining=self.context.draining,
+            demand_rate=round(self.context.total_demand.rate(now), 1),
+            sends=tuple(sends[-MAX_SENDS:]),
+        )
+        return [SendPeer(peer, news) for peer in peers]
 
     def _send(self, now: float) -> list:
         self._turn += 1
