Serve in the order of arrival within a head start; give each class its lane

Cause: a stretch of priority by size let each later medium prompt go before a long one, so long prompts waited for up to 39 s; one workspace's long prompt in the fair queue held up its own medium ones.

Change: priority is the time of arrival, short prompts get a head start (600 s with the objective short, 10 s with ttft); the fair queue has a lane for each class and a credit for bursts; long prompts may join an engine with 3 s of work, since gangs need several engines at one time and engines keep to arrival order anyhow.

--- a/packages/briarrelay-core/src/briarrelay_core/configuration.py
+++ b/packages/briarrelay-core/src/briarrelay_core/configuration.py
@@ -44,7 +44,8 @@
     :param objective: slowdown of short requests, or time to first token of all.
     :param short_window_s: queued work, in seconds, up to which an engine is given
         short prompts.
-    :param long_window_s: the same for the other length classes.
+    :param medium_window_s: the same for medium prompts.
+    :param long_window_s: the same for long prompts, which need several engines at once.
     :param memory_headroom: share of an engine's memory that long prompts may not
         reserve.
     :param short_reserve: part of the engines that longer prompts leave to short ones.
@@ -58,7 +59,8 @@
 
     objective: Objective = Objective.SHORT
     short_window_s: float = field(default=0.4, validator=_between(0.01, 60))
-    long_window_s: float = field(default=1.0, validator=_between(0.01, 600))
+    medium_window_s: float = field(default=1.0, validator=_between(0.01, 600))
+    long_window_s: float = field(default=3.0, validator=_between(0.01, 600))
     memory_headroom: float = field(default=0.15, validator=_between(0.0, 0.9))
     short_reserve: float = field(default=0.15, validator=_between(0.0, 0.9))
     reserve_patience_s: float = field(default=3.0, validator=_between(0.0, 600))
--- a/packages/briarrelay-core/src/briarrelay_core/dispatch.py
+++ b/packages/briarrelay-core/src/briarrelay_core/dispatch.py
@@ -53,6 +53,8 @@
         preset = self.context.preset
         if length_class is LengthClass.SHORT:
             return preset.short_window_s
+        if length_class is LengthClass.MEDIUM:
+            return preset.medium_window_s
         return preset.long_window_s
 
     def service_s(self, chat: Chat) -> float:
@@ -83,23 +85,19 @@
     def expected_wait(self, chat: Chat, now: float) -> float:
         """Return seconds that a prompt would wait in the queue."""
         queue = self._queue_of(chat.length_class)
-        waiting = queue.queued_of(chat.workspace)
-        if waiting == 0:
+        ahead = queue.ahead_of(chat.workspace, chat.length_class)
+        if ahead == 0:
             return 0.0
-        return waiting / self.admission.fair_rate(chat.workspace, now)
+        return ahead / self.admission.fair_rate(chat.workspace, now)
 
     def submit(self, chat: Chat, now: float) -> list:
         """Put a prompt in its queue and serve what can be served."""
-        key = priority_key(
-            self.context.preset.objective,
-            chat.length_class,
-            chat.arrived,
-            self.service_s(chat),
-        )
+        objective = self.context.preset.objective
+        key = priority_key(objective, chat.length_class, chat.arrived)
         chat.priority = key
         chat.phase = Phase.QUEUED
         cost = chat.request.prompt_tokens
-        item = Waiting(chat.id, chat.workspace, cost, key)
+        item = Waiting(chat.id, chat.workspace, cost, key, chat.length_class)
         self._queue_of(chat.length_class).push(item, chat.weight)
         return self.pump(now)
 
--- a/packages/briarrelay-core/src/briarrelay_core/estimate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/estimate.py
@@ -8,11 +8,8 @@
 
 __all__ = ["Estimate", "estimate_first_token", "priority_key"]
 
-SHORT_HEAD_START_S = 600.0
-"""Seconds by which short prompts go ahead of others with the short objective."""
-
-SIZE_STRETCH = {Objective.SHORT: 1.0, Objective.TTFT: 2.0}
-"""Seconds of priority that each second of own prefill costs."""
+HEAD_START_S = {Objective.SHORT: 600.0, Objective.TTFT: 10.0}
+"""Seconds by which short prompts go ahead of others that came at the same time."""
 
 DECODE_SLOT_TOKENS = 1
 """Tokens of a batch step that each generating request takes."""
@@ -60,17 +57,13 @@
 
 
 def priority_key(
-    objective: Objective,
-    length_class: LengthClass,
-    arrived: float,
-    prefill_s: float,
+    objective: Objective, length_class: LengthClass, arrived: float
 ) -> float:
     """Return the priority of a request; lower is served sooner.
 
     The key is a time, so that a waiting request ages without being sent again:
     each later arrival gets a later key.
     """
-    key = arrived + SIZE_STRETCH[objective] * prefill_s
-    if objective is Objective.SHORT and length_class is LengthClass.SHORT:
-        key -= SHORT_HEAD_START_S
-    return key
+    if length_class is LengthClass.SHORT:
+        return arrived - HEAD_START_S[objective]
+    return arrived
--- a/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
@@ -1,4 +1,4 @@
-"""Start-time fair queueing between workspaces.
+"""Start-time fair queueing between workspaces, with credit for bursts.
 
 Source: Goyal, Vin and Cheng, "Start-time Fair Queuing".
 """
@@ -8,7 +8,10 @@
 
 from attrs import define, field
 
-__all__ = ["FairQueue", "Waiting"]
+__all__ = ["BURST_TOKENS", "FairQueue", "Waiting"]
+
+BURST_TOKENS = 2_000_000.0
+"""Tokens, for a weight of 1, by which a workspace may fall behind and catch up."""
 
 
 @define(slots=True, order=False)
@@ -17,12 +20,14 @@
 
     :param cost: prompt tokens, charged to the workspace when it leaves the queue.
     :param key: order among requests of the same workspace; lower goes first.
+    :param lane: requests of different lanes do not hold each other up.
     """
 
     request_id: str
     workspace: str
     cost: int
     key: float
+    lane: int = 0
     removed: bool = False
 
     def __lt__(self, other: "Waiting") -> bool:
@@ -31,20 +36,34 @@
 
 @define(slots=True)
 class _Flow:
+    """Requests of one workspace.
+
+    :param start: tokens charged so far over weight, the tag of its next request.
+    """
+
     weight: float = 1.0
     start: float = 0.0
-    queued: int = 0
-    heap: list = field(factory=list)
+    queued: dict[int, int] = field(factory=dict)
+    lanes: dict[int, list] = field(factory=dict)
 
-    def head(self) -> Waiting | None:
-        while self.heap and self.heap[0].removed:
-            heappop(self.heap)
-        return self.heap[0] if self.heap else None
+    def heads(self) -> list[Waiting]:
+        """Return the first request of each lane, the first of all first."""
+        heads = []
+        for heap in self.lanes.values():
+            while heap and heap[0].removed:
+                heappop(heap)
+            if heap:
+                heads.append(heap[0])
+        return sorted(heads)
 
 
 @define(slots=True)
 class FairQueue:
-    """Requests of many workspaces, served in proportion to weight."""
+    """Requests of many workspaces, served in proportion to weight.
+
+    A workspace that asked for less than its share keeps a credit, up to a burst, and
+    is served ahead of those that ask for more until it has used it.
+    """
 
     _flows: dict[str, _Flow] = field(factory=dict)
     _items: dict[str, Waiting] = field(factory=dict)
@@ -59,28 +78,25 @@
     def __iter__(self) -> Iterator[Waiting]:
         return iter(list(self._items.values()))
 
-    @property
-    def queued_tokens(self) -> int:
-        """Tokens of every waiting request."""
-        return sum(flow.queued for flow in self._flows.values())
+    def ahead_of(self, workspace: str, lane: int) -> float:
+        """Return tokens that are served before a new request of a workspace.
 
-    def queued_of(self, workspace: str) -> int:
-        """Return the tokens that a workspace has waiting."""
+        It counts what the workspace has waiting in the lane, and what it was served
+        beyond the others; credit that it has left counts against both.
+        """
         flow = self._flows.get(workspace)
-        return flow.queued if flow else 0
-
-    def active_weight(self) -> float:
-        """Return the sum of weights of workspaces that have requests waiting."""
-        return sum(flow.weight for flow in self._flows.values() if flow.queued)
+        if flow is None:
+            return 0.0
+        lead = (flow.start - self._virtual) * flow.weight
+        return max(0.0, lead + flow.queued.get(lane, 0))
 
     def push(self, item: Waiting, weight: float) -> None:
-        """Add a request; an idle workspace starts level with the others."""
-        flow = self._flows.setdefault(item.workspace, _Flow())
+        """Add a request; a workspace that was idle has credit for a burst at most."""
+        flow = self._flows.setdefault(item.workspace, _Flow(start=float("-inf")))
         flow.weight = weight
-        if flow.head() is None:
-            flow.start = max(flow.start, self._virtual)
-        heappush(flow.heap, item)
-        flow.queued += item.cost
+        flow.start = max(flow.start, self._virtual - BURST_TOKENS / weight)
+        heappush(flow.lanes.setdefault(item.lane, []), item)
+        flow.queued[item.lane] = flow.queued.get(item.lane, 0) + item.cost
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> Waiting | None:
@@ -88,7 +104,7 @@
         item = self._items.pop(request_id, None)
         if item is not None:
             item.removed = True
-            self._flows[item.workspace].queued -= item.cost
+            self._flows[item.workspace].queued[item.lane] -= item.cost
         return item
 
     def refund(self, workspace: str, cost: int) -> None:
@@ -100,26 +116,30 @@
     def pop(self, is_eligible: Callable[[Waiting], bool]) -> Waiting | None:
         """Take the next request that can be served now, or None.
 
-        A workspace whose first request can not be served does not hold up others.
+        A request that can not be served holds up neither other workspaces nor the
+        other lanes of its own.
         """
-        heads = [(f.start, name) for name, f in self._flows.items() if f.head()]
-        for start, name in sorted(heads):
+        for start, name in sorted((f.start, name) for name, f in self._flows.items()):
             flow = self._flows[name]
-            item = flow.head()
-            if not is_eligible(item):
-                continue
-            self.remove(item.request_id)
-            self._virtual = max(self._virtual, start)
-            flow.start = start + item.cost / flow.weight
-            return item
+            for item in flow.heads():
+                if is_eligible(item):
+                    self._take(flow, item, start)
+                    return item
         self._drop_idle()
         return None
 
+    def _take(self, flow: _Flow, item: Waiting, start: float) -> None:
+        self.remove(item.request_id)
+        self._virtual = max(self._virtual, start)
+        flow.start = start + item.cost / flow.weight
+
     def _drop_idle(self) -> None:
+        """Forget workspaces that have nothing waiting and their whole credit."""
         idle = [
             name
             for name, flow in self._flows.items()
-            if flow.head() is None and flow.start <= self._virtual
+            if not any(flow.queued.values())
+            and flow.start <= self._virtual - BURST_TOKENS / flow.weight
         ]
         for name in idle:
             del self._flows[name]
