--- a/packages/briarrelay-core/src/briarrelay_core/configuration.py
+++ b/packages/briarrelay-core/src/briarrelay_core/configuration.py
@@ -44,8 +44,8 @@
     :param objective: slowdown of short requests, or time to first token of all.
     :param short_window_s: queued work, in seconds, up to which an engine is given
         short prompts.
-    :param medium_window_s: the same for medium prompts.
-    :param long_window_s: the same for long prompts, which need several engines at once.
+    :param medium_window_s: the same for longer prompts that one engine holds.
+    :param long_window_s: the same for prompts that need several engines at once.
     :param memory_headroom: share of an engine's memory that long prompts may not
         reserve.
     :param short_reserve: part of the engines that longer prompts leave to short ones.
--- a/packages/briarrelay-core/src/briarrelay_core/dispatch.py
+++ b/packages/briarrelay-core/src/briarrelay_core/dispatch.py
@@ -53,9 +53,7 @@
         preset = self.context.preset
         if length_class is LengthClass.SHORT:
             return preset.short_window_s
-        if length_class is LengthClass.MEDIUM:
-            return preset.medium_window_s
-        return preset.long_window_s
+        return preset.medium_window_s
 
     def service_s(self, chat: Chat) -> float:
         """Return seconds that a prompt takes on an idle engine."""
@@ -111,7 +109,7 @@
         for queue in (self._short, self._others):
             while queue:
                 chosen: dict[str, Estimate | GangPlan] = {}
-                item = queue.pop(lambda i, c=chosen: self._choose(i, c, now))
+                item = queue.pop(lambda i, t, c=chosen: self._choose(i, t, c, now))
                 if item is None:
                     break
                 chat = self.context.chats[item.request_id]
@@ -125,10 +123,10 @@
         self._pumping = False
         return self.pump(now)
 
-    def _choose(self, item: Waiting, chosen: dict, now: float) -> bool:
+    def _choose(self, item: Waiting, is_turn: bool, chosen: dict, now: float) -> bool:
         chat = self.context.chats[item.request_id]
         if chat.needs_reservation:
-            choice = self._plan(chat, now)
+            choice = self._plan(chat, is_turn, now)
         else:
             need = evolve(chat.need, tried=chat.need.tried | self._kept(chat, now))
             window = self._window(chat.length_class)
@@ -146,21 +144,40 @@
         model = chat.request.model
         return self.context.fleet.reserved(model, preset.short_reserve, now)
 
-    def _plan(self, chat: Chat, now: float) -> GangPlan | None:
+    def _plan(self, chat: Chat, is_turn: bool, now: float) -> GangPlan | None:
+        """Choose the engines of a long prompt.
+
+        A gang may join engines with more work queued than one engine alone: it needs
+        several at one time, and they work in the order of arrival anyhow. It may so
+        only at its workspace's turn, or it would take engines from those before it.
+        """
+        preset = self.context.preset
+        prompt = chat.request.prompt_tokens + chat.next_seq
+        output = chat.request.output_tokens
+        room, waits = self._room(chat, now)
+        windows = (preset.medium_window_s, preset.long_window_s)
+        for window in windows[: 1 + is_turn]:
+            near = {name: room[name] for name in room if waits[name] <= window}
+            plan = plan_gang(prompt, output, near, waits)
+            if plan is None:
+                continue
+            if len(plan.engines) > 1 or window == preset.medium_window_s:
+                return plan
+        return None
+
+    def _room(self, chat: Chat, now: float) -> tuple[dict[str, int], dict[str, float]]:
+        """Return each engine's room for a long prompt and the work before it."""
         fleet = self.context.fleet
         headroom = 1 - self.context.preset.memory_headroom
-        room, waits = {}, {}
         kept = self._kept(chat, now)
+        room, waits = {}, {}
         for name in fleet.usable(chat.request.model, now):
             if name in chat.tried or name in kept:
                 continue
             view = fleet.view(name)
-            wait = fleet.estimate(name, chat.need, now).wait_s
-            if wait <= self._window(chat.length_class):
-                waits[name] = wait
-                room[name] = min(view.memory_free, int(view.memory_total * headroom))
-        prompt = chat.request.prompt_tokens + chat.next_seq
-        return plan_gang(prompt, chat.request.output_tokens, room, waits)
+            waits[name] = fleet.estimate(name, chat.need, now).wait_s
+            room[name] = min(view.memory_free, int(view.memory_total * headroom))
+        return room, waits
 
     def _start(self, chat: Chat, choice: Estimate | GangPlan, now: float) -> list:
         if isinstance(choice, GangPlan):
@@ -180,7 +197,7 @@
         """Send a prompt whose memory is reserved."""
         plan = chat.plan
         rate = self.context.fleet.view(plan.engines[0]).rate
-        chat.expected_s = max(plan.tokens) / rate + self._window(chat.length_class)
+        chat.expected_s = max(plan.tokens) / rate + self.context.preset.long_window_s
         chat.why.append(
             f"attempt {chat.attempt} to {'+'.join(plan.engines)} after "
             f"{now - chat.arrived:.3f} s, memory reserved"
--- a/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
@@ -113,18 +113,24 @@
         if flow is not None:
             flow.start -= cost / flow.weight
 
-    def pop(self, is_eligible: Callable[[Waiting], bool]) -> Waiting | None:
+    def pop(self, is_eligible: Callable[[Waiting, bool], bool]) -> Waiting | None:
         """Take the next request that can be served now, or None.
 
         A request that can not be served holds up neither other workspaces nor the
         other lanes of its own.
+
+        :param is_eligible: called with a request and whether it is its workspace's
+            turn; a workspace before its turn must not get more than one at its turn.
         """
+        is_turn = True
         for start, name in sorted((f.start, name) for name, f in self._flows.items()):
             flow = self._flows[name]
-            for item in flow.heads():
-                if is_eligible(item):
+            heads = flow.heads()
+            for item in heads:
+                if is_eligible(item, is_turn):
                     self._take(flow, item, start)
                     return item
+            is_turn = is_turn and not heads
         self._drop_idle()
         return None
 
