Let workspaces in credit go first and put those beyond their share behind

Cause: under overload the workspace in excess filled every gap, so a burst of another one met engines with up to 19 s of its long prompts.

Change: workspaces in credit are served by arrival; one beyond credit and asking for more than fairness leaves it gets a priority 30 s later, and views keep its work in a queue of its own that others do not count.

--- a/packages/briarrelay-core/src/briarrelay_core/admission.py
+++ b/packages/briarrelay-core/src/briarrelay_core/admission.py
@@ -157,6 +157,11 @@
             self._fair[workspace] = self._compute_fair_rate(workspace, now)
         return self._fair[workspace]
 
+    def is_over_share(self, workspace: str, now: float) -> bool:
+        """Return whether a workspace asks for more than fairness would leave it."""
+        asked = self.context.limits.own_rates(now).get(workspace, 0.0)
+        return asked > self.fair_rate(workspace, now)
+
     def _compute_fair_rate(self, workspace: str, now: float) -> float:
         known = self.context.configuration.workspaces
         demands = {**self.context.limits.own_rates(now), workspace: float("inf")}
--- a/packages/briarrelay-core/src/briarrelay_core/chatstate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chatstate.py
@@ -50,6 +50,7 @@
     generated: list[str] = field(factory=list)
     tried: set[str] = field(factory=set)
     probed: bool = False
+    excess: bool = False
     first_token_at: float | None = None
     expected_s: float = 0.0
     priority: float = 0.0
@@ -89,6 +90,7 @@
             self.remaining_tokens,
             self.request.blocks,
             frozenset(self.tried),
+            self.excess,
         )
 
     def set_timer(self, name: str, timer: Timer | None) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/dispatch.py
+++ b/packages/briarrelay-core/src/briarrelay_core/dispatch.py
@@ -92,7 +92,6 @@
         """Put a prompt in its queue and serve what can be served."""
         objective = self.context.preset.objective
         key = priority_key(objective, chat.length_class, chat.arrived)
-        chat.priority = key
         chat.phase = Phase.QUEUED
         cost = chat.request.prompt_tokens
         item = Waiting(chat.id, chat.workspace, cost, key, chat.length_class)
@@ -125,6 +124,10 @@
 
     def _choose(self, item: Waiting, is_turn: bool, chosen: dict, now: float) -> bool:
         chat = self.context.chats[item.request_id]
+        queue = self._queue_of(chat.length_class)
+        chat.excess = queue.is_excess(chat.workspace) and self.admission.is_over_share(
+            chat.workspace, now
+        )
         if chat.needs_reservation:
             choice = self._plan(chat, is_turn, now)
         else:
@@ -230,6 +233,10 @@
         cached: int = 0,
     ) -> list:
         """Send an attempt to its engines."""
+        objective = self.context.preset.objective
+        chat.priority = priority_key(
+            objective, chat.length_class, chat.arrived, chat.excess
+        )
         chat.phase = Phase.SENT
         chat.engines = engines
         chat.ready = set()
--- a/packages/briarrelay-core/src/briarrelay_core/engineview.py
+++ b/packages/briarrelay-core/src/briarrelay_core/engineview.py
@@ -25,16 +25,29 @@
 
 @define(slots=True)
 class SentWork:
-    """Prompt tokens given to an engine at a time, by this instance or a peer."""
+    """Prompt tokens given to an engine at a time, by this instance or a peer.
+
+    :param excess: the workspace was beyond its share, others go before it.
+    """
 
     at: float
     length_class: LengthClass
     tokens: int
     request_id: str = ""
+    excess: bool = False
+
+    @property
+    def queue(self) -> int:
+        """Index of the queue that the work waits in."""
+        return EXCESS if self.excess else int(self.length_class)
+
+
+EXCESS = 3
+"""Index of work that others of any class go before."""
 
 
 def _drain(queued: list[float], tokens: float) -> None:
-    """Take processed tokens off the queues, shortest class first, in place."""
+    """Take processed tokens off the queues, first queue first, in place."""
     for index, waiting in enumerate(queued):
         taken = min(waiting, tokens)
         queued[index] -= taken
@@ -57,7 +70,7 @@
     models: tuple[str, ...] = ()
     as_of: float = 0.0
     report: EngineReport | None = None
-    _queued: list[float] = field(factory=lambda: [0.0, 0.0, 0.0])
+    _queued: list[float] = field(factory=lambda: [0.0, 0.0, 0.0, 0.0])
     _clock: float = 0.0
     _sent: deque = field(factory=deque)
 
@@ -75,15 +88,15 @@
         self.memory_total = report.memory_total
         self.decoding = report.decoding
         self.models = report.models
-        queued = [float(tokens) for tokens in report.queued]
         held = 0
         self._forget_sent(now)
+        queued = self._split_excess(report, now)
         clock = report.as_of
         for work in self._sent:
             if work.at >= report.as_of:
                 _drain(queued, (work.at - clock) * self.rate)
                 clock = work.at
-                queued[work.length_class] += work.tokens
+                queued[work.queue] += work.tokens
                 held += work.tokens
         _drain(queued, max(0.0, now - clock) * self.rate)
         self._queued = queued
@@ -109,6 +122,19 @@
             models=report.models,
         )
 
+    def _split_excess(self, report: EngineReport, now: float) -> list[float]:
+        """Return the reported queues with the excess work in a queue of its own.
+
+        Engines do not tell it apart; it is what this view held and the report allows.
+        """
+        self.advance(now)
+        later = sum(w.tokens for w in self._sent if w.excess and w.at >= report.as_of)
+        short, medium, long = (float(tokens) for tokens in report.queued)
+        excess = min(max(0.0, self._queued[EXCESS] - later), medium + long)
+        from_long = min(long, excess)
+        medium -= excess - from_long
+        return [short, medium, long - from_long, excess]
+
     def _forget_sent(self, now: float) -> None:
         while self._sent and self._sent[0].at < now - SENT_WINDOW_S:
             self._sent.popleft()
@@ -127,20 +153,20 @@
             return
         self._sent.append(work)
         processed = max(0.0, now - work.at) * self.rate
-        self._queued[work.length_class] += max(0.0, work.tokens - processed)
+        self._queued[work.queue] += max(0.0, work.tokens - processed)
         self.memory_free -= work.tokens
 
     def remove_sent(self, request_id: str) -> None:
         """Take back work of a request that ended before it was processed."""
         for work in self._sent:
             if work.request_id == request_id:
-                index = work.length_class
+                index = work.queue
                 self._queued[index] = max(0.0, self._queued[index] - work.tokens)
                 self._sent.remove(work)
                 return
 
-    def queued(self, now: float) -> tuple[float, float, float]:
-        """Return unprocessed prompt tokens by length class."""
+    def queued(self, now: float) -> tuple[float, float, float, float]:
+        """Return unprocessed prompt tokens by length class, and those in excess."""
         self.advance(now)
         return tuple(self._queued)
 
--- a/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
@@ -13,6 +13,9 @@
 BURST_TOKENS = 2_000_000.0
 """Tokens, for a weight of 1, by which a workspace may fall behind and catch up."""
 
+FIRST_CREDIT_TOKENS = 500_000.0
+"""Tokens, for a weight of 1, that a workspace starts with as its credit."""
+
 
 @define(slots=True, order=False)
 class Waiting:
@@ -61,8 +64,8 @@
 class FairQueue:
     """Requests of many workspaces, served in proportion to weight.
 
-    A workspace that asked for less than its share keeps a credit, up to a burst, and
-    is served ahead of those that ask for more until it has used it.
+    A workspace that asked for less than its share keeps a credit, up to a burst. Those
+    in credit go first, in the order of arrival; those beyond it share what is left.
     """
 
     _flows: dict[str, _Flow] = field(factory=dict)
@@ -90,9 +93,15 @@
         lead = (flow.start - self._virtual) * flow.weight
         return max(0.0, lead + flow.queued.get(lane, 0))
 
+    def is_excess(self, workspace: str) -> bool:
+        """Return whether a workspace has been served beyond its share and credit."""
+        flow = self._flows.get(workspace)
+        return flow is not None and flow.start >= self._virtual
+
     def push(self, item: Waiting, weight: float) -> None:
         """Add a request; a workspace that was idle has credit for a burst at most."""
-        flow = self._flows.setdefault(item.workspace, _Flow(start=float("-inf")))
+        first = self._virtual - FIRST_CREDIT_TOKENS / weight
+        flow = self._flows.setdefault(item.workspace, _Flow(start=first))
         flow.weight = weight
         flow.start = max(flow.start, self._virtual - BURST_TOKENS / weight)
         heappush(flow.lanes.setdefault(item.lane, []), item)
@@ -123,18 +132,30 @@
             turn; a workspace before its turn must not get more than one at its turn.
         """
         is_turn = True
-        for start, name in sorted((f.start, name) for name, f in self._flows.items()):
-            flow = self._flows[name]
-            heads = flow.heads()
+        for flow, heads in self._in_order():
             for item in heads:
                 if is_eligible(item, is_turn):
-                    self._take(flow, item, start)
+                    self._take(flow, item)
                     return item
-            is_turn = is_turn and not heads
+            is_turn = False
         self._drop_idle()
         return None
 
-    def _take(self, flow: _Flow, item: Waiting, start: float) -> None:
+    def _in_order(self) -> list[tuple[_Flow, list[Waiting]]]:
+        """Return the workspaces that wait: in credit by arrival, then by tag."""
+        waiting = []
+        for name, flow in self._flows.items():
+            heads = flow.heads()
+            if not heads:
+                continue
+            in_credit = flow.start < self._virtual
+            rank = (0, heads[0].key) if in_credit else (1, flow.start)
+            waiting.append((rank, name, flow, heads))
+        waiting.sort(key=lambda entry: entry[:2])
+        return [(flow, heads) for _, _, flow, heads in waiting]
+
+    def _take(self, flow: _Flow, item: Waiting) -> None:
+        start = flow.start
         self.remove(item.request_id)
         self._virtual = max(self._virtual, start)
         flow.start = start + item.cost / flow.weight
--- a/packages/briarrelay-core/src/briarrelay_core/fleet.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fleet.py
@@ -41,6 +41,7 @@
     output_tokens: int
     blocks: tuple[int, ...] = ()
     tried: frozenset[str] = frozenset()
+    excess: bool = False
 
 
 @define(slots=True)
@@ -109,8 +110,9 @@
         """Estimate the time to first token of a request on one engine."""
         view = self.view(engine)
         cached = self.prefix.cached_tokens(engine, need.blocks) if need.blocks else 0
+        cached = min(cached, need.tokens - 1)
         return estimate_first_token(
-            view, need.length_class, need.tokens, min(cached, need.tokens - 1), now
+            view, need.length_class, need.tokens, cached, now, need.excess
         )
 
     def best(self, need: Need, now: float, window_s: float) -> Estimate | None:
@@ -150,9 +152,9 @@
     def note_sent(self, engine: str, need: Need, cached: int, now: float) -> None:
         """Note that a request was given to an engine."""
         tokens = max(1, need.tokens - cached)
-        work = SentWork(now, need.length_class, tokens, need.request_id)
+        work = SentWork(now, need.length_class, tokens, need.request_id, need.excess)
         self.view(engine).add_sent(work, now)
-        send = RecentSend(engine, int(need.length_class), tokens, now)
+        send = RecentSend(engine, int(need.length_class), tokens, now, need.excess)
         self.recent_sends.append(send)
 
     def note_peer_sends(
@@ -163,7 +165,8 @@
         for send in sends:
             if send.at <= newest or send.engine not in self._views:
                 continue
-            work = SentWork(send.at, LengthClass(send.length_class), send.tokens)
+            length_class = LengthClass(send.length_class)
+            work = SentWork(send.at, length_class, send.tokens, excess=send.excess)
             self._views[send.engine].add_sent(work, now)
             self._seen_sends[peer] = max(self._seen_sends.get(peer, 0.0), send.at)
 
--- a/packages/briarrelay-core/src/briarrelay_core/limits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/limits.py
@@ -6,7 +6,7 @@
 
 __all__ = ["DemandMeter", "LimitShares", "TokenBucket"]
 
-DEMAND_WINDOW_S = 10.0
+DEMAND_WINDOW_S = 60.0
 """Time constant of the measured demand."""
 
 DEMAND_STALE_S = 15.0
--- a/packages/briarrelay-core/src/briarrelay_core/ports/peer.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/peer.py
@@ -33,6 +33,7 @@
     length_class: int
     tokens: int
     at: float
+    excess: bool = False
 
 
 @frozen(slots=True)
