Correct young demand meters

Cause: a meter with a window of 60 s showed a tenth of the demand after 6 s, so no workspace was over its share in the first half minute of a load.

Change: divide by the part of the window that the meter has seen, 10 s at least.

--- a/packages/briarrelay-core/src/briarrelay_core/limits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/limits.py
@@ -9,6 +9,9 @@
 DEMAND_WINDOW_S = 60.0
 """Time constant of the measured demand."""
 
+MIN_AGE_S = 10.0
+"""Least age that a meter takes itself to have."""
+
 DEMAND_STALE_S = 15.0
 """Age after which a peer's demand no longer counts."""
 
@@ -21,19 +24,31 @@
 
 @define(slots=True)
 class DemandMeter:
-    """Exponentially decaying rate of tokens asked for, in tokens a second."""
+    """Exponentially decaying rate of tokens asked for, in tokens a second.
+
+    A young meter divides by the time it has seen, or it would show too little.
+    """
 
     _rate: float = 0.0
     _at: float = 0.0
+    _since: float | None = None
 
     def add(self, tokens: float, now: float) -> None:
         """Note tokens asked for."""
-        self._rate = self.rate(now) + tokens / DEMAND_WINDOW_S
+        if self._since is None:
+            self._since = now
+        self._rate = self._decayed(now) + tokens / DEMAND_WINDOW_S
         self._at = now
 
+    def _decayed(self, now: float) -> float:
+        return self._rate * exp(-max(0.0, now - self._at) / DEMAND_WINDOW_S)
+
     def rate(self, now: float) -> float:
         """Return the rate at a time."""
-        return self._rate * exp(-max(0.0, now - self._at) / DEMAND_WINDOW_S)
+        if self._since is None:
+            return 0.0
+        age = max(MIN_AGE_S, now - self._since)
+        return self._decayed(now) / (1.0 - exp(-age / DEMAND_WINDOW_S))
 
 
 @define(slots=True)
