--- /dev/null
+++ b/features/properties/test_parts.py
@@ -0,0 +1,293 @@
+"""Membership, queues, allocation, routing and cancels, against naive versions."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarrelay_core.admission import fair_rates
+from briarrelay_core.allocator import Allocator, Reservation, plan_gang
+from briarrelay_core.engineview import EngineView, SentWork
+from briarrelay_core.fairqueue import BURST_TOKENS, FairQueue, Waiting
+from briarrelay_core.fleet import Fleet, Need
+from briarrelay_core.identity import Identity
+from briarrelay_core.lengths import LengthClass, class_of
+from briarrelay_core.limits import LimitShares
+from briarrelay_core.membership import Membership
+from briarrelay_core.ports.engine import (
+    CacheEvent,
+    CacheEvents,
+    EngineReport,
+    Resident,
+)
+from briarrelay_core.ports.platform import InstanceKind, LifeState
+from briarrelay_core.prefix import PrefixIndex
+from briarrelay_core.retries import MIN_RETRIES, RetryBudget, retry_delay
+from briarrelay_core.sweeper import GRACE_S, orphans
+from properties.worlds import listed
+
+EVIDENCE = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "b"]),
+        st.integers(1, 3),
+        st.sampled_from(list(LifeState)),
+    ),
+    max_size=12,
+)
+
+
+def report(engine: str, at: float, queued=(0, 0, 0), free: int = 400_000):
+    """Return a load report."""
+    return EngineReport(
+        engine=engine,
+        as_of=at,
+        queued=queued,
+        decoding=0,
+        memory_free=free,
+        memory_total=450_000,
+        rate=20_000.0,
+        step_s=0.025,
+        models=("base",),
+    )
+
+
+class MembershipTest(unittest.TestCase):
+    @given(EVIDENCE, st.randoms(use_true_random=False))
+    def test_order_does_not_matter_and_leaving_is_sticky(self, evidence, random):
+        shuffled = list(evidence)
+        random.shuffle(shuffled)
+        one, other = Membership(), Membership()
+        for item in evidence:
+            one.observe(*item, now=1.0)
+        for item in shuffled:
+            before = other.get(item[0])
+            other.observe(*item, now=1.0)
+            after = other.get(item[0])
+            self.assertTrue(before is None or after.rank >= before.rank)
+        for name in ("a", "b"):
+            pair = (one.get(name), other.get(name))
+            if pair[0] is not None:
+                self.assertEqual(pair[0].rank, pair[1].rank)
+
+    def test_a_late_list_does_not_revive(self):
+        members = Membership()
+        members.apply_list(1, [listed("e0", InstanceKind.ENGINE)], 1.0)
+        members.observe("e0", 1, LifeState.LEAVING, 2.0)
+        members.apply_list(2, [listed("e0", InstanceKind.ENGINE)], 3.0)
+        self.assertEqual(members.live(InstanceKind.ENGINE), [])
+        members.apply_list(3, [listed("e0", InstanceKind.ENGINE, 2)], 4.0)
+        self.assertEqual(len(members.live(InstanceKind.ENGINE)), 1)
+
+
+class FairQueueTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.integers(1, 50), st.integers(0, 2)),
+            max_size=20,
+        ),
+        st.sets(st.integers(0, 19)),
+    )
+    def test_every_request_leaves_once_and_lanes_do_not_block(self, items, barred):
+        queue = FairQueue()
+        for number, (workspace, cost, lane) in enumerate(items):
+            queue.push(Waiting(str(number), workspace, cost, number, lane), 1.0)
+        left = set(range(len(items))) - barred
+        heads_barred = set()
+        popped = []
+        while (item := queue.pop(lambda i, _: int(i.request_id) in left)) is not None:
+            popped.append(int(item.request_id))
+        self.assertEqual(len(popped), len(set(popped)))
+        for number in left - set(popped):
+            workspace, _, lane = items[number]
+            ahead = [
+                other
+                for other in barred
+                if other < number and items[other][::2] == (workspace, lane)
+            ]
+            heads_barred.update(ahead)
+            self.assertTrue(ahead, f"{number} was held up by nothing")
+
+    def test_backlogged_workspaces_are_served_by_weight(self):
+        queue = FairQueue()
+        big = int(BURST_TOKENS)
+        for workspace in ("a", "b"):
+            queue.push(Waiting(f"{workspace}-credit", workspace, big, -1.0), 1.0)
+        for _ in range(2):
+            queue.pop(lambda i, t: True)
+        weights = {"a": 1.0, "b": 3.0}
+        for number in range(400):
+            for workspace, weight in weights.items():
+                name = f"{workspace}{number}"
+                queue.push(Waiting(name, workspace, 10_000, number), weight)
+        served = {"a": 0, "b": 0}
+        for _ in range(300):
+            served[queue.pop(lambda i, t: True).workspace] += 1
+        self.assertAlmostEqual(served["b"] / served["a"], 3.0, delta=0.6)
+
+    @given(
+        st.dictionaries(st.sampled_from("abcd"), st.floats(0, 100), min_size=1),
+        st.floats(1, 200),
+    )
+    def test_fair_rates_fill_water_like_the_naive_version(self, demands, capacity):
+        weights = dict.fromkeys(demands, 1.0)
+        rates = fair_rates(demands, weights, capacity)
+        level = 0.0
+        for _ in range(2_000):
+            if sum(min(d, level) for d in demands.values()) >= capacity:
+                break
+            level += 0.1
+        for name, demand in demands.items():
+            self.assertAlmostEqual(rates[name], min(demand, level), delta=0.5)
+
+
+class AllocatorTest(unittest.TestCase):
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 4), st.integers(1, 60), st.booleans(), st.integers(0, 9)
+            ),
+            max_size=25,
+        )
+    )
+    def test_the_table_agrees_with_a_naive_one(self, steps):
+        allocator, naive = Allocator(), {}
+        for now, (number, tokens, release, lasts) in enumerate(steps):
+            naive = {k: v for k, v in naive.items() if v[1] > now}
+            if release:
+                allocator.release("e", str(number), 1)
+                naive.pop(number, None)
+                continue
+            wish = Reservation(str(number), 1, "i0", 1, tokens, now + lasts)
+            granted = allocator.reserve("e", wish, 100, now)
+            fits = sum(t for t, _ in naive.values()) + tokens <= 100
+            self.assertEqual(granted, number in naive or fits)
+            if granted and number not in naive:
+                naive[number] = (tokens, now + lasts)
+            live = {k: v for k, v in naive.items() if v[1] > now}
+            total = sum(t for t, _ in live.values())
+            self.assertEqual(allocator.reserved("e", now), total)
+
+    @given(
+        st.integers(1, 300),
+        st.integers(1, 10),
+        st.lists(st.integers(0, 120), min_size=1, max_size=5),
+    )
+    def test_a_plan_is_the_smallest_that_fits(self, prompt, output, rooms):
+        room = {f"e{i}": size for i, size in enumerate(rooms)}
+        waits = {name: float(room[name] % 7) for name in room}
+        plan = plan_gang(prompt, output, room, waits)
+        sizes = [
+            size
+            for size in range(1, len(room) + 1)
+            if sum(r >= -(-prompt // size) + output for r in room.values()) >= size
+        ]
+        if not sizes:
+            self.assertIsNone(plan)
+            return
+        self.assertEqual(len(plan.engines), sizes[0])
+        self.assertEqual(sum(plan.tokens), prompt)
+        self.assertEqual(list(plan.engines), sorted(plan.engines))
+
+    def test_an_owner_that_is_gone_holds_nothing(self):
+        allocator = Allocator()
+        for incarnation in (1, 2):
+            wish = Reservation(f"r{incarnation}", 1, "i0", incarnation, 10, 99.0)
+            allocator.reserve("e", wish, 100, 0.0)
+        self.assertEqual(allocator.release_owner("i0", 2), 1)
+        self.assertEqual(allocator.reserved("e", 0.0), 10)
+
+
+class RoutingTest(unittest.TestCase):
+    def fleet(self, queues: list[int]) -> Fleet:
+        members = Membership()
+        names = [f"e{i}" for i in range(len(queues))]
+        entries = [listed(name, InstanceKind.ENGINE) for name in names]
+        members.apply_list(1, entries, 0.0)
+        fleet = Fleet(Identity("i0", 1, "dc1"), members)
+        for name, tokens in zip(names, queues, strict=True):
+            fleet.apply_report(report(name, 1.0, (0, tokens, 0)), 1.0)
+        return fleet
+
+    @given(
+        st.lists(st.integers(0, 90_000), min_size=1, max_size=8),
+        st.integers(1, 90_000),
+        st.sets(st.integers(0, 7)),
+    )
+    def test_the_choice_agrees_with_trying_every_engine(self, queues, tokens, gone):
+        fleet = self.fleet(queues)
+        for number in gone:
+            fleet.membership.observe(f"e{number}", 1, LifeState.LEAVING, 1.0)
+        need = Need("r", "base", class_of(tokens), tokens, 10)
+        best = fleet.best(need, 1.0, 0.0)
+        left = [f"e{i}" for i in range(len(queues)) if i not in gone]
+        if not left:
+            self.assertIsNone(best)
+            return
+        least = min(fleet.estimate(name, need, 1.0).first_token_s for name in left)
+        self.assertIn(best.engine, left)
+        self.assertLessEqual(best.first_token_s, least + 0.002)
+
+    def test_own_and_peers_sends_count_until_a_report_has_them(self):
+        view = EngineView("e0")
+        view.apply_report(report("e0", 1.0), 1.0)
+        view.add_sent(SentWork(1.5, LengthClass.MEDIUM, 40_000, "r"), 1.5)
+        self.assertAlmostEqual(view.backlog_s(1.5), 2.0, places=3)
+        view.apply_report(report("e0", 1.2), 1.6)
+        self.assertAlmostEqual(view.backlog_s(1.6), 1.9, places=3)
+        view.apply_report(report("e0", 1.6, (0, 38_000, 0)), 1.6)
+        self.assertAlmostEqual(view.backlog_s(1.6), 1.9, places=3)
+
+    def test_a_gap_in_cache_events_lowers_confidence_only(self):
+        index = PrefixIndex()
+        stored = (CacheEvent(1, True), CacheEvent(2, True))
+        index.apply(CacheEvents("e0", 0, stored))
+        full = index.cached_tokens("e0", (1, 2, 3))
+        self.assertTrue(index.apply(CacheEvents("e0", 9, (CacheEvent(7, True),))))
+        self.assertEqual(index.cached_tokens("e0", (1, 2, 3)), full // 2)
+        index.apply(CacheEvents("e0", 10, (CacheEvent(1, False),)))
+        self.assertEqual(index.cached_tokens("e0", (1, 2, 3)), 0)
+
+
+class LimitsTest(unittest.TestCase):
+    def test_shares_follow_demand_and_fall_back_to_equal_parts(self):
+        shares = LimitShares(live=2)
+        shares.take("ws", 1_000.0, 3_000, 0.0)
+        self.assertAlmostEqual(shares.share("ws", 1.0), 0.5)
+        own = shares.own_rates(1.0)["ws"]
+        shares.set_peer_demand("i1", {"ws": own / 3}, 1.0)
+        self.assertAlmostEqual(shares.share("ws", 1.0), 0.75, places=2)
+        self.assertAlmostEqual(shares.share("ws", 100.0), 0.5)
+
+    def test_a_limit_lets_its_rate_through(self):
+        shares = LimitShares(live=1)
+        passed = sum(
+            1_000
+            for tick in range(1_000)
+            if shares.take("ws", 5_000.0, 1_000, tick / 10) == 0.0
+        )
+        self.assertAlmostEqual(passed / 100.0, 5_000.0, delta=500.0)
+
+    @given(st.lists(st.floats(0, 5), max_size=80), st.floats(0, 1))
+    def test_retries_stay_within_their_budget(self, gaps, ratio):
+        budget, now, spent, earned = RetryBudget(), 0.0, 0, 0.0
+        for gap in gaps:
+            now += gap
+            budget.earn(ratio, now)
+            earned += ratio
+            while budget.spend(now):
+                spent += 1
+        refilled = MIN_RETRIES * (1 + now / 60.0)
+        self.assertLessEqual(spent, earned + refilled + 1)
+
+    @given(st.text(max_size=5), st.integers(0, 20))
+    def test_delays_are_bounded(self, request_id, attempt):
+        self.assertLessEqual(0.0, retry_delay(request_id, attempt))
+        self.assertLessEqual(retry_delay(request_id, attempt), 2.0)
+
+
+class SweeperTest(unittest.TestCase):
+    @given(st.booleans(), st.floats(0, 100), st.floats(0, 100))
+    def test_only_orphans_are_cancelled(self, gone, deadline, now):
+        resident = Resident("r", 1, "i0", 1, 10, deadline)
+        cancels = orphans("e0", [resident], lambda name, incarnation: gone, now)
+        self.assertEqual(bool(cancels), gone or now > deadline + GRACE_S)
--- /dev/null
+++ b/features/properties/test_record.py
@@ -0,0 +1,102 @@
+"""The record: whole when it is verified, and every change to it is found."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarrelay_core.identity import Identity
+from briarrelay_core.record import (
+    MAX_ENTRIES,
+    Entry,
+    Recorder,
+    parse_batch,
+    verify_batches,
+)
+from briarrelay_ctl.audits import verify
+
+
+def entry(number: int) -> Entry:
+    """Return an entry."""
+    return Entry(at=1.0, kind="request", subject=f"r{number}", outcome="done")
+
+
+def make_bodies(count: int, incarnation: int = 1) -> list[str]:
+    """Return the batches of one incarnation."""
+    recorder = Recorder(Identity("i0", incarnation, "dc1"))
+    bodies = []
+    for number in range(count):
+        recorder.add(entry(number))
+        bodies.append(recorder.cut().to_json())
+    return bodies
+
+
+class RecordTest(unittest.TestCase):
+    def test_a_whole_record_has_no_faults(self):
+        bodies = make_bodies(4) + make_bodies(3, incarnation=2)
+        self.assertEqual(verify_batches(bodies), [])
+
+    @given(st.integers(1, 6), st.data())
+    def test_a_repeated_append_is_no_fault(self, count, data):
+        bodies = make_bodies(count)
+        again = data.draw(st.integers(0, count - 1))
+        at = data.draw(st.integers(again + 1, count))
+        self.assertEqual(
+            verify_batches(bodies[:at] + [bodies[again]] + bodies[at:]), []
+        )
+
+    @given(st.integers(2, 6), st.data())
+    def test_a_dropped_batch_is_found(self, count, data):
+        bodies = make_bodies(count)
+        del bodies[data.draw(st.integers(0, count - 2))]
+        faults = verify_batches(bodies)
+        self.assertTrue(any("dropped" in fault.problem for fault in faults))
+
+    @given(st.integers(2, 6), st.data())
+    def test_reordered_batches_are_found(self, count, data):
+        bodies = make_bodies(count)
+        first = data.draw(st.integers(0, count - 2))
+        bodies[first], bodies[first + 1] = bodies[first + 1], bodies[first]
+        faults = verify_batches(bodies)
+        self.assertTrue(any("reordered" in fault.problem for fault in faults))
+
+    @given(st.integers(1, 5), st.data(), st.sampled_from(["done", "failed", ""]))
+    def test_an_altered_entry_is_found_and_named(self, count, data, outcome):
+        bodies = make_bodies(count)
+        index = data.draw(st.integers(0, count - 1))
+        value = json.loads(bodies[index])
+        value["entries"][0]["outcome"] = outcome + "!"
+        bodies[index] = json.dumps(value)
+        faults = verify_batches(bodies)
+        self.assertIn("altered", faults[0].problem)
+        self.assertEqual(faults[0].where, f"i0/1 batch {index}")
+
+    def test_what_does_not_fit_is_counted(self):
+        recorder = Recorder(Identity("i0", 1, "dc1"))
+        kept = [recorder.add(entry(n)) for n in range(MAX_ENTRIES + 7)]
+        self.assertEqual(kept.count(False), 7)
+        batches = []
+        while (batch := recorder.cut()) is not None:
+            batches.append(batch)
+        self.assertEqual(sum(len(batch.entries) for batch in batches), MAX_ENTRIES)
+        self.assertEqual([b.lost for b in batches if b.lost], [7])
+        self.assertEqual(verify_batches(b.to_json() for b in batches), [])
+
+    def test_an_exported_file_with_a_missing_line_is_found(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "record.jsonl"
+            lines = [
+                json.dumps({"offset": offset, "body": body})
+                for offset, body in enumerate(make_bodies(3))
+            ]
+            path.write_text("\n".join(lines) + "\n")
+            self.assertEqual(verify(path), (3, []))
+            path.write_text("\n".join([lines[0], lines[2]]) + "\n")
+            self.assertTrue(verify(path)[1])
+
+    def test_a_batch_that_does_not_parse_is_a_fault(self):
+        self.assertRaises(ValueError, parse_batch, "{")
+        self.assertEqual(len(verify_batches(["{", "[]"])), 2)
--- a/packages/briarrelay-bench/src/briarrelay_bench/virtual.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/virtual.py
@@ -1,6 +1,7 @@
 """Small fakes at the interfaces of entry instances, in virtual time."""
 
 from collections.abc import Callable
+from enum import Enum
 from functools import singledispatchmethod
 from heapq import heappop, heappush
 
@@ -31,15 +32,18 @@
 from briarrelay_core.ports.observe import Count, Note
 from briarrelay_core.ports.peer import FromPeer, PeerUnreachable, SendPeer
 from briarrelay_core.ports.platform import (
+    FetchWeights,
     InstanceList,
     ListedInstance,
     OrderAnswer,
     ReadEngineState,
     ReadInstanceList,
     SendOrder,
+    WeightsReady,
 )
+from briarrelay_core.ports.service import CallService, ServiceAnswer, ServiceLost
 
-__all__ = ["EngineHost", "InstanceHost", "World"]
+__all__ = ["EngineHost", "InstanceHost", "LogFault", "ServiceFault", "World"]
 
 LATENCY_S = 0.001
 """One-way delay between any two processes of a data centre."""
@@ -51,6 +55,27 @@
 """Seconds after which an unanswered read or cancel counts as lost."""
 
 
+LATE_S = 4.0
+"""Seconds after which an append lands whose answer is lost."""
+
+
+class LogFault(Enum):
+    """What is wrong with the log."""
+
+    NONE = "none"
+    DOWN = "down"
+    LOSE_ANSWERS = "lose answers"
+    LATE = "late"
+
+
+class ServiceFault(Enum):
+    """What is wrong with plain services."""
+
+    NONE = "none"
+    REFUSE = "refuse"
+    LOSE_ANSWERS = "lose answers"
+
+
 @define(slots=True, eq=False)
 class EngineHost:
     """An engine in the world; it can die, or fall silent and wake."""
@@ -75,6 +100,8 @@
     data_centre: str = "dc1"
     alive: bool = True
     timer_at: float = float("inf")
+    paused: bool = False
+    inbox: list = field(factory=list)
 
     @property
     def name(self) -> str:
@@ -87,6 +114,7 @@
     """Event loop, engines, the log and the instance list.
 
     :param now: virtual Unix seconds.
+    :param runs: calls that plain services have run, in order.
     :param is_cut: tells whether messages between two data centres are lost; the
         platform is in a data centre of its own, named ``platform``.
     """
@@ -101,6 +129,9 @@
     on_text: Callable[[str, str, float], None] = lambda i, t, now: None
     on_finish: Callable[[Finish, float], None] = lambda f, now: None
     counters: dict[str, int] = field(factory=dict)
+    log_fault: LogFault = LogFault.NONE
+    service_fault: ServiceFault = ServiceFault.NONE
+    runs: list[CallService] = field(factory=list)
     _heap: list = field(factory=list)
     _order: int = 0
     _waiting: list = field(factory=list)
@@ -124,8 +155,10 @@
         self.perform_all(host, host.core.start(self.now))
 
     def tell(self, host: InstanceHost, message) -> None:
-        """Hand a message to an instance now."""
-        if host.alive:
+        """Hand a message to an instance now, or when its pause is over."""
+        if host.paused:
+            host.inbox.append(message)
+        elif host.alive:
             self.perform_all(host, host.core.handle(message, self.now))
 
     def tell_later(self, host: InstanceHost, message, delay: float) -> None:
@@ -142,11 +175,20 @@
             self.at(max(due, self.now), lambda: self._run_timers(host, due))
 
     def _run_timers(self, host: InstanceHost, due: float) -> None:
-        if not host.alive or host.timer_at != due:
+        if not host.alive or host.paused or host.timer_at != due:
             return
         host.timer_at = float("inf")
         self.perform_all(host, host.core.run_timers(self.now))
 
+    def wake(self, host: InstanceHost) -> None:
+        """End the pause of an instance: its timers run first, then its messages."""
+        host.paused = False
+        host.timer_at = float("inf")
+        self.perform_all(host, host.core.run_timers(self.now))
+        inbox, host.inbox = host.inbox, []
+        for message in inbox:
+            self.tell(host, message)
+
     def reaches_platform(self, host: InstanceHost) -> bool:
         """Return whether an instance's messages reach the platform."""
         return not self.is_cut(host.data_centre, "platform")
@@ -289,6 +331,10 @@
         )
         self.tell_later(host, answer, 2 * LATENCY_S)
 
+    @perform.register
+    def _(self, effect: FetchWeights, host: InstanceHost) -> None:
+        self.tell_later(host, WeightsReady(effect.model, True), 2 * LATENCY_S)
+
     @perform.register
     def _(self, effect: ReadInstanceList, host: InstanceHost) -> None:
         if self.reaches_platform(host):
@@ -297,19 +343,46 @@
 
     @perform.register
     def _(self, effect: AppendLog, host: InstanceHost) -> None:
-        if not self.reaches_platform(host):
+        if not self.reaches_platform(host) or self.log_fault is LogFault.DOWN:
             failed = AppendFailed(effect.append_id)
             self.tell_later(host, failed, CONNECT_TIMEOUT_S)
-            return
+        elif self.log_fault is LogFault.LATE:
+            self.at(self.now + LATE_S, lambda: self._append(effect))
+        elif self.log_fault is LogFault.LOSE_ANSWERS:
+            self._append(effect)
+        else:
+            done = AppendDone(effect.append_id, self._append(effect))
+            self.tell_later(host, done, 2 * LATENCY_S)
+
+    def _append(self, effect: AppendLog) -> int:
         offset = self.log.append(effect.stream, effect.bodies)
-        self.tell_later(host, AppendDone(effect.append_id, offset), 2 * LATENCY_S)
+        self.wake_readers()
+        return offset
+
+    def wake_readers(self) -> None:
+        """Answer the reads that wait for news."""
         waiting, self._waiting = self._waiting, []
         for read, reader in waiting:
             self.perform(read, reader)
 
+    @perform.register
+    def _(self, effect: CallService, host: InstanceHost) -> None:
+        if self.service_fault is ServiceFault.REFUSE:
+            lost = ServiceLost(effect.call_id, sent=False)
+            self.tell_later(host, lost, LATENCY_S)
+            return
+        self.runs.append(effect)
+        if self.service_fault is ServiceFault.LOSE_ANSWERS:
+            lost = ServiceLost(effect.call_id, sent=True)
+            self.tell_later(host, lost, CONNECT_TIMEOUT_S)
+            return
+        body = f"{effect.idempotency_key}:{len(self.runs)}".encode()
+        answer = ServiceAnswer(effect.call_id, 200, body)
+        self.tell_later(host, answer, 2 * LATENCY_S)
+
     @perform.register
     def _(self, effect: ReadLog, host: InstanceHost) -> None:
-        if not self.reaches_platform(host):
+        if not self.reaches_platform(host) or self.log_fault is LogFault.DOWN:
             failed = LogRead(effect.stream, effect.start, (), 0, 0, failed=True)
             self.tell_later(host, failed, CONNECT_TIMEOUT_S)
         elif effect.wait_s and not self.log.has_news(effect.stream, effect.start):
--- a/packages/briarrelay-core/src/briarrelay_core/allocator.py
+++ b/packages/briarrelay-core/src/briarrelay_core/allocator.py
@@ -80,9 +80,10 @@
         """
         key = (wanted.request_id, wanted.attempt)
         table = self._tables.setdefault(engine, {})
+        held = self.reserved(engine, now)
         if key in table:
             return True
-        if self.reserved(engine, now) + wanted.tokens > room:
+        if held + wanted.tokens > room:
             return False
         table[key] = wanted
         return True
