Take up work as soon as the log answers; start from seed peers; spend less on control

Cause: scenarios with real daemons showed that calls were still refused after the log was back, since reads that had failed went on as long polls and appends kept their pause; and that an instance which starts while the platform is down knows no peer to ask. The control measurement shows the order holder reading 157 engines every 5 s and a list of 3,000 members sorted ten times a second.

Change: the read after a failed one is answered at once and lets failed appends go; settings name seed peers; live members are kept until evidence advances; one reader an engine in a large data centre; engines that match are read back every 30 s; digests carry 40 reports, most without their fixed fields.

--- /dev/null
+++ b/features/properties/test_io.py
@@ -0,0 +1,119 @@
+"""The daemon's edges: bounded answers, broken peer messages, the codec."""
+
+import socket
+import unittest
+
+import orjson
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarrelay_core.ports.peer import (
+    Digest,
+    Evidence,
+    FetchRevision,
+    HandOver,
+    RecentSend,
+    RelayRequest,
+    ReportEntry,
+    ReserveMemory,
+)
+from briarrelay_daemon import peer_pb2
+from briarrelay_daemon.chatapi import sse_head, sse_text
+from briarrelay_daemon.outstream import OutStream
+from briarrelay_daemon.peercodec import (
+    PeerCodecError,
+    decode_message,
+    encode_message,
+)
+from briarrelay_daemon.wire import Wire
+
+LIMIT = 65_536
+NAMES = st.text("abc-09", max_size=8)
+TIMES = st.floats(0, 2e9)
+COUNTS = st.integers(0, 2**40)
+
+MESSAGES = st.one_of(
+    st.builds(
+        Digest,
+        as_of=TIMES,
+        revision=COUNTS,
+        draining=st.booleans(),
+        demand_rate=TIMES,
+        sends=st.lists(
+            st.builds(RecentSend, NAMES, st.integers(0, 2), COUNTS, TIMES), max_size=3
+        ).map(tuple),
+        evidence=st.lists(st.builds(Evidence, NAMES, COUNTS, NAMES), max_size=3).map(
+            tuple
+        ),
+        reports=st.lists(
+            st.builds(
+                ReportEntry,
+                engine=NAMES,
+                as_of=TIMES,
+                queued_short=COUNTS,
+                queued_medium=COUNTS,
+                queued_long=COUNTS,
+                memory_free=COUNTS,
+                decoding=st.integers(0, 1_000),
+                memory_total=COUNTS,
+                rate=TIMES,
+                step_s=TIMES,
+                models=st.lists(NAMES, max_size=2).map(tuple),
+            ),
+            max_size=2,
+        ).map(tuple),
+    ),
+    st.builds(ReserveMemory, NAMES, NAMES, st.integers(0, 9), COUNTS, TIMES),
+    st.builds(FetchRevision, COUNTS),
+    st.builds(HandOver, NAMES, st.lists(st.text(max_size=9), max_size=3).map(tuple)),
+    st.builds(
+        RelayRequest,
+        request_id=NAMES,
+        key=NAMES,
+        model=NAMES,
+        prompt_tokens=COUNTS,
+        output_tokens=COUNTS,
+        deadline=TIMES,
+        hops=st.integers(0, 2),
+        blocks=st.lists(st.integers(0, 2**64 - 1), max_size=3).map(tuple),
+        payload=st.binary(max_size=9),
+    ),
+)
+
+
+class PeerCodecTest(unittest.TestCase):
+    @given(MESSAGES)
+    def test_messages_survive_the_wire(self, message):
+        raw = encode_message(message).SerializeToString()
+        self.assertEqual(decode_message(peer_pb2.PeerMessage.FromString(raw)), message)
+
+    def test_a_message_of_no_known_kind_is_refused(self):
+        with self.assertRaises(PeerCodecError) as caught:
+            decode_message(peer_pb2.PeerMessage())
+        self.assertIn("update the older instance", str(caught.exception))
+
+
+class OutStreamTest(unittest.TestCase):
+    def test_a_caller_that_does_not_read_is_bounded(self):
+        wire = Wire(lambda: 0.0)
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        stream = OutStream(ours, wire, LIMIT)
+        accepted = 0
+        while stream.write(b"x" * 1_000):
+            accepted += 1_000
+            wire.end_turn()
+            self.assertLess(accepted, 10_000_000, "the stream is not bounded")
+        self.assertTrue(stream.is_overfull)
+        self.assertLessEqual(len(stream._waiting), LIMIT)
+        stream.abandon()
+        self.assertEqual(len(stream._waiting), 0)
+        ours.close()
+        theirs.close()
+
+    @given(st.text(max_size=20))
+    def test_events_are_json_around_the_text(self, text):
+        event = sse_text(sse_head("r1"), text)
+        value = orjson.loads(event.removeprefix(b"data: "))
+        self.assertEqual(value["choices"][0]["delta"]["content"], text)
+        self.assertEqual(value["id"], "r1")
--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -4,6 +4,8 @@
   briarrelay_bench experiment [--scenario NAME] [--policy NAME] [--objective NAME]
                    [--seed N] [--load F] [--duration S] [--prefix-share F] [--json]
   briarrelay_bench relay-cost [--json]
+  briarrelay_bench propagate [--json]
+  briarrelay_bench control-cost [--instances N] [--engines N] [--json]
   briarrelay_bench goals [--seeds LIST] [--duration S] [--jobs N] [--json]
 
 Options:
@@ -17,6 +19,8 @@
   --duration S      seconds for which requests arrive [default: 300]
   --prefix-share F  part of the prompts that begin like an earlier one [default: 0]
   --seeds LIST      seeds after commas [default: 1,2,3]
+  --instances N     entry instances of the daemon's data centre [default: 56]
+  --engines N       engines of the daemon's data centre [default: 157]
   --jobs N          processes to use [default: 4]
   --json            print JSON
 """
@@ -27,8 +31,10 @@
 from attrs import asdict
 from docopt import docopt
 
+from briarrelay_bench.control_cost import measure_slopes
 from briarrelay_bench.experiment import POLICIES, SCENARIOS, Settings, run_experiment
 from briarrelay_bench.goals import check_goals
+from briarrelay_bench.propagate import measure_propagation
 from briarrelay_bench.relay_cost import measure_relay_cost
 
 
@@ -52,6 +58,16 @@
     return asdict(report)
 
 
+def _control_cost(options: dict) -> dict:
+    sizes = int(options["--instances"]), int(options["--engines"])
+    runs, slopes = measure_slopes(*sizes)
+    return {
+        **asdict(runs[0]),
+        "other_sizes": [asdict(run) for run in runs[1:]],
+        "slopes": asdict(slopes),
+    }
+
+
 def _goals(options: dict) -> int:
     seeds = [int(seed) for seed in options["--seeds"].split(",")]
     checks = check_goals(seeds, float(options["--duration"]), int(options["--jobs"]))
@@ -73,6 +89,10 @@
         return _goals(options)
     if options["relay-cost"]:
         figures = asdict(measure_relay_cost())
+    elif options["propagate"]:
+        figures = asdict(measure_propagation())
+    elif options["control-cost"]:
+        figures = _control_cost(options)
     else:
         figures = _experiment(options)
     if options["--json"]:
--- a/packages/briarrelay-bench/src/briarrelay_bench/processes.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/processes.py
@@ -138,22 +138,35 @@
         return (self.log_dir / f"{name}.log").open("a")
 
     def prepare_daemon(self, name: str) -> Process:
-        """Choose ports and write the settings of a daemon, without starting it."""
-        port, peer_port = free_port(), free_port()
-        address = lambda p: {"host": HOST, "port": p}
+        """Choose the ports of a daemon, without starting it."""
+        self.daemons[name] = Process(name, None, free_port(), free_port())
+        return self.daemons[name]
+
+    def _write_settings(self, name: str) -> None:
+        daemon = self.daemons[name]
+        address = lambda port: {"host": HOST, "port": port}
+        seeds = [
+            {
+                "name": other.name,
+                "data_centre": self.data_centre,
+                "address": address(other.peer_port),
+            }
+            for other in self.daemons.values()
+            if other is not daemon
+        ]
+        platform = address(self.platform.port)
         settings = {
             "name": name,
             "data_centre": self.data_centre,
-            "listen": address(port),
-            "peer_listen": address(peer_port),
-            "log": address(self.platform.port),
-            "instance_list": address(self.platform.port),
-            "weight_store": address(self.platform.port),
+            "listen": address(daemon.port),
+            "peer_listen": address(daemon.peer_port),
+            "log": platform,
+            "instance_list": platform,
+            "weight_store": platform,
+            "seed_peers": seeds,
             "operator_key_hash": hash_key(OPERATOR_KEY),
         }
         self.settings_path(name).write_text(json.dumps(settings, indent=2))
-        self.daemons[name] = Process(name, None, port, peer_port)
-        return self.daemons[name]
 
     def settings_path(self, name: str) -> Path:
         """Return the settings file of a daemon."""
@@ -164,6 +177,7 @@
         if name not in self.daemons:
             self.prepare_daemon(name)
         daemon = self.daemons[name]
+        self._write_settings(name)
         command = [
             sys.executable,
             "-m",
--- a/packages/briarrelay-core/src/briarrelay_core/entrymail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/entrymail.py
@@ -109,6 +109,13 @@
 
 @handle_message.register(LogRead)
 def _(message: LogRead, instance: EntryInstance, now: float) -> list:
+    effects = _route_read(message, instance, now)
+    if not message.failed:
+        effects += instance.context.outbox.retry_now(now)
+    return effects
+
+
+def _route_read(message: LogRead, instance: EntryInstance, now: float) -> list:
     if message.stream == SNAPSHOT_STREAM:
         return instance.revisions.on_snapshot_read(message, now)
     if message.stream == CONFIG_STREAM:
--- a/packages/briarrelay-core/src/briarrelay_core/gossip.py
+++ b/packages/briarrelay-core/src/briarrelay_core/gossip.py
@@ -34,9 +34,15 @@
 FAR_PERIODS = 5
 """Periods between digests to another data centre."""
 
-MAX_REPORTS = 16
+MAX_REPORTS = 40
 """Engine reports in one digest."""
 
+FULL_REPORTS = 8
+"""Reports up to which a digest carries every field of each."""
+
+FULL_PERIODS = 8
+"""Digests in which each further report comes once with every field."""
+
 MAX_SENDS = 24
 """Recent sends in one digest."""
 
@@ -46,7 +52,7 @@
 MAX_EVIDENCE = 8
 """Changed instances in one digest."""
 
-FRESH_REPORT_S = 3.0
+FRESH_REPORT_S = 10.0
 """Age up to which a report is passed on."""
 
 
@@ -117,12 +123,23 @@
             demand_rate=round(context.total_demand.rate(now), 1),
             sends=self._recent_sends(now),
             evidence=context.membership.recent_evidence(now, MAX_EVIDENCE),
-            reports=context.fleet.report_entries(now - FRESH_REPORT_S, MAX_REPORTS),
+            reports=self._reports(now),
             demands=tuple(
                 WorkspaceDemand(name, round(rates[name], 1)) for name in busiest
             ),
         )
 
+    def _reports(self, now: float) -> tuple[ReportEntry, ...]:
+        """Return the newest reports; most go without what seldom changes."""
+        fleet = self.context.fleet
+        entries = fleet.report_entries(now - FRESH_REPORT_S, MAX_REPORTS)
+        if len(entries) <= FULL_REPORTS:
+            return entries
+        return tuple(
+            entry if (index + self._turn) % FULL_PERIODS == 0 else entry.without_size()
+            for index, entry in enumerate(entries)
+        )
+
     def _recent_sends(self, now: float) -> tuple:
         sends = list(self.context.fleet.recent_sends)[-MAX_SENDS:]
         return tuple(send for send in sends if send.at > now - 2 * PERIOD_S)
@@ -135,7 +152,9 @@
         context = self.context
         context.peer_demand[peer] = (digest.demand_rate, now)
         for entry in digest.reports:
-            context.fleet.apply_report(_to_report(entry), now)
+            report = self._to_report(entry)
+            if report is not None:
+                context.fleet.apply_report(report, now)
         context.fleet.note_peer_sends(peer, digest.sends, now)
         demands = {entry.workspace: entry.rate for entry in digest.demands}
         context.limits.set_peer_demand(peer, demands, now)
@@ -160,16 +179,20 @@
         digest = self.digest(now)
         return [SendPeer(peer, digest) for peer in peers]
 
-
-def _to_report(entry: ReportEntry) -> EngineReport:
-    return EngineReport(
-        engine=entry.engine,
-        as_of=entry.as_of,
-        queued=(entry.queued_short, entry.queued_medium, entry.queued_long),
-        decoding=entry.decoding,
-        memory_free=entry.memory_free,
-        memory_total=entry.memory_total,
-        rate=entry.rate,
-        step_s=entry.step_s,
-        models=entry.models,
-    )
+    def _to_report(self, entry: ReportEntry) -> EngineReport | None:
+        """Return a report; what it goes without is taken from the one before."""
+        known = self.context.fleet.view(entry.engine).report
+        full = entry if entry.rate > 0 else known
+        if full is None:
+            return None
+        return EngineReport(
+            engine=entry.engine,
+            as_of=entry.as_of,
+            queued=(entry.queued_short, entry.queued_medium, entry.queued_long),
+            decoding=entry.decoding,
+            memory_free=entry.memory_free,
+            memory_total=full.memory_total,
+            rate=full.rate,
+            step_s=full.step_s,
+            models=full.models,
+        )
--- a/packages/briarrelay-core/src/briarrelay_core/membership.py
+++ b/packages/briarrelay-core/src/briarrelay_core/membership.py
@@ -48,6 +48,7 @@
     _members: dict[str, Member] = field(factory=dict)
     _suspect: dict[str, float] = field(factory=dict)
     version: int = 0
+    _live: dict[tuple, list[Member]] = field(factory=dict)
 
     def get(self, name: str) -> Member | None:
         """Return the member of a name, if known."""
@@ -61,12 +62,19 @@
         )
 
     def live(self, kind: InstanceKind, data_centre: str | None = None) -> list[Member]:
-        """Return the members that may get new work."""
-        return [
-            m
-            for m in self.members(kind)
-            if m.state is LifeState.LIVE and data_centre in (None, m.listed.data_centre)
-        ]
+        """Return the members that may get new work.
+
+        The answer is kept until evidence advances; callers must not change it.
+        """
+        key = (kind, data_centre)
+        if key not in self._live:
+            self._live[key] = [
+                m
+                for m in self.members(kind)
+                if m.state is LifeState.LIVE
+                and data_centre in (None, m.listed.data_centre)
+            ]
+        return self._live[key]
 
     def observe(
         self, name: str, incarnation: int, state: LifeState, now: float
@@ -74,12 +82,14 @@
         """Merge evidence of an incarnation; return whether anything advanced."""
         known = self._members.get(name)
         if known is None:
+            self._live.clear()
             self._members[name] = Member(name, incarnation, state, None, now)
             return True
         seen = evolve(known, incarnation=incarnation, state=state, changed_at=now)
         if seen.rank <= known.rank:
             return False
         self._members[name] = seen
+        self._live.clear()
         if incarnation > known.incarnation:
             self._suspect.pop(name, None)
         return True
@@ -94,6 +104,7 @@
         if version < self.version:
             return []
         self.version = version
+        self._live.clear()
         entries = {entry.name: entry for entry in instances}
         changed = []
         for name, entry in entries.items():
--- a/packages/briarrelay-core/src/briarrelay_core/orders.py
+++ b/packages/briarrelay-core/src/briarrelay_core/orders.py
@@ -40,6 +40,9 @@
 STATE_AGE_S = 5.0
 """Age after which an engine's state is read again."""
 
+SETTLED_AGE_S = 30.0
+"""Age after which the state of an engine that matches is read again."""
+
 ROLL_PART = 0.25
 """Part of the engines that may be loading at the same time."""
 
@@ -194,10 +197,11 @@
         effects = []
         for name in engines:
             engine = self._engines.setdefault(name, _Engine())
-            if now - engine.read_at >= STATE_AGE_S:
+            order = self._next_order(name, engine, *wanted[name]) if wanted else None
+            age = SETTLED_AGE_S if order is None and engine.answer else STATE_AGE_S
+            if now - engine.read_at >= age:
                 effects += self._read(name, engine, now)
                 continue
-            order = self._next_order(name, engine, *wanted[name]) if wanted else None
             if order is None:
                 continue
             if self._is_loading(engine, now):
@@ -225,6 +229,8 @@
         self, name: str, engine: _Engine, model: str, spec: ModelSpec
     ) -> SendOrder | None:
         state = engine.answer
+        if state is None:
+            return None
         fencing = self.lease.offset
         wanted = f"{model}@{spec.version}"
         if wanted not in state.models:
--- a/packages/briarrelay-core/src/briarrelay_core/outbox.py
+++ b/packages/briarrelay-core/src/briarrelay_core/outbox.py
@@ -151,6 +151,18 @@
                 effects.extend(self._advance(lane, now))
         return effects
 
+    def retry_now(self, now: float) -> list:
+        """Try failed appends at once, since the log answers again."""
+        if self.down_since is None:
+            return []
+        effects = []
+        for lane in self._lanes.values():
+            if lane.failures:
+                lane.failures = 0
+                lane.ready_at = now
+                effects.extend(self._advance(lane, now))
+        return effects
+
     def unsent(self) -> dict[str, tuple[str, ...]]:
         """Return every record that the log is not known to have, by stream."""
         return {
--- a/packages/briarrelay-core/src/briarrelay_core/polling.py
+++ b/packages/briarrelay-core/src/briarrelay_core/polling.py
@@ -27,7 +27,7 @@
 SWEEP_PERIOD_S = 5.0
 """Seconds between reads of an engine's residents."""
 
-POLL_BUDGET = 6
+POLL_BUDGET = 3
 """Engines that one instance may poll each period."""
 
 ANSWER_S = 2.0
--- a/packages/briarrelay-core/src/briarrelay_core/ports/peer.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/peer.py
@@ -1,6 +1,6 @@
 """Messages between entry instances; every one is one-way."""
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 __all__ = [
     "Digest",
@@ -61,6 +61,10 @@
     step_s: float
     models: tuple[str, ...] = ()
 
+    def without_size(self) -> "ReportEntry":
+        """Return the report without what seldom changes."""
+        return evolve(self, memory_total=0, rate=0.0, step_s=0.0, models=())
+
 
 @frozen(slots=True)
 class WorkspaceDemand:
--- a/packages/briarrelay-core/src/briarrelay_core/tails.py
+++ b/packages/briarrelay-core/src/briarrelay_core/tails.py
@@ -45,8 +45,9 @@
     _timer: Timer | None = None
 
     def start(self, now: float) -> list:
-        """Send the next read."""
-        wait = WAIT_S if self.caught_up else 0.0
+        """Send the next read; after a failure one that is answered at once."""
+        is_healthy = self.caught_up and not self._failures
+        wait = WAIT_S if is_healthy else 0.0
         self._set_timer(now + wait + ANSWER_S, self._on_timeout)
         return [ReadLog(self.stream, self.next_offset, wait)]
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/main.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/main.py
@@ -24,6 +24,12 @@
 from briarrelay_core.entry import EntryInstance
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.control import DrainRequested, Stopped
+from briarrelay_core.ports.platform import (
+    InstanceKind,
+    InstanceList,
+    LifeState,
+    ListedInstance,
+)
 from briarrelay_daemon.callerport import CallerPort
 from briarrelay_daemon.engineport import EnginePort
 from briarrelay_daemon.host import Host, SteadyClock
@@ -63,6 +69,7 @@
         self.callers = CallerPort(self.host, settings)
         self.callers.server.register(self)
         self.host.register(Stopped, self._on_stopped)
+        self._seeds = _seed_entries(settings)
         self._stop_event = eventfd(0)
         self.wire.watch_fd(self._stop_event, READ, self._on_stop_event)
 
@@ -71,6 +78,8 @@
         signal.signal(signal.SIGTERM, self._on_stop_signal)
         signal.signal(signal.SIGINT, self._on_stop_signal)
         self.peers.start()
+        if self._seeds:
+            self.host.tell(InstanceList(0, self._seeds))
         self.host.start()
         self.host.logger.info("started", port=self.callers.server.port)
 
@@ -93,6 +102,22 @@
         return []
 
 
+def _seed_entries(settings: Settings) -> tuple[ListedInstance, ...]:
+    """Return list entries for the seed peers, older than any that the list has."""
+    return tuple(
+        ListedInstance(
+            name=seed.name,
+            incarnation=0,
+            kind=InstanceKind.ENTRY,
+            data_centre=seed.data_centre,
+            host=seed.address.host,
+            port=seed.address.port,
+            state=LifeState.LIVE,
+        )
+        for seed in settings.seed_peers
+    )
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon until it is told to stop."""
     options = docopt(__doc__, argv)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
@@ -8,7 +8,7 @@
 
 from briarrelay_core.checked import CheckedError, from_mapping
 
-__all__ = ["Address", "Settings", "SettingsError", "read_settings"]
+__all__ = ["Address", "SeedPeer", "Settings", "SettingsError", "read_settings"]
 
 
 class SettingsError(ValueError):
@@ -33,6 +33,15 @@
         return f"{self.host}:{self.port}"
 
 
+@frozen(slots=True, kw_only=True)
+class SeedPeer:
+    """An entry instance to ask while the instance list can not be read."""
+
+    name: str
+    data_centre: str
+    address: Address
+
+
 @frozen(slots=True, kw_only=True)
 class Settings:
     """Settings of one entry instance.
@@ -43,6 +52,8 @@
     :param log: the platform's log service.
     :param instance_list: the platform's list of live and leaving instances.
     :param weight_store: the platform's weight store.
+    :param seed_peers: entry instances to ask for the configuration in force when an
+        instance starts while the platform is out of reach.
     :param statsd: where counters go; without it they are not sent.
     :param max_body_bytes: longest body of a request.
     :param caller_buffer_bytes: unread answer that is kept for a slow caller.
@@ -59,6 +70,7 @@
     log: Address
     instance_list: Address
     weight_store: Address
+    seed_peers: tuple[SeedPeer, ...] = ()
     statsd: Address | None = None
     log_level: str = field(
         default="info",
