Keep duties, assignments and busy workspaces; say segment_lost; measure unit slopes

Cause: a profile of the control work shows 157 engines ranked over 56 instances and models assigned anew each second; one of a prompt shows the fair queue looking at every workspace that has credit.

Change: duties and assignments are kept until instances, engines or revision change; the queue looks at workspaces that wait; a lost segment of a gang has its own retry reason; digests carry 32 reports and 8 demands.

--- a/features/properties/test_claims.py
+++ b/features/properties/test_claims.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarrelay_bench.virtual import LogFault, ServiceFault
+from briarrelay_bench.worldfaults import LogFault, ServiceFault
 from briarrelay_core.claims import (
     ClaimFold,
     ClaimKind,
--- a/features/properties/test_fold.py
+++ b/features/properties/test_fold.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarrelay_bench.virtual import LogFault
 from briarrelay_bench.workload import make_configuration
+from briarrelay_bench.worldfaults import LogFault
 from briarrelay_core.fold import CONFIG_STREAM, ConfigurationFold
 from briarrelay_core.ports.log import LogRecord
 from properties.worlds import SmallWorld, change
--- a/features/properties/test_leases.py
+++ b/features/properties/test_leases.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from briarrelay_bench.engine_model import EngineModel
-from briarrelay_bench.virtual import LogFault
 from briarrelay_bench.workload import make_configuration
+from briarrelay_bench.worldfaults import LogFault
 from briarrelay_core.configuration import read_configuration
 from briarrelay_core.fold import CONFIG_STREAM
 from briarrelay_core.leases import LEASE_STREAM, LeaseFold, LeaseRecord
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -12,7 +12,7 @@
 from briarrelay_bench.caller import Caller
 from briarrelay_bench.engine_model import answer_text
 from briarrelay_bench.processes import Cluster
-from briarrelay_bench.relay_cost import publish_first
+from briarrelay_bench.workload import make_configuration
 from briarrelay_ctl.main import main as ctl
 
 SETTLE_S = 30.0
@@ -28,14 +28,8 @@
     for index in range(engines):
         cluster.start_engine(f"engine-{index}", "--rate", "100000")
     cluster.start_service("booking-0")
-    for index in range(daemons):
-        cluster.prepare_daemon(f"entry-{index}")
-    cluster.publish_list()
-    publish_first(cluster)
-    for name in cluster.daemons:
-        cluster.start_daemon(name, wait=False)
-    for name in cluster.daemons:
-        cluster.wait_ready(name)
+    names = [f"entry-{index}" for index in range(daemons)]
+    cluster.start_entries(names, make_configuration("short"))
     if engines:
         for daemon in cluster.daemons.values():
             cluster.wait_until(
--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -6,6 +6,8 @@
   briarrelay_bench relay-cost [--json]
   briarrelay_bench propagate [--json]
   briarrelay_bench control-cost [--instances N] [--engines N] [--json]
+  briarrelay_bench capacity
+  briarrelay_bench table [--seeds LIST] [--duration S] [--jobs N]
   briarrelay_bench goals [--seeds LIST] [--duration S] [--jobs N] [--json]
 
 Options:
@@ -31,9 +33,11 @@
 from attrs import asdict
 from docopt import docopt
 
+from briarrelay_bench.capacity import Size, format_capacity
 from briarrelay_bench.control_cost import measure_slopes
 from briarrelay_bench.experiment import POLICIES, SCENARIOS, Settings, run_experiment
 from briarrelay_bench.goals import check_goals
+from briarrelay_bench.policytable import format_policies
 from briarrelay_bench.propagate import measure_propagation
 from briarrelay_bench.relay_cost import measure_relay_cost
 
@@ -87,6 +91,14 @@
     options = docopt(__doc__, argv)
     if options["goals"]:
         return _goals(options)
+    if options["capacity"]:
+        print(format_capacity(Size()))
+        return 0
+    if options["table"]:
+        seeds = [int(seed) for seed in options["--seeds"].split(",")]
+        duration, jobs = float(options["--duration"]), int(options["--jobs"])
+        print(format_policies(seeds, duration, jobs))
+        return 0
     if options["relay-cost"]:
         figures = asdict(measure_relay_cost())
     elif options["propagate"]:
--- a/packages/briarrelay-bench/src/briarrelay_bench/control_cost.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/control_cost.py
@@ -16,7 +16,6 @@
 from briarrelay_bench.procstat import cpu_seconds, resident_mb
 from briarrelay_bench.workload import make_configuration
 from briarrelay_core.configuration import hash_key
-from briarrelay_core.fold import CONFIG_STREAM, ChangeKind, ChangeRecord
 from briarrelay_core.gossip import (
     FAR_PERIODS,
     FULL_PERIODS,
@@ -28,7 +27,14 @@
 from briarrelay_daemon import peer_pb2, peer_pb2_grpc
 from briarrelay_daemon.peercodec import encode_message
 
-__all__ = ["ControlCost", "Slopes", "measure_control_cost", "measure_slopes"]
+__all__ = [
+    "ControlCost",
+    "Slopes",
+    "big_configuration",
+    "measure_control_cost",
+    "measure_slopes",
+    "sample_digest",
+]
 
 DATA_CENTRES = 7
 WORKSPACES = 5_200
@@ -76,7 +82,8 @@
         return peer_pb2.Taken()
 
 
-def _big_configuration() -> dict:
+def big_configuration() -> dict:
+    """Return a configuration of the size in two years."""
     mapping = make_configuration("short")
     for number in range(WORKSPACES):
         keys = {"key_hashes": [hash_key(f"key-{number}")]}
@@ -85,7 +92,8 @@
     return mapping
 
 
-def _digest(engines: int) -> Digest:
+def sample_digest(engines: int) -> Digest:
+    """Return a full digest about that many engines."""
     now = time()
     reports = tuple(
         ReportEntry(
@@ -126,7 +134,7 @@
         envelope = peer_pb2.Envelope(
             sender=f"entry-{1 + turn % max(1, near - 1):04d}",
             incarnation=1,
-            messages=[encode_message(_digest(engines))],
+            messages=[encode_message(sample_digest(engines))],
         )
         stub.Deliver(envelope, timeout=5.0)
 
@@ -160,19 +168,6 @@
     return entries
 
 
-def _publish(cluster: Cluster) -> None:
-    change = ChangeRecord(
-        id="first",
-        kind=ChangeKind.PATCH,
-        author="bench",
-        base=0,
-        at=time(),
-        patch=_big_configuration(),
-    )
-    path = f"/v1/streams/{CONFIG_STREAM}"
-    cluster.platform.call("POST", path, {"records": [change.to_json()]})
-
-
 def measure_control_cost(instances: int, engines: int) -> ControlCost:
     """Run one daemon among fakes and measure it.
 
@@ -208,7 +203,7 @@
     own = free_port()
     entries = _instance_list(instances, engines, to_peers.port, to_engines.port, own)
     platform.call("PUT", "/v1/instances", {"instances": entries})
-    _publish(cluster)
+    cluster.publish_first(big_configuration())
     real_port, platform.port = platform.port, to_platform.port
     cluster.start_daemon("entry-0000")
     platform.port = real_port
@@ -218,15 +213,9 @@
         daemon=True,
     )
     sender.start()
-    sleep(WARM_UP_S)
     carried = lambda: sum(forwarder.total for forwarder in forwarders)
-    pid = daemon.popen.pid
-    cpu, total, begin = cpu_seconds(pid), carried(), time()
-    sleep(MEASURE_S)
-    seconds = time() - begin
-    share = (cpu_seconds(pid) - cpu) / seconds
-    rate = (carried() - total) / seconds
-    memory = resident_mb(pid)
+    share, rate = _watch(daemon.popen.pid, carried)
+    memory = resident_mb(daemon.popen.pid)
     stop.set()
     for forwarder in forwarders:
         forwarder.close()
@@ -241,6 +230,15 @@
     )
 
 
+def _watch(pid: int, carried) -> tuple[float, float]:
+    """Return the part of a core that a process uses, and bytes carried a second."""
+    sleep(WARM_UP_S)
+    cpu, total, begin = cpu_seconds(pid), carried(), time()
+    sleep(MEASURE_S)
+    seconds = time() - begin
+    return (cpu_seconds(pid) - cpu) / seconds, (carried() - total) / seconds
+
+
 def measure_slopes(instances: int, engines: int) -> tuple[list[ControlCost], Slopes]:
     """Measure the size itself, half of its instances and half of its engines."""
     whole = measure_control_cost(instances, engines)
--- a/packages/briarrelay-bench/src/briarrelay_bench/processes.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/processes.py
@@ -7,11 +7,12 @@
 import tempfile
 from http.client import HTTPConnection
 from pathlib import Path
-from time import monotonic, sleep
+from time import monotonic, sleep, time
 
 from attrs import define, field
 
 from briarrelay_core.configuration import hash_key
+from briarrelay_core.fold import CONFIG_STREAM, ChangeKind, ChangeRecord
 
 __all__ = ["OPERATOR_KEY", "Cluster", "Process", "free_port"]
 
@@ -191,6 +192,30 @@
             self.wait_ready(name)
         return daemon
 
+    def start_entries(self, names: list[str], configuration: dict) -> None:
+        """Start daemons that know of each other, with a first configuration."""
+        for name in names:
+            self.prepare_daemon(name)
+        self.publish_list()
+        self.publish_first(configuration)
+        for name in names:
+            self.start_daemon(name, wait=False)
+        for name in names:
+            self.wait_ready(name)
+
+    def publish_first(self, configuration: dict) -> None:
+        """Append a first configuration to the log."""
+        change = ChangeRecord(
+            id="first",
+            kind=ChangeKind.PATCH,
+            author="bench",
+            base=0,
+            at=time(),
+            patch=configuration,
+        )
+        path = f"/v1/streams/{CONFIG_STREAM}"
+        self.platform.call("POST", path, {"records": [change.to_json()]})
+
     def publish_list(self) -> None:
         """Give the platform the list of what runs now."""
         entries = [
--- a/packages/briarrelay-bench/src/briarrelay_bench/propagate.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/propagate.py
@@ -6,7 +6,7 @@
 
 from briarrelay_bench.measures import percentile
 from briarrelay_bench.processes import Cluster
-from briarrelay_bench.relay_cost import publish_first
+from briarrelay_bench.workload import make_configuration
 from briarrelay_core.fold import CONFIG_STREAM, ChangeKind, ChangeRecord
 
 __all__ = ["Propagation", "measure_propagation"]
@@ -66,14 +66,8 @@
     """Publish changes while the log is healthy, then while it is slow."""
     with Cluster() as cluster:
         cluster.start_platform()
-        for index in range(DAEMONS):
-            cluster.prepare_daemon(f"entry-{index}")
-        cluster.publish_list()
-        publish_first(cluster)
-        for name in cluster.daemons:
-            cluster.start_daemon(name, wait=False)
-        for name in cluster.daemons:
-            cluster.wait_ready(name)
+        names = [f"entry-{index}" for index in range(DAEMONS)]
+        cluster.start_entries(names, make_configuration("short"))
         healthy, slow = [], []
         revision = 1
         for _ in range(HEALTHY_CHANGES):
--- a/packages/briarrelay-bench/src/briarrelay_bench/relay_cost.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/relay_cost.py
@@ -14,7 +14,6 @@
 from briarrelay_bench.processes import Cluster
 from briarrelay_bench.procstat import cpu_seconds
 from briarrelay_bench.workload import make_configuration
-from briarrelay_core.fold import CONFIG_STREAM, ChangeKind, ChangeRecord
 
 __all__ = ["RelayCost", "measure_relay_cost"]
 
@@ -49,20 +48,6 @@
     answers: int
 
 
-def publish_first(cluster: Cluster) -> None:
-    """Append a first configuration to the log."""
-    change = ChangeRecord(
-        id="first",
-        kind=ChangeKind.PATCH,
-        author="bench",
-        base=0,
-        at=time(),
-        patch=make_configuration("short"),
-    )
-    path = f"/v1/streams/{CONFIG_STREAM}"
-    cluster.platform.call("POST", path, {"records": [change.to_json()]})
-
-
 def _ask_daemon(port: int) -> bool:
     answer = Caller(port).chat(PROMPT_TOKENS, TOKENS, timeout=TIMEOUT_S)
     return answer.is_whole and answer.text == answer_text(answer.request_id, TOKENS)
@@ -130,10 +115,7 @@
     with Cluster() as cluster:
         cluster.start_platform()
         cluster.start_engine("engine-0", "--rate", "1000000", "--memory", "2000000")
-        cluster.prepare_daemon("entry-1")
-        cluster.publish_list()
-        publish_first(cluster)
-        cluster.start_daemon("entry-1")
+        cluster.start_entries(["entry-1"], make_configuration("short"))
         sleep(2.0)
         used, whole = _measure_daemon(cluster)
         naive_used, naive_whole = _measure_naive(cluster)
--- /dev/null
+++ b/packages/briarrelay-bench/src/briarrelay_bench/slopes.py
@@ -0,0 +1,236 @@
+"""Processor time and memory of each role's unit of work, measured in this process."""
+
+import tracemalloc
+from collections.abc import Callable
+from time import process_time, time
+from uuid import UUID
+
+from attrs import define
+
+from briarrelay_bench.control_cost import big_configuration, sample_digest
+from briarrelay_core.claims import ClaimFold, ClaimKind, ClaimRecord
+from briarrelay_core.entry import EntryInstance
+from briarrelay_core.fold import ChangeKind, ChangeRecord, ConfigurationFold
+from briarrelay_core.identity import Identity
+from briarrelay_core.ports.caller import CallerGone, ChatRequest
+from briarrelay_core.ports.engine import EngineReport
+from briarrelay_core.ports.log import LogRead, LogRecord
+from briarrelay_core.ports.platform import (
+    InstanceKind,
+    InstanceList,
+    LifeState,
+    ListedInstance,
+)
+from briarrelay_core.prefix import PrefixIndex
+from briarrelay_core.record import Entry, Recorder
+from briarrelay_daemon import peer_pb2
+from briarrelay_daemon.peercodec import decode_message, encode_message
+
+__all__ = ["Slope", "measure_unit_slopes"]
+
+ENGINES = 157
+REPEATS = 2_000
+BLOCKS = 20_000
+OWN = Identity("entry-0000", 1, "dc1")
+
+
+@define(slots=True, frozen=True)
+class Slope:
+    """What one more unit of work costs.
+
+    :param us: processor microseconds.
+    :param bytes_held: memory held by it.
+    :param bytes_sent: length on the wire or in the log.
+    """
+
+    name: str
+    us: float
+    bytes_held: float = 0.0
+    bytes_sent: float = 0.0
+
+
+def _timed(action: Callable[[int], object], repeats: int) -> float:
+    begin = process_time()
+    for number in range(repeats):
+        action(number)
+    return (process_time() - begin) / repeats * 1e6
+
+
+def _held(action: Callable[[int], object], repeats: int) -> float:
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(repeats):
+        action(number)
+    held = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return held / repeats
+
+
+def _claim_bodies(count: int) -> list[str]:
+    now = int(time() * 1_000)
+    bodies = []
+    for number in range(count):
+        key = UUID(int=(now << 80) | (7 << 76) | (2 << 62) | number)
+        for kind, status in ((ClaimKind.CLAIM, 0), (ClaimKind.OUTCOME, 200)):
+            record = ClaimRecord(
+                kind=kind,
+                key=f"workspace-00001/{key}",
+                claim_id=f"entry-0001.1796344828379.{number}",
+                claimant="entry-0001",
+                incarnation=1_796_344_828_379,
+                status=status,
+                body="eyJib29raW5nIjoiczAtMSJ9" if status else "",
+            )
+            bodies.append(record.to_json())
+    return bodies
+
+
+def _claims() -> Slope:
+    bodies = _claim_bodies(REPEATS)
+    fold, other = ClaimFold(), ClaimFold()
+    records = [LogRecord(offset, body) for offset, body in enumerate(bodies)]
+    us = 2 * _timed(lambda n: fold.apply(records[n]), 2 * REPEATS)
+    held = 2 * _held(lambda n: other.apply(records[n]), 2 * REPEATS)
+    return Slope(
+        "keyed call: claim and outcome", us, held, sum(map(len, bodies)) / REPEATS
+    )
+
+
+def _configured() -> ConfigurationFold:
+    fold = ConfigurationFold()
+    first = _change(0, patch=big_configuration())
+    fold.apply(LogRecord(0, first.to_json()))
+    return fold
+
+
+def _change(number: int, **fields) -> ChangeRecord:
+    kind = ChangeKind.PRESET if "preset" in fields else ChangeKind.PATCH
+    return ChangeRecord(
+        id=f"change-{number}", kind=kind, author="a", base=number, at=1.0, **fields
+    )
+
+
+def _changes() -> list[Slope]:
+    fold = _configured()
+    whole = fold.to_snapshot()
+
+    def patch(number: int) -> None:
+        change = _change(
+            number + 1, patch={"workspaces": {"workspace-00001": {"weight": 2.0}}}
+        )
+        fold.apply(LogRecord(number + 1, change.to_json()))
+
+    def activate(number: int) -> None:
+        change = _change(number + 6, preset=("peak", "ordinary")[number % 2])
+        fold.apply(LogRecord(number + 6, change.to_json()))
+
+    body = _change(1, patch={"workspaces": {"w": {"weight": 2.0}}}).to_json()
+    preset = len(_change(1, preset="peak").to_json())
+    return [
+        Slope("change of a workspace among 5,200", _timed(patch, 5), 0, len(body)),
+        Slope("change of preset among 5,200", _timed(activate, 200), 0, preset),
+        Slope(
+            "snapshot of 5,200 workspaces",
+            _timed(lambda n: fold.to_snapshot(), 3),
+            0,
+            len(whole),
+        ),
+    ]
+
+
+def _record() -> Slope:
+    recorder = Recorder(OWN)
+    sent = 0
+
+    def add(number: int) -> None:
+        nonlocal sent
+        why = "attempt 1 to engine-0001 after 0.004 s, first token expected in 0.2 s"
+        entry = Entry(
+            at=time(),
+            kind="request",
+            subject=f"01a23e7f-cb39-75d6-b9a8-{number:012d}",
+            workspace="workspace-00001",
+            outcome="done",
+            why=why,
+        )
+        recorder.add(entry)
+        if number % 60 == 59:
+            sent += len(recorder.cut().to_json())
+
+    us = _timed(add, 60 * 20)
+    bytes_sent = sent / (60 * 20)
+    held = _held(lambda number: add(60 * number), 1_000)
+    return Slope("entry of the record", us, held, bytes_sent)
+
+
+def _digests() -> Slope:
+    digest = sample_digest(ENGINES)
+
+    def both(_: int) -> None:
+        raw = encode_message(digest).SerializeToString()
+        decode_message(peer_pb2.PeerMessage.FromString(raw))
+
+    raw = encode_message(digest).SerializeToString()
+    return Slope("digest, written and read", _timed(both, 100), 0, len(raw))
+
+
+def _blocks() -> Slope:
+    index, other = PrefixIndex(), PrefixIndex()
+    us = _timed(lambda n: index.add("engine-0001", (n,)), BLOCKS)
+    held = _held(lambda n: other.add("engine-0001", (2**40 + n,)), BLOCKS)
+    return Slope("cached block in the prefix index", us, held)
+
+
+def _make_instance(now: float) -> EntryInstance:
+    core = EntryInstance(OWN)
+    core.start(now)
+    first = _change(0, patch=big_configuration()).to_json()
+    entries = tuple(
+        ListedInstance(
+            f"engine-{n:04d}", 1, InstanceKind.ENGINE, "dc1", "", 0, LifeState.LIVE
+        )
+        for n in range(ENGINES)
+    )
+    core.handle(InstanceList(1, entries), now)
+    core.handle(LogRead("config-snapshots", -1, (), 0, 0), now)
+    core.handle(LogRead("config", 0, (LogRecord(0, first),), 0, 1), now)
+    for n in range(ENGINES):
+        report = EngineReport(
+            engine=f"engine-{n:04d}",
+            as_of=now,
+            queued=(0, 0, 0),
+            decoding=5,
+            memory_free=400_000,
+            memory_total=450_000,
+            rate=200_000.0,
+            step_s=0.025,
+            models=("model-1",),
+        )
+        core.handle(report, now)
+    return core
+
+
+def _prompts() -> Slope:
+    now = time()
+    core = _make_instance(now)
+
+    def serve(number: int) -> None:
+        at = now + number / 31.0
+        request = ChatRequest(
+            request_id=f"request-{number:08d}",
+            key=f"key-{number % 5_000}",
+            model="model-1",
+            prompt_tokens=8_000,
+            output_tokens=340,
+            deadline=at + 30.0,
+            blocks=(number, number + 1, number + 2),
+        )
+        core.handle(request, at)
+        core.handle(CallerGone(request.request_id), at)
+
+    return Slope("prompt: admission, routing, end", _timed(serve, REPEATS))
+
+
+def measure_unit_slopes() -> list[Slope]:
+    """Measure every role's unit of work."""
+    return [_prompts(), _claims(), *_changes(), _record(), _digests(), _blocks()]
--- a/packages/briarrelay-bench/src/briarrelay_bench/virtual.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/virtual.py
@@ -1,7 +1,6 @@
 """Small fakes at the interfaces of entry instances, in virtual time."""
 
 from collections.abc import Callable
-from enum import Enum
 from functools import singledispatchmethod
 from heapq import heappop, heappush
 
@@ -9,6 +8,7 @@
 
 from briarrelay_bench.engine_model import EngineModel
 from briarrelay_bench.fakelog import FakeLog
+from briarrelay_bench.worldfaults import LATE_S, LogFault, ServiceFault
 from briarrelay_core.ports.caller import AnswerText, Finish
 from briarrelay_core.ports.engine import (
     Cancelled,
@@ -43,7 +43,7 @@
 )
 from briarrelay_core.ports.service import CallService, ServiceAnswer, ServiceLost
 
-__all__ = ["EngineHost", "InstanceHost", "LogFault", "ServiceFault", "World"]
+__all__ = ["EngineHost", "InstanceHost", "World"]
 
 LATENCY_S = 0.001
 """One-way delay between any two processes of a data centre."""
@@ -55,27 +55,6 @@
 """Seconds after which an unanswered read or cancel counts as lost."""
 
 
-LATE_S = 4.0
-"""Seconds after which an append lands whose answer is lost."""
-
-
-class LogFault(Enum):
-    """What is wrong with the log."""
-
-    NONE = "none"
-    DOWN = "down"
-    LOSE_ANSWERS = "lose answers"
-    LATE = "late"
-
-
-class ServiceFault(Enum):
-    """What is wrong with plain services."""
-
-    NONE = "none"
-    REFUSE = "refuse"
-    LOSE_ANSWERS = "lose answers"
-
-
 @define(slots=True, eq=False)
 class EngineHost:
     """An engine in the world; it can die, or fall silent and wake."""
--- a/packages/briarrelay-core/src/briarrelay_core/chatdesk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chatdesk.py
@@ -17,7 +17,11 @@
 
 __all__ = ["ChatDesk"]
 
-FAILURE_REASONS = {RetryReason.STREAM_SILENT, RetryReason.ENGINE_LOST}
+FAILURE_REASONS = {
+    RetryReason.STREAM_SILENT,
+    RetryReason.ENGINE_LOST,
+    RetryReason.SEGMENT_LOST,
+}
 """Retry reasons that speak against the engine."""
 
 
@@ -106,6 +110,9 @@
     def retry(self, chat: Chat, engine: str, reason: RetryReason, now: float) -> list:
         """End an attempt and start another elsewhere, if budget and time allow."""
         fleet = self.context.fleet
+        is_segment = chat.engines and engine != chat.engines[0]
+        if reason is RetryReason.ENGINE_LOST and is_segment:
+            reason = RetryReason.SEGMENT_LOST
         if reason in FAILURE_REASONS:
             silent = reason is RetryReason.STREAM_SILENT
             fleet.health.note_failure(engine, now, certain=silent)
--- a/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
@@ -71,6 +71,8 @@
     _flows: dict[str, _Flow] = field(factory=dict)
     _items: dict[str, Waiting] = field(factory=dict)
     _virtual: float = 0.0
+    _busy: set[str] = field(factory=set)
+    _idle_checks: int = 0
 
     def __len__(self) -> int:
         return len(self._items)
@@ -107,6 +109,7 @@
         heappush(flow.lanes.setdefault(item.lane, []), item)
         flow.queued[item.lane] = flow.queued.get(item.lane, 0) + item.cost
         self._items[item.request_id] = item
+        self._busy.add(item.workspace)
 
     def remove(self, request_id: str) -> Waiting | None:
         """Take a request out without charging its workspace."""
@@ -144,9 +147,11 @@
     def _in_order(self) -> list[tuple[_Flow, list[Waiting]]]:
         """Return the workspaces that wait: in credit by arrival, then by tag."""
         waiting = []
-        for name, flow in self._flows.items():
+        for name in sorted(self._busy):
+            flow = self._flows[name]
             heads = flow.heads()
             if not heads:
+                self._busy.discard(name)
                 continue
             in_credit = flow.start < self._virtual
             rank = (0, heads[0].key) if in_credit else (1, flow.start)
@@ -161,7 +166,14 @@
         flow.start = start + item.cost / flow.weight
 
     def _drop_idle(self) -> None:
-        """Forget workspaces that have nothing waiting and their whole credit."""
+        """Forget workspaces that have nothing waiting and their whole credit.
+
+        All are looked at, so it is done once for as many calls as there are.
+        """
+        self._idle_checks += 1
+        if self._idle_checks < len(self._flows):
+            return
+        self._idle_checks = 0
         idle = [
             name
             for name, flow in self._flows.items()
--- a/packages/briarrelay-core/src/briarrelay_core/gossip.py
+++ b/packages/briarrelay-core/src/briarrelay_core/gossip.py
@@ -34,7 +34,7 @@
 FAR_PERIODS = 5
 """Periods between digests to another data centre."""
 
-MAX_REPORTS = 40
+MAX_REPORTS = 32
 """Engine reports in one digest."""
 
 FULL_REPORTS = 8
@@ -46,7 +46,7 @@
 MAX_SENDS = 24
 """Recent sends in one digest."""
 
-MAX_DEMANDS = 12
+MAX_DEMANDS = 8
 """Workspaces in one digest, the busiest first."""
 
 MAX_EVIDENCE = 8
--- a/packages/briarrelay-core/src/briarrelay_core/orders.py
+++ b/packages/briarrelay-core/src/briarrelay_core/orders.py
@@ -101,6 +101,7 @@
     _wishes: int = 0
     _engines: dict[str, _Engine] = field(factory=dict)
     _weights: dict[str, bool] = field(factory=dict)
+    _assigned: tuple = (None, None)
     _weights_at: dict[str, float] = field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -192,7 +193,7 @@
 
     def _reconcile(self, now: float) -> list:
         engines = self.context.fleet.live_engines()
-        wanted = assign_models(self.context.configuration, engines)
+        wanted = self._wanted(engines)
         room = max(1, int(len(engines) * ROLL_PART))
         effects = []
         for name in engines:
@@ -211,6 +212,14 @@
                 effects += self._order(engine, order, wanted[name], now)
         return effects
 
+    def _wanted(self, engines: list[str]) -> dict[str, tuple[str, ModelSpec]]:
+        """Return the model of each engine; worked out again when anything changed."""
+        question = (self.context.revision, tuple(engines))
+        if self._assigned[0] != question:
+            chosen = assign_models(self.context.configuration, engines)
+            self._assigned = (question, chosen)
+        return self._assigned[1]
+
     def _read(self, name: str, engine: _Engine, now: float) -> list:
         if now - engine.asked_at < STATE_AGE_S:
             return []
--- a/packages/briarrelay-core/src/briarrelay_core/polling.py
+++ b/packages/briarrelay-core/src/briarrelay_core/polling.py
@@ -44,6 +44,7 @@
 
     context: Context
     _asked: dict[str, float] = field(factory=dict)
+    _duties: dict[int, tuple] = field(factory=dict)
 
     def start(self, now: float) -> list:
         """Begin to read the instance list, reports and residents."""
@@ -71,7 +72,15 @@
         readers = max(1, readers)
         if readers >= len(instances):
             return engines
-        return [e for e in engines if identity.name in ranked(e, instances)[:readers]]
+        question = (tuple(instances), tuple(engines))
+        if self._duties.get(readers, (None, None))[0] != question:
+            mine = [
+                engine
+                for engine in engines
+                if identity.name in ranked(engine, instances)[:readers]
+            ]
+            self._duties[readers] = (question, mine)
+        return self._duties[readers][1]
 
     def _read_reports(self, now: float) -> list:
         effects = []
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/chatapi.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/chatapi.py
@@ -90,6 +90,16 @@
     return tuple(blocks)
 
 
+def _field_problem(model: object, stream: object, output: object) -> NotRun | None:
+    if not isinstance(model, str):
+        return _bad(f"model: given {model!r}, expected a text.")
+    if not isinstance(stream, bool):
+        return _bad(f"stream: given {stream!r}, expected true or false.")
+    if not isinstance(output, int) or isinstance(output, bool):
+        return _bad(f"max_tokens: given {output!r}, expected a whole number.")
+    return None
+
+
 def parse_chat(
     body: bytes, headers: dict[str, str], request_id: str, settings: Settings
 ) -> ParsedChat | NotRun:
@@ -111,12 +121,9 @@
         return deadline
     model, stream = value.get("model"), value.get("stream", False)
     output = value.get("max_tokens", DEFAULT_OUTPUT_TOKENS)
-    if not isinstance(model, str):
-        return _bad(f"model: given {model!r}, expected a text.")
-    if not isinstance(stream, bool):
-        return _bad(f"stream: given {stream!r}, expected true or false.")
-    if not isinstance(output, int) or isinstance(output, bool):
-        return _bad(f"max_tokens: given {output!r}, expected a whole number.")
+    problem = _field_problem(model, stream, output)
+    if problem is not None:
+        return problem
     text = _prompt_text(value.get("messages"))
     if isinstance(text, NotRun):
         return text
