Count others' work ahead of a workspace only as far as they wait

Change: the lead counts as far as others have tokens waiting. Test first: a workspace with a lead and an empty queue has nothing ahead of it.

--- a/features/properties/test_parts.py
+++ b/features/properties/test_parts.py
@@ -124,6 +124,14 @@
             served[queue.pop(lambda i, t: True).workspace] += 1
         self.assertAlmostEqual(served["b"] / served["a"], 3.0, delta=0.6)
 
+    def test_nothing_goes_ahead_when_nobody_waits(self):
+        queue = FairQueue()
+        queue.push(Waiting("long", "a", int(2 * BURST_TOKENS), 0.0), 1.0)
+        queue.pop(lambda i, t: True)
+        self.assertEqual(queue.ahead_of("a", 1), 0.0)
+        queue.push(Waiting("other", "b", 5_000, 1.0), 1.0)
+        self.assertEqual(queue.ahead_of("a", 1), 5_000.0)
+
     @given(
         st.dictionaries(st.sampled_from("abcd"), st.floats(0, 100), min_size=1),
         st.floats(1, 200),
--- a/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
+++ b/packages/briarrelay-core/src/briarrelay_core/fairqueue.py
@@ -86,14 +86,16 @@
     def ahead_of(self, workspace: str, lane: int) -> float:
         """Return tokens that are served before a new request of a workspace.
 
-        It counts what the workspace has waiting in the lane, and what it was served
-        beyond the others; credit that it has left counts against both.
+        It counts what the workspace has waiting in the lane, and what others have
+        waiting as far as it was served beyond them; credit counts against both.
         """
         flow = self._flows.get(workspace)
         if flow is None:
             return 0.0
+        own = sum(flow.queued.values())
+        others = sum(item.cost for item in self._items.values()) - own
         lead = (flow.start - self._virtual) * flow.weight
-        return max(0.0, lead + flow.queued.get(lane, 0))
+        return max(0.0, min(lead, others) + flow.queued.get(lane, 0))
 
     def is_excess(self, workspace: str) -> bool:
         """Return whether a workspace has been served beyond its share and credit."""
