--- a/packages/briarrelay-core/src/briarrelay_core/estimate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/estimate.py
@@ -11,7 +11,7 @@
 HEAD_START_S = {Objective.SHORT: 600.0, Objective.TTFT: 10.0}
 """Seconds by which short prompts go ahead of others that came at the same time."""
 
-EXCESS_DELAY_S = 30.0
+EXCESS_DELAY_S = 10.0
 """Seconds by which requests of a workspace beyond its share go after others."""
 
 DECODE_SLOT_TOKENS = 1
