Test broken connections, records, peer messages and frames

Change: scenarios for a caller that leaves in mid-answer (its engine memory comes back), a request cut short, a sender of half a header, records that do not parse on every stream, a peer message of no known kind; focused tests for crossed and broken frames.

--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -32,3 +32,24 @@
     When a chat is served by daemon 0
     Then the chat is whole
     And no engine holds memory
+
+  Scenario: Connections that break
+    Given 1 daemons before 1 engines
+    When a caller leaves daemon 0 in the middle of its answer
+    Then no engine holds memory
+    When a request to daemon 0 is cut short
+    And a chat is served by daemon 0
+    Then the chat is whole
+    When a sender of half a header waits at daemon 0
+    Then its connection is closed
+
+  Scenario: Records and messages that do not parse
+    Given 2 daemons before 1 engines
+    When records that do not parse are on every stream
+    And a peer message of no known kind reaches daemon 0
+    Then the peer is told that its message is invalid
+    When a booking is made at daemon 0
+    Then the booking is answered with "done"
+    When 3 operators activate presets on the same revision
+    Then 1 of them is told to have won
+    And preset "peak" is in force everywhere
--- a/features/properties/test_io.py
+++ b/features/properties/test_io.py
@@ -19,6 +19,7 @@
 )
 from briarrelay_daemon import peer_pb2
 from briarrelay_daemon.chatapi import sse_head, sse_text
+from briarrelay_daemon.engineport import EnginePort
 from briarrelay_daemon.outstream import OutStream
 from briarrelay_daemon.peercodec import (
     PeerCodecError,
@@ -117,3 +118,46 @@
         value = orjson.loads(event.removeprefix(b"data: "))
         self.assertEqual(value["choices"][0]["delta"]["content"], text)
         self.assertEqual(value["id"], "r1")
+
+
+class _Recorder:
+    """Stands in for the host: keeps what it is told."""
+
+    def __init__(self):
+        self.told = []
+        self.counted = []
+        self.counters = self
+
+    def register(self, effect_class, perform) -> None:
+        """Take what the port performs."""
+
+    def tell(self, message) -> None:
+        """Keep a message."""
+        self.told.append(message)
+
+    def add(self, name: str) -> None:
+        """Keep the name of a counter."""
+        self.counted.append(name)
+
+
+class EngineFrameTest(unittest.TestCase):
+    KEY = ("e0", "r1", 2)
+
+    def take(self, line: bytes) -> _Recorder:
+        host = _Recorder()
+        EnginePort(host, None).on_line(self.KEY, line)
+        return host
+
+    def test_a_frame_of_another_request_or_attempt_is_dropped(self):
+        for other in (b'"r2","a":2', b'"r1","a":1'):
+            host = self.take(b'{"r":' + other + b',"s":0,"k":"token","t":"x"}')
+            self.assertEqual((host.told, host.counted), ([], ["frame.crossed"]))
+
+    @given(st.binary(max_size=30))
+    def test_a_line_that_is_no_frame_is_dropped(self, line):
+        host = self.take(line)
+        self.assertEqual((host.told, host.counted), ([], ["frame.bad"]))
+
+    def test_a_frame_of_the_request_is_passed_on(self):
+        host = self.take(b'{"r":"r1","a":2,"s":3,"k":"token","t":"x"}')
+        self.assertEqual(host.told[0].seq, 3)
