--- a/packages/briarrelay-bench/src/briarrelay_bench/control_cost.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/control_cost.py
@@ -4,6 +4,7 @@
 together would, its engines one stand-in that answers under every name.
 """
 
+import json
 from concurrent.futures import ThreadPoolExecutor
 from threading import Event, Thread
 from time import sleep, time
@@ -219,17 +220,22 @@
     stop.set()
     for forwarder in forwarders:
         forwarder.close()
-    list_bytes = sum(len(str(entry)) for entry in entries)
     return ControlCost(
         instances=instances,
         engines=engines,
         core_share=round(share, 4),
         rss_mb=round(memory, 1),
         bytes_per_s=round(rate, 1),
-        list_bytes_per_s=round(list_bytes * LIST_CHANGES_A_DAY / SECONDS_A_DAY, 1),
+        list_bytes_per_s=_list_rate(entries),
     )
 
 
+def _list_rate(entries: list) -> float:
+    """Return bytes a second of reading the whole list at each of its changes."""
+    size = sum(len(json.dumps(entry)) for entry in entries)
+    return round(size * LIST_CHANGES_A_DAY / SECONDS_A_DAY, 1)
+
+
 def _watch(pid: int, carried) -> tuple[float, float]:
     """Return the part of a core that a process uses, and bytes carried a second."""
     sleep(WARM_UP_S)
