--- a/packages/briarrelay-core/src/briarrelay_core/ports/control.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/control.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-__all__ = ["DrainRequested", "Stopped"]
+__all__ = ["DrainRequested", "Stopped", "WokeUp"]
 
 
 @frozen(slots=True)
@@ -13,3 +13,10 @@
 @frozen(slots=True)
 class Stopped:
     """Effect: nothing is in progress any more, the process may end."""
+
+
+@frozen(slots=True)
+class WokeUp:
+    """The instance stood still for some seconds; what it believes may be old."""
+
+    stood_s: float
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -0,0 +1,85 @@
+"""Messages between entry instances that carry routes."""
+
+from attrs import field, frozen
+
+from briarrelay_core.ports.directory import PeerAddress
+
+__all__ = [
+    "AskPeer",
+    "DigestHeard",
+    "LoadDigest",
+    "PeerAnswered",
+    "SendDigest",
+    "ServerLoad",
+]
+
+
+@frozen(slots=True)
+class ServerLoad:
+    """What one entry instance has in progress on a backend server.
+
+    :param read_s: seconds of prompts still to be read there.
+    :param leads: requests sent to it.
+    :param helps: requests for which it reads a part.
+    :param tokens: context tokens of its requests.
+    :param streams: longest pause in seconds and weight of the streams written there.
+    """
+
+    read_s: float = 0.0
+    leads: int = 0
+    helps: int = 0
+    tokens: int = 0
+    streams: tuple[tuple[float, float], ...] = ()
+
+
+@frozen(slots=True, kw_only=True)
+class LoadDigest:
+    """What an entry instance tells its peers; the newest replaces all before.
+
+    :param number: rises with each digest of an incarnation.
+    :param version: version of the configuration in force there.
+    :param leaving: backend servers known to leave or to be gone.
+    :param peers: entry instances heard of late.
+    """
+
+    sender: PeerAddress
+    incarnation: int
+    number: int
+    version: int
+    loads: dict[str, ServerLoad] = field(factory=dict)
+    leaving: tuple[str, ...] = ()
+    peers: tuple[PeerAddress, ...] = ()
+
+
+@frozen(slots=True)
+class SendDigest:
+    """Effect: send a digest to peers; it may be lost."""
+
+    digest: LoadDigest
+    peers: tuple[PeerAddress, ...]
+
+
+@frozen(slots=True)
+class DigestHeard:
+    """A peer's digest arrived."""
+
+    digest: LoadDigest
+
+
+@frozen(slots=True)
+class AskPeer:
+    """Effect: ask a peer for its configuration and servers."""
+
+    peer: PeerAddress
+
+
+@frozen(slots=True)
+class PeerAnswered:
+    """A peer's answer to AskPeer.
+
+    :param changes: the configuration and the servers it knows, as topic changes.
+    """
+
+    peer: PeerAddress
+    changes: tuple = ()
+    problem: str = ""
--- a/packages/briarrelay-core/src/briarrelay_core/reasons.py
+++ b/packages/briarrelay-core/src/briarrelay_core/reasons.py
@@ -12,6 +12,7 @@
     TOO_LARGE = "too_large"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
     UNAUTHORIZED = "unauthorized"
     DEADLINE_INVALID = "deadline_invalid"
     PROMPT_TOO_LONG = "prompt_too_long"
@@ -22,6 +23,8 @@
     DRAINING = "draining"
     NOT_READY = "not_ready"
     NO_ENGINE = "no_engine"
+    SERVERS_FULL = "servers_full"
+    SERVERS_REFUSED = "servers_refused"
     NO_SERVICE = "no_service"
     KEY_INVALID = "key_invalid"
     KEY_EXPIRED = "key_expired"
@@ -49,6 +52,11 @@
     ENGINE_LEAVING = "engine_leaving"
     SEGMENT_LOST = "segment_lost"
     SERVICE_NOT_SENT = "service_not_sent"
+    SERVER_REFUSED = "server_refused"
+    SERVER_REPLACED = "server_replaced"
+    SERVER_LOST = "server_lost"
+    SERVER_FAILED = "server_failed"
+    SERVER_SILENT = "server_silent"
 
 
 class FailureReason(StrEnum):
@@ -61,6 +69,8 @@
     CALLER_SLOW = "caller_slow"
     PEER_LOST = "peer_lost"
     ENGINE_ERROR = "engine_error"
+    SERVER_LOST = "server_lost"
+    ANSWER_UNPROVEN = "answer_unproven"
 
 
 _STATUS = {
@@ -68,6 +78,7 @@
     RefusalReason.TOO_LARGE: 413,
     RefusalReason.UNKNOWN_MODEL: 404,
     RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.UNKNOWN_ROUTE: 404,
     RefusalReason.UNAUTHORIZED: 401,
     RefusalReason.DEADLINE_INVALID: 400,
     RefusalReason.PROMPT_TOO_LONG: 413,
@@ -83,6 +94,13 @@
     RefusalReason.TOO_LARGE: "Send a body within the limit named in the detail.",
     RefusalReason.UNKNOWN_MODEL: "Name a model that the configuration lists.",
     RefusalReason.UNKNOWN_SERVICE: "Name a plain service that the configuration lists.",
+    RefusalReason.UNKNOWN_ROUTE: "Use a host and path that the configuration routes.",
+    RefusalReason.SERVERS_FULL: (
+        "Send again after Retry-After seconds; every backend server is busy."
+    ),
+    RefusalReason.SERVERS_REFUSED: (
+        "Send again after Retry-After seconds; the backend servers did not take it."
+    ),
     RefusalReason.UNAUTHORIZED: "Send 'Authorization: Bearer KEY' of a workspace.",
     RefusalReason.DEADLINE_INVALID: (
         "Send Request-Deadline as Unix seconds, in the future and within the limit."
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes: opaque requests carried to backend servers and their answers back."""
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/budget.py
@@ -0,0 +1,66 @@
+"""Repeated sends allowed for each service, shared by all entry instances."""
+
+from collections import deque
+
+from attrs import define, field, frozen
+
+__all__ = ["RepeatBudget", "RepeatLimits"]
+
+SAFETY = 0.75
+"""Part of the allowance that is used; the instances' counts are not exact."""
+
+
+@frozen(slots=True, kw_only=True)
+class RepeatLimits:
+    """Most repeated sends of a service over all entry instances.
+
+    :param ratio: repeats allowed for each request in the window.
+    :param slack: repeats allowed beyond that.
+    """
+
+    ratio: float = 0.2
+    window_s: float = 10.0
+    slack: float = 20.0
+
+
+@define(slots=True)
+class _Window:
+    """Times within the last seconds."""
+
+    times: deque = field(factory=deque)
+
+    def count(self, now: float, window_s: float) -> int:
+        """Return how many times lie within the window."""
+        while self.times and self.times[0] <= now - window_s:
+            self.times.popleft()
+        return len(self.times)
+
+
+@define(slots=True)
+class RepeatBudget:
+    """This instance's part of the allowance.
+
+    :param instances: entry instances that share it.
+    """
+
+    limits: RepeatLimits
+    instances: int = 1
+    _requests: dict[str, _Window] = field(factory=dict)
+    _repeats: dict[str, _Window] = field(factory=dict)
+
+    def note_request(self, service: str, now: float) -> None:
+        """Count a request of a caller."""
+        self._requests.setdefault(service, _Window()).times.append(now)
+        self._requests[service].count(now, self.limits.window_s)
+
+    def spend(self, service: str, now: float) -> bool:
+        """Take one repeat if there is one left."""
+        limits = self.limits
+        requests = self._requests.setdefault(service, _Window())
+        repeats = self._repeats.setdefault(service, _Window())
+        allowed = limits.ratio * requests.count(now, limits.window_s)
+        allowed += limits.slack / max(1, self.instances)
+        if repeats.count(now, limits.window_s) + 1 > SAFETY * allowed:
+            return False
+        repeats.times.append(now)
+        return True
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -0,0 +1,416 @@
+"""Carries requests of routes: admits, places, sends, repeats and answers them."""
+
+from attrs import define, field
+
+from briarrelay_core.health import HealthTable
+from briarrelay_core.outcomes import Failed, NotRun
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.ports.route import (
+    AbortSend,
+    CallerLeft,
+    CutAnswer,
+    Forward,
+    RelayWhole,
+    RouteRefused,
+    RouteRequest,
+)
+from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
+from briarrelay_core.record import Entry, Recorder
+from briarrelay_core.rendezvous import unit_hash
+from briarrelay_core.routes.budget import RepeatBudget
+from briarrelay_core.routes.carried import Carried, Sending
+from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_core.routes.pace import PaceTable
+from briarrelay_core.routes.placement import (
+    Candidate,
+    Placement,
+    Prompt,
+    place_call,
+    place_prompt,
+)
+from briarrelay_core.routes.servers import KnownServer, ServerTable
+
+__all__ = ["RouteDesk"]
+
+NOT_RUN_SENDS = 3
+"""Sends beyond a route's attempts that backend servers may refuse as not run."""
+
+SHORTEST_SEND_S = 0.02
+"""Seconds below which a request is not worth sending."""
+
+LATE_ANSWER_S = 0.1
+"""Seconds after the time of a request in which its server's own answer may come."""
+
+WAIT_PART = 0.25
+"""Part of a request's time that it may wait for a free place."""
+
+RETRY_AFTER_S = 0.3
+"""Shortest Retry-After; places become free about as fast as short answers end."""
+
+NO_SERVER_S = 1.0
+"""Retry-After while no server is registered; entries come back within two seconds."""
+
+QUEUE_FACTOR = 2
+"""Requests sent to a plain service for each of its slots; it queues a few itself."""
+
+
+@define(slots=True, eq=False)
+class RouteDesk:
+    """Requests in progress and what becomes of them.
+
+    :param data_centre: where this instance is.
+    """
+
+    data_centre: str
+    servers: ServerTable
+    load: LoadTable
+    budget: RepeatBudget
+    recorder: Recorder
+    health: HealthTable = field(factory=HealthTable)
+    pace: PaceTable = field(factory=PaceTable)
+    configuration: RouteConfiguration | None = None
+    is_configuration_unsure: bool = False
+    is_closing: bool = False
+    carried: dict[int, Carried] = field(factory=dict)
+    sends: dict[int, Carried] = field(factory=dict)
+    _waiting: dict[int, Carried] = field(factory=dict)
+    _send_count: int = 0
+
+    # Arrival
+
+    def on_request(self, request: RouteRequest, now: float) -> list:
+        """Take a request from a caller."""
+        refusal = self._find_refusal(request)
+        if refusal is not None:
+            return self.refuse(request, refusal, now)
+        configuration = self.configuration
+        route = configuration.match(request.host, request.path)
+        service = route.service_for(unit_hash(request.caller_id, "share"))
+        patience = route.timeout_s
+        if request.patience_s is not None:
+            patience = min(patience, request.patience_s)
+        known = configuration.services.get(service)
+        carried = Carried(
+            request=request,
+            route=route,
+            service=service,
+            profile=known.profile if known else None,
+            workspace=configuration.workspace_of(request.key) or "",
+            arrived_at=now,
+            due=now + patience,
+        )
+        self.carried[request.request_id] = carried
+        self.budget.note_request(service, now)
+        return self.place(carried, now)
+
+    def _find_refusal(self, request: RouteRequest) -> NotRun | None:
+        configuration = self.configuration
+        if configuration is None:
+            return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
+        if self.is_closing:
+            return NotRun(RefusalReason.DRAINING, retry_after=RETRY_AFTER_S)
+        route = configuration.match(request.host, request.path)
+        if route is None:
+            return self._unknown(RefusalReason.UNKNOWN_ROUTE)
+        if route.is_anonymous or not configuration.holders:
+            return None
+        if configuration.workspace_of(request.key) is None:
+            return self._unknown(RefusalReason.UNAUTHORIZED)
+        return None
+
+    def _unknown(self, reason: RefusalReason) -> NotRun:
+        """Refuse for good only if the configuration is known to be the newest."""
+        if self.is_configuration_unsure:
+            return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
+        return NotRun(reason)
+
+    # Placing
+
+    def place(self, carried: Carried, now: float) -> list:
+        """Send a request to the best server, or let it wait for one."""
+        if carried.due - now < SHORTEST_SEND_S:
+            return self.give_up(carried, now)
+        known = self._candidates(carried, now)
+        placement = self._choose(carried, known, now)
+        if placement is not None:
+            self._waiting.pop(carried.request.request_id, None)
+            return self._send(carried, placement, now)
+        if not known:
+            return self.give_up(carried, now, RefusalReason.NO_ENGINE)
+        if carried.request.request_id in self._waiting:
+            return []
+        self._waiting[carried.request.request_id] = carried
+        return [Count("route.waited")]
+
+    def _candidates(self, carried: Carried, now: float) -> list[KnownServer]:
+        """Return servers that may take a request, without those that fail."""
+        usable = self.servers.of_service(carried.service, now)
+        fresh = [s for s in usable if s.entry.name not in carried.tried]
+        request_id = str(carried.request.request_id)
+        sound = [
+            server
+            for server in fresh
+            if self.health.admits(server.entry.name, request_id, now)
+        ]
+        if sound:
+            return sound
+        return fresh if carried.tried or len(fresh) == len(usable) else usable
+
+    def _choose(
+        self, carried: Carried, known: list[KnownServer], now: float
+    ) -> Placement | None:
+        is_prompt = carried.is_prompt
+        factor = 1 if is_prompt else QUEUE_FACTOR
+        candidates = [
+            Candidate(
+                server.entry.name,
+                self.load.of(server.entry.name, now),
+                server.entry.slots * factor,
+                server.entry.data_centre == self.data_centre,
+                self.pace.of(server.entry.name, now),
+            )
+            for server in known
+        ]
+        if not is_prompt:
+            return place_call(candidates)
+        request = carried.request
+        route = carried.route
+        prompt = Prompt(
+            tokens=request.prompt_tokens,
+            output_tokens=request.output_tokens,
+            aim_s=max(0.05, route.target_latency_s - (now - carried.arrived_at)),
+            limit_s=route.gap_limit_s or 0.0,
+            weight=carried.weight,
+        )
+        return place_prompt(carried.profile, candidates, prompt)
+
+    def _send(self, carried: Carried, placement: Placement, now: float) -> list:
+        self._send_count += 1
+        send_id = self._send_count
+        carried.sends += 1
+        carried.tried.append(placement.lead)
+        carried.sending = Sending(
+            send_id=send_id,
+            server=placement.lead,
+            helpers=placement.helpers,
+            sent_at=now,
+            expected_s=placement.expected_s,
+            progress_at=now,
+        )
+        self.sends[send_id] = carried
+        self._add_load(carried, placement, send_id, now)
+        entry = self.servers.get(placement.lead).entry
+        helpers = [self.servers.get(name).entry.address for name in placement.helpers]
+        return [
+            Forward(
+                request_id=carried.request.request_id,
+                send_id=send_id,
+                server=entry.name,
+                host=entry.host,
+                port=entry.port,
+                patience_s=carried.due - now,
+                workspace=carried.workspace,
+                helpers=tuple(helpers),
+                resume_after=carried.last_event or carried.request.resume_after,
+                is_fresh=not carried.route.is_repeatable,
+            )
+        ]
+
+    def _add_load(
+        self, carried: Carried, placement: Placement, send_id: int, now: float
+    ) -> None:
+        request = carried.request
+        tokens = request.prompt_tokens + request.output_tokens
+        self.load.add(
+            send_id,
+            placement.lead,
+            now,
+            tokens=tokens if carried.is_prompt else 0,
+            read_s=placement.read_s,
+            limit_s=carried.route.gap_limit_s or 0.0,
+            weight=carried.weight,
+        )
+        for helper in placement.helpers:
+            self.load.add(send_id, helper, now, read_s=placement.read_s, is_lead=False)
+
+    def serve_waiting(self, now: float) -> list:
+        """Place the requests that wait, the most urgent first."""
+        effects = []
+        order = sorted(
+            self._waiting.values(),
+            key=lambda c: c.arrived_at + c.route.target_latency_s,
+        )
+        for carried in order:
+            effects += self.place(carried, now)
+        return effects
+
+    # Repeating
+
+    def repeat_or_give_up(
+        self, carried: Carried, reason: RetryReason, now: float
+    ) -> list:
+        """Send a request again if that is allowed, else answer it."""
+        if not self._may_repeat(carried, now):
+            return self.give_up(carried, now)
+        fields = (
+            ("reason", reason.value),
+            ("server", carried.tried[-1]),
+            ("runs", str(carried.runs)),
+            ("last_event", carried.last_event),
+            ("left_s", f"{carried.due - now:.2f}"),
+        )
+        note = Note("info", "retry", carried.request.caller_id, fields)
+        self._record(carried, "retry", reason.value, now)
+        counts = [note, Count(f"retried.{reason.value}")]
+        return counts + self.place(carried, now)
+
+    def _may_repeat(self, carried: Carried, now: float) -> bool:
+        if carried.runs and not carried.route.is_repeatable:
+            return False
+        if carried.runs >= carried.route.attempts:
+            return False
+        if carried.sends >= carried.route.attempts + NOT_RUN_SENDS:
+            return False
+        if carried.due - now < SHORTEST_SEND_S:
+            return False
+        return self.budget.spend(carried.service, now)
+
+    def end_send(self, carried: Carried) -> Sending:
+        """Take a send that is over off the load."""
+        sending = carried.sending
+        carried.sending = None
+        del self.sends[sending.send_id]
+        self.load.remove(sending.send_id)
+        return sending
+
+    # Ends
+
+    def give_up(
+        self,
+        carried: Carried,
+        now: float,
+        reason: RefusalReason = RefusalReason.SERVERS_REFUSED,
+    ) -> list:
+        """Answer a request that will not be sent again."""
+        if carried.is_begun:
+            return self.close(carried, "cut", now) + [
+                CutAnswer(carried.request.request_id)
+            ]
+        if carried.failure:
+            effects = self.close(carried, "passed_failure", now)
+            relay = RelayWhole(carried.request.request_id, carried.failure)
+            return [*effects, relay]
+        if carried.runs:
+            late = carried.due - now < SHORTEST_SEND_S
+            cause = FailureReason.DEADLINE if late else FailureReason.SERVER_LOST
+            return self._fail(carried, Failed(cause), now)
+        wait = self._retry_after(carried, reason)
+        return self._refuse(carried, NotRun(reason, retry_after=wait), now)
+
+    def _retry_after(self, carried: Carried, reason: RefusalReason) -> float:
+        """Return seconds to wait, spread so that callers do not return together."""
+        spread = 1.0 + unit_hash(carried.request.caller_id, "spread")
+        if reason is RefusalReason.NO_ENGINE:
+            return NO_SERVER_S * spread
+        return max(RETRY_AFTER_S, carried.route.target_latency_s / 2) * spread
+
+    def _fail(self, carried: Carried, outcome: Failed, now: float) -> list:
+        effects = self.close(carried, outcome.reason.value, now)
+        effects.append(Count(f"failed.{outcome.reason.value}"))
+        effects.append(RouteRefused(carried.request.request_id, outcome))
+        return effects
+
+    def _refuse(self, carried: Carried, refusal: NotRun, now: float) -> list:
+        effects = self.close(carried, refusal.reason.value, now)
+        effects.append(Count(f"refused.{refusal.reason.value}"))
+        effects.append(RouteRefused(carried.request.request_id, refusal))
+        return effects
+
+    def refuse(self, request: RouteRequest, refusal: NotRun, now: float) -> list:
+        """Refuse a request that was not admitted."""
+        reason = refusal.reason.value
+        version = self.configuration.version if self.configuration else 0
+        fields = (
+            ("reason", reason),
+            ("host", request.host),
+            ("path", request.path),
+            ("version", str(version)),
+        )
+        self.recorder.add(
+            Entry(
+                at=round(now, 3), kind="refusal", subject=request.caller_id, why=reason
+            )
+        )
+        return [
+            Note("info", "refused", request.caller_id, fields),
+            Count(f"refused.{reason}"),
+            RouteRefused(request.request_id, refusal),
+        ]
+
+    def close(self, carried: Carried, outcome: str, now: float) -> list:
+        """Forget a request; a send that is still open is aborted."""
+        request = carried.request
+        effects = []
+        sending = carried.sending
+        if sending is not None:
+            self.end_send(carried)
+            effects.append(AbortSend(sending.send_id))
+        self.carried.pop(request.request_id, None)
+        self._waiting.pop(request.request_id, None)
+        self._record(carried, "request", outcome, now)
+        first = carried.first_event_at
+        fields = (
+            ("outcome", outcome),
+            ("route", carried.route.name),
+            ("workspace", carried.workspace),
+            ("version", str(self.configuration.version)),
+            ("servers", ",".join(carried.tried)),
+            ("helpers", str(len(sending.helpers)) if sending else "0"),
+            ("expected_ms", f"{1000 * sending.expected_s:.0f}" if sending else ""),
+            ("first_ms", f"{1000 * (first - carried.arrived_at):.0f}" if first else ""),
+            ("whole_ms", f"{1000 * (now - carried.arrived_at):.0f}"),
+            ("last_event", carried.last_event),
+            ("tokens", str(request.prompt_tokens)),
+        )
+        effects.append(Note("info", "request", request.caller_id, fields))
+        return effects
+
+    def _record(self, carried: Carried, kind: str, outcome: str, now: float) -> None:
+        entry = Entry(
+            at=round(now, 3),
+            kind=kind,
+            subject=carried.request.caller_id,
+            workspace=carried.workspace,
+            outcome=outcome,
+            why=",".join(carried.tried),
+        )
+        self.recorder.add(entry)
+
+    def on_caller_left(self, message: CallerLeft, now: float) -> list:
+        """Abort what a caller no longer waits for."""
+        carried = self.carried.get(message.request_id)
+        if carried is None:
+            return []
+        effects = self.close(carried, "caller_gone", now)
+        return [*effects, Count("route.caller_gone"), *self.serve_waiting(now)]
+
+    def expire(self, now: float) -> list:
+        """Answer the requests whose time is over or that waited long enough."""
+        effects = []
+        for carried in list(self.carried.values()):
+            if now >= carried.due + LATE_ANSWER_S:
+                effects += self._on_due(carried, now)
+            elif carried.sending is None and self._has_waited(carried, now):
+                effects += self.give_up(carried, now, RefusalReason.SERVERS_FULL)
+        return effects
+
+    def _has_waited(self, carried: Carried, now: float) -> bool:
+        whole = carried.due - carried.arrived_at
+        patience = max(carried.route.target_latency_s, WAIT_PART * whole)
+        return now - carried.arrived_at > min(patience, whole)
+
+    def _on_due(self, carried: Carried, now: float) -> list:
+        if carried.sending is not None:
+            carried.runs += 1
+        return self.give_up(carried, now, RefusalReason.CANNOT_FINISH)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -0,0 +1,124 @@
+"""Follows a topic of the platform: lists it once, then reads what changes."""
+
+from attrs import define, field
+
+from briarrelay_core.ports.directory import (
+    ListTopic,
+    ReadTopic,
+    Topic,
+    TopicChange,
+    TopicListed,
+    TopicRead,
+)
+from briarrelay_core.ports.observe import Note
+from briarrelay_core.timers import TimerService
+
+__all__ = ["Follower"]
+
+FIRST_BACKOFF_S = 0.15
+"""Seconds before the first new try; the store answers within some milliseconds."""
+
+MAX_BACKOFF_S = 0.8
+"""Longest pause between tries, so that news are seen within a second of recovery."""
+
+
+@define(slots=True)
+class Follower:
+    """Keeps one question to the platform in flight for one topic.
+
+    :param pause_s: seconds between reads; 0 if the platform waits for news.
+    :param wait_s: seconds that the platform may wait for news.
+    """
+
+    topic: Topic
+    timers: TimerService
+    pause_s: float
+    wait_s: float
+    is_listed: bool = False
+    heard_at: float = float("-inf")
+    failing_since: float | None = None
+    recovered_at: float = float("-inf")
+    _next: int | None = None
+    _seen: set[str] = field(factory=set)
+    _known: set[str] = field(factory=set)
+    _failures: int = 0
+
+    def start(self, now: float) -> list:
+        """Begin to follow."""
+        return [ListTopic(self.topic)]
+
+    def on_listed(self, page: TopicListed, now: float) -> tuple[list, list]:
+        """Take a page; return changes to apply and effects."""
+        notes = self._note_answer(now)
+        if self._next is None:
+            self._next = page.end
+        changes = list(page.changes)
+        self._seen.update(change.key for change in changes)
+        if page.has_more and changes:
+            return changes, [*notes, ListTopic(self.topic, changes[-1].key)]
+        gone = self._known - self._seen
+        changes += [TopicChange(key, None) for key in sorted(gone)]
+        self._known = self._seen
+        self._seen = set()
+        self.is_listed = True
+        return changes, notes + self._read_later(now)
+
+    def on_read(self, read: TopicRead, now: float) -> tuple[list, list]:
+        """Take changes; return them and effects."""
+        notes = self._note_answer(now)
+        self._next = read.end
+        for change in read.changes:
+            if change.value is None:
+                self._known.discard(change.key)
+            else:
+                self._known.add(change.key)
+        return list(read.changes), notes + self._read_later(now)
+
+    def on_expired(self, now: float) -> list:
+        """List again, since changes between were lost."""
+        self._next = None
+        self._seen = set()
+        note = Note("warning", "topic_expired", fields=(("topic", self.topic.value),))
+        return [note, *self._note_answer(now), ListTopic(self.topic)]
+
+    def on_failed(self, problem: str, now: float) -> list:
+        """Try again after a pause."""
+        notes = []
+        if self.failing_since is None:
+            self.failing_since = now
+            fields = (("topic", self.topic.value), ("problem", problem))
+            notes.append(Note("warning", "store_lost", fields=fields))
+        pause = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
+        self._failures += 1
+        self.timers.at(now + pause, self._ask)
+        return notes
+
+    def is_unsure(self, now: float, patience_s: float) -> bool:
+        """Return whether news may have been missed for some seconds."""
+        return now - self.heard_at > patience_s + self.wait_s + self.pause_s
+
+    def _read_later(self, now: float) -> list:
+        if not self.pause_s:
+            return self._ask(now)
+        self.timers.at(now + self.pause_s, self._ask)
+        return []
+
+    def _ask(self, now: float) -> list:
+        if self._next is None or not self.is_listed:
+            self._next = None
+            self._seen = set()
+            return [ListTopic(self.topic)]
+        return [ReadTopic(self.topic, self._next, self.wait_s)]
+
+    def _note_answer(self, now: float) -> list:
+        self.heard_at = now
+        self._failures = 0
+        if self.failing_since is None:
+            return []
+        fields = (
+            ("topic", self.topic.value),
+            ("lost_s", f"{now - self.failing_since:.2f}"),
+        )
+        self.failing_since = None
+        self.recovered_at = now
+        return [Note("info", "store_regained", fields=fields)]
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -0,0 +1,227 @@
+"""An entry instance that carries routes: the parts behind one typed seam.
+
+As with :class:`briarrelay_core.entry.EntryInstance`, anything that passes messages to
+:meth:`RouteInstance.handle`, runs the timers and carries the effects out can drive it.
+"""
+
+from functools import singledispatchmethod
+
+from attrs import define, field
+
+from briarrelay_core.identity import Identity
+from briarrelay_core.outbox import Outbox
+from briarrelay_core.ports.control import DrainRequested, WokeUp
+from briarrelay_core.ports.digest import DigestHeard, PeerAnswered
+from briarrelay_core.ports.directory import (
+    EntryPublished,
+    PeerAddress,
+    TopicExpired,
+    TopicFailed,
+    TopicListed,
+    TopicRead,
+)
+from briarrelay_core.ports.log import AppendDone, AppendFailed
+from briarrelay_core.ports.observe import Note
+from briarrelay_core.ports.route import (
+    CallerLeft,
+    RouteRequest,
+    SendDone,
+    SendEvent,
+    SendHead,
+    SendLost,
+)
+from briarrelay_core.record import AUDIT_STREAM, Recorder
+from briarrelay_core.routes.budget import RepeatBudget, RepeatLimits
+from briarrelay_core.routes.desk import RouteDesk
+from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.news import NewsKeeper
+from briarrelay_core.routes.peers import PeerKeeper
+from briarrelay_core.routes.sendmail import SendMail
+from briarrelay_core.routes.servers import ServerTable
+from briarrelay_core.routes.stopping import Stopping
+from briarrelay_core.timers import TimerService
+
+__all__ = ["RouteInstance"]
+
+CHECK_S = 0.1
+"""Seconds between looks for requests that are late or silent."""
+
+RECORD_PERIOD_S = 5.0
+"""Seconds between batches of the record; each append is charged."""
+
+
+@define(slots=True, eq=False)
+class RouteInstance:
+    """One of the equal entry instances.
+
+    :param identity: name, incarnation and data centre of this process.
+    :param address: where peers reach it.
+    :param repeats: repeated sends allowed over all instances.
+    :param grace_s: seconds that a planned stop may take.
+    :param seeds: addresses of peers that are tried at the start.
+    """
+
+    identity: Identity
+    address: PeerAddress
+    repeats: RepeatLimits
+    grace_s: float
+    seeds: tuple[PeerAddress, ...] = ()
+    timers: TimerService = field(factory=TimerService)
+    recorder: Recorder = field(init=False)
+    outbox: Outbox = field(init=False)
+    desk: RouteDesk = field(init=False)
+    mail: SendMail = field(init=False)
+    peers: PeerKeeper = field(init=False)
+    news: NewsKeeper = field(init=False)
+    stopping: Stopping = field(init=False)
+
+    def __attrs_post_init__(self):
+        identity = self.identity
+        self.recorder = Recorder(identity)
+        self.outbox = Outbox(identity, self.timers, {AUDIT_STREAM: RECORD_PERIOD_S})
+        load = LoadTable()
+        servers = ServerTable()
+        self.desk = RouteDesk(
+            data_centre=identity.data_centre,
+            servers=servers,
+            load=load,
+            budget=RepeatBudget(self.repeats),
+            recorder=self.recorder,
+        )
+        self.mail = SendMail(self.desk)
+        self.peers = PeerKeeper(
+            self.address, identity.incarnation, self.timers, load, servers
+        )
+        for seed in self.seeds:
+            self.peers.add(seed)
+        self.news = NewsKeeper(self.desk, self.peers, self.timers)
+        self.stopping = Stopping(
+            self.desk, self.peers, self.outbox, self._cut_record, self.grace_s
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self.desk.configuration is not None
+            and len(self.desk.servers) > 0
+            and not self.stopping.is_begun
+        )
+
+    @property
+    def next_due(self) -> float | None:
+        """Time at which timers are to be run, in seconds."""
+        return self.timers.next_due
+
+    def start(self, now: float) -> list:
+        """Begin to work; return the first effects."""
+        self.timers.every(CHECK_S, self._check, now + CHECK_S)
+        self.timers.every(RECORD_PERIOD_S, self._cut_record, now + RECORD_PERIOD_S)
+        return self.peers.start(now) + self.news.start(now)
+
+    def handle(self, message, now: float) -> list:
+        """Take a message from outside; return effects to carry out."""
+        return self._complete(self._take(message, now), now)
+
+    def run_timers(self, now: float) -> list:
+        """Run the timers that are due; return effects to carry out."""
+        return self._complete(self.timers.run_due(now), now)
+
+    def _complete(self, effects: list, now: float) -> list:
+        """Tell peers if the load changed."""
+        load = self.desk.load
+        if load.is_changed:
+            load.is_changed = False
+            effects += self.peers.on_changed(now)
+        return effects
+
+    def _check(self, now: float) -> list:
+        self.news.refresh(now)
+        self.desk.budget.instances = self.peers.instances
+        effects = self.mail.check_silence(now) + self.desk.expire(now)
+        for name in self.desk.servers.drop_lapsed(now):
+            self.desk.health.forget(name)
+        effects += self.desk.serve_waiting(now)
+        return effects + self.stopping.check(now)
+
+    def _cut_record(self, now: float) -> list:
+        batch = self.recorder.cut()
+        if batch is None:
+            return []
+        return self.outbox.add(AUDIT_STREAM, batch.to_json(), now)
+
+    @singledispatchmethod
+    def _take(self, message, now: float) -> list:
+        raise TypeError(f"given {message!r}, which is no message of any port")
+
+    @_take.register
+    def _(self, message: RouteRequest, now: float) -> list:
+        return self.desk.on_request(message, now)
+
+    @_take.register
+    def _(self, message: CallerLeft, now: float) -> list:
+        return self.desk.on_caller_left(message, now)
+
+    @_take.register
+    def _(self, message: SendHead, now: float) -> list:
+        return self.mail.on_head(message, now)
+
+    @_take.register
+    def _(self, message: SendEvent, now: float) -> list:
+        return self.mail.on_event(message, now)
+
+    @_take.register
+    def _(self, message: SendDone, now: float) -> list:
+        return self.mail.on_done(message, now)
+
+    @_take.register
+    def _(self, message: SendLost, now: float) -> list:
+        return self.mail.on_lost(message, now)
+
+    @_take.register
+    def _(self, message: TopicListed, now: float) -> list:
+        return self.news.on_listed(message, now)
+
+    @_take.register
+    def _(self, message: TopicRead, now: float) -> list:
+        return self.news.on_read(message, now)
+
+    @_take.register
+    def _(self, message: TopicExpired, now: float) -> list:
+        return self.news.on_expired(message, now)
+
+    @_take.register
+    def _(self, message: TopicFailed, now: float) -> list:
+        return self.news.on_failed(message, now)
+
+    @_take.register
+    def _(self, message: EntryPublished, now: float) -> list:
+        if self.stopping.is_begun:
+            return []
+        return self.news.on_published(message, now)
+
+    @_take.register
+    def _(self, message: DigestHeard, now: float) -> list:
+        return self.peers.on_digest(message, now)
+
+    @_take.register
+    def _(self, message: PeerAnswered, now: float) -> list:
+        return self.news.on_peer_answer(message, now)
+
+    @_take.register
+    def _(self, message: AppendDone, now: float) -> list:
+        return self.outbox.on_done(message, now)
+
+    @_take.register
+    def _(self, message: AppendFailed, now: float) -> list:
+        return self.outbox.on_failed(message, now)
+
+    @_take.register
+    def _(self, message: DrainRequested, now: float) -> list:
+        return self.stopping.begin(now)
+
+    @_take.register
+    def _(self, message: WokeUp, now: float) -> list:
+        fields = (("stood_s", f"{message.stood_s:.2f}"),)
+        self.desk.is_configuration_unsure = True
+        return [Note("warning", "woke_up", fields=fields)]
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -0,0 +1,141 @@
+"""What is in progress on each backend server, by own sends and peers' digests."""
+
+from attrs import define, field
+
+from briarrelay_core.ports.digest import LoadDigest, ServerLoad
+
+__all__ = ["LoadTable", "SendLoad"]
+
+PEER_STALE_S = 1.5
+"""Seconds after which a silent peer's load is left out; digests come twice a second."""
+
+NOTHING = ServerLoad()
+
+
+@define(slots=True, eq=False)
+class SendLoad:
+    """One send's part of the load of one server.
+
+    :param read_s: seconds that the server reads for it.
+    :param read_by: expected end of that reading.
+    :param limit_s: longest pause between events, 0 if nothing is streamed there.
+    :param weight: what a pause that is too long costs.
+    """
+
+    server: str
+    is_lead: bool
+    tokens: int
+    read_s: float
+    read_by: float
+    limit_s: float = 0.0
+    weight: float = 0.0
+    is_reading: bool = True
+
+    def left_s(self, now: float) -> float:
+        """Return seconds of reading that are left."""
+        if not self.is_reading:
+            return 0.0
+        return max(0.0, min(self.read_s, self.read_by - now))
+
+
+def _merge(streams: tuple, more: tuple) -> tuple:
+    merged = dict(streams)
+    for limit, weight in more:
+        merged[limit] = merged.get(limit, 0.0) + weight
+    return tuple(merged.items())
+
+
+@define(slots=True)
+class LoadTable:
+    """Load of every server, as far as this instance knows."""
+
+    _sends: dict[int, list[SendLoad]] = field(factory=dict)
+    _by_server: dict[str, list[SendLoad]] = field(factory=dict)
+    _peers: dict[str, tuple[LoadDigest, float]] = field(factory=dict)
+    is_changed: bool = False
+
+    def add(
+        self,
+        send_id: int,
+        server: str,
+        now: float,
+        *,
+        tokens: int = 0,
+        read_s: float = 0.0,
+        is_lead: bool = True,
+        limit_s: float = 0.0,
+        weight: float = 0.0,
+    ) -> None:
+        """Note a send, or a part that a helper reads for it."""
+        here = self._by_server.setdefault(server, [])
+        begin = max([now, *(s.read_by for s in here if s.is_reading)])
+        load = SendLoad(
+            server, is_lead, tokens, read_s, begin + read_s, limit_s, weight
+        )
+        here.append(load)
+        self._sends.setdefault(send_id, []).append(load)
+        self.is_changed = True
+
+    def note_read(self, send_id: int) -> None:
+        """Note that the prompt of a send has been read; helpers are done."""
+        loads = self._sends.get(send_id, [])
+        for load in loads:
+            load.is_reading = False
+            if not load.is_lead:
+                self._by_server[load.server].remove(load)
+        self._sends[send_id] = [load for load in loads if load.is_lead]
+        self.is_changed = True
+
+    def remove(self, send_id: int) -> None:
+        """Note that a send is over."""
+        for load in self._sends.pop(send_id, ()):
+            self._by_server[load.server].remove(load)
+            self.is_changed = True
+
+    def hear(self, digest: LoadDigest, now: float) -> None:
+        """Take a peer's digest."""
+        self._peers[digest.sender.name] = (digest, now)
+
+    def forget_peer(self, name: str) -> None:
+        """Leave out a peer that stopped."""
+        self._peers.pop(name, None)
+
+    def own(self, now: float) -> dict[str, ServerLoad]:
+        """Return what this instance has in progress, by server."""
+        return {
+            server: self._own_of(loads, now)
+            for server, loads in self._by_server.items()
+            if loads
+        }
+
+    def _own_of(self, loads: list[SendLoad], now: float) -> ServerLoad:
+        read_s = leads = helps = tokens = 0
+        streams: dict[float, float] = {}
+        for load in loads:
+            read_s += load.left_s(now)
+            tokens += load.tokens
+            if not load.is_lead:
+                helps += 1
+                continue
+            leads += 1
+            if load.limit_s:
+                streams[load.limit_s] = streams.get(load.limit_s, 0.0) + load.weight
+        return ServerLoad(read_s, leads, helps, tokens, tuple(streams.items()))
+
+    def of(self, server: str, now: float) -> ServerLoad:
+        """Return the load of a server by all that is known."""
+        loads = self._by_server.get(server)
+        total = self._own_of(loads, now) if loads else NOTHING
+        for digest, heard_at in self._peers.values():
+            age = now - heard_at
+            load = digest.loads.get(server)
+            if load is None or age > PEER_STALE_S:
+                continue
+            total = ServerLoad(
+                total.read_s + max(0.0, load.read_s - age),
+                total.leads + load.leads,
+                total.helps + load.helps,
+                total.tokens + load.tokens,
+                _merge(total.streams, load.streams),
+            )
+        return total
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/model.py
@@ -0,0 +1,188 @@
+"""What the operators configure: routes, services, workspaces and limits."""
+
+from enum import StrEnum
+
+from attrs import field, frozen
+
+__all__ = [
+    "CallerLimits",
+    "EngineProfile",
+    "KeyHolder",
+    "Route",
+    "RouteConfiguration",
+    "RouteKind",
+    "Service",
+    "ServiceShare",
+]
+
+
+class RouteKind(StrEnum):
+    """What may be repeated, and how the answer comes."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+@frozen(slots=True)
+class ServiceShare:
+    """Part of a route's requests that goes to a service.
+
+    :param weight: relative to the other shares of the route.
+    """
+
+    service: str
+    weight: float
+
+
+@frozen(slots=True, kw_only=True)
+class Route:
+    """How the requests below a path prefix of a host are carried.
+
+    :param timeout_s: longest time in seconds until the final answer.
+    :param target_latency_s: seconds within which an answer is on time; for streams
+        until the first event.
+    :param attempts: most backend servers that one request may be sent to.
+    :param gap_limit_s: longest pause in seconds between events of a stream that is
+        on time, None for no limit.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    shares: tuple[ServiceShare, ...]
+    timeout_s: float
+    target_latency_s: float
+    attempts: int = 1
+    is_anonymous: bool = False
+    is_resumable: bool = False
+    gap_limit_s: float | None = None
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run on a second backend server."""
+        return self.kind is RouteKind.SAFE or (
+            self.kind is RouteKind.STREAM and self.is_resumable
+        )
+
+    def service_for(self, unit: float) -> str:
+        """Return the service for a number in [0, 1)."""
+        left = unit * sum(share.weight for share in self.shares)
+        for share in self.shares:
+            left -= share.weight
+            if left < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+@frozen(slots=True, kw_only=True)
+class EngineProfile:
+    """Speed and memory of the engines of a service.
+
+    Engines work in passes: while streams are written, a pass has ``stride`` steps
+    that generate one token for each stream, and a step may read a chunk of prompts.
+
+    :param memory_tokens: tokens of context that an engine holds.
+    :param step_s: seconds of a step.
+    :param step_per_stream_s: further seconds of a step for each stream.
+    :param step_per_token_s: further seconds of a step for each token of context of
+        the streams that are written.
+    :param read_tokens_per_s: prompt tokens read in a second.
+    :param pair_s: seconds for each pair of a prompt token and an earlier one.
+    :param hop_s: further seconds of a step when a prompt's memory is spread.
+    """
+
+    memory_tokens: int
+    step_s: float
+    step_per_stream_s: float
+    step_per_token_s: float
+    read_tokens_per_s: float
+    pair_s: float
+    stride: int
+    hop_s: float = 0.0
+
+    def read_s(self, tokens: int, parts: int = 1) -> float:
+        """Return seconds that each of several engines reads a prompt."""
+        pairs = tokens * tokens / 2
+        return (tokens / self.read_tokens_per_s + pairs * self.pair_s) / parts
+
+    def pass_s(self, streams: int, tokens: int) -> float:
+        """Return seconds of a pass that reads nothing."""
+        if not streams:
+            return 0.0
+        step = self.step_s + self.step_per_stream_s * streams
+        return self.stride * (step + self.step_per_token_s * tokens)
+
+
+@frozen(slots=True, kw_only=True)
+class Service:
+    """A group of backend servers that do the same.
+
+    :param profile: None for plain services.
+    """
+
+    name: str
+    profile: EngineProfile | None = None
+
+
+@frozen(slots=True, kw_only=True)
+class KeyHolder:
+    """A workspace and the keys that its callers send."""
+
+    name: str
+    keys: tuple[str, ...] = field(repr=False)
+
+
+@frozen(slots=True, kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send and how long it may take.
+
+    :param header_s: seconds for a request's header.
+    :param idle_s: seconds that a connection may carry no request.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+@frozen(slots=True, kw_only=True)
+class RouteConfiguration:
+    """One version of the configuration, whole.
+
+    :param holders: empty if callers need no key.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+    holders: tuple[KeyHolder, ...] = ()
+    _by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
+    _by_key: dict[str, str] = field(init=False, repr=False, eq=False)
+
+    @_by_host.default
+    def _group_by_host(self) -> dict[str, list[Route]]:
+        grouped: dict[str, list[Route]] = {}
+        for route in self.routes:
+            grouped.setdefault(route.host, []).append(route)
+        for routes in grouped.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        return grouped
+
+    @_by_key.default
+    def _index_keys(self) -> dict[str, str]:
+        return {key: holder.name for holder in self.holders for key in holder.keys}
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def workspace_of(self, key: str) -> str | None:
+        """Return the workspace that holds a key."""
+        return self._by_key.get(key)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -0,0 +1,192 @@
+"""Applies news of the platform and of peers: configuration, servers, entries."""
+
+from attrs import define, field
+
+from briarrelay_core.ports.digest import PeerAnswered
+from briarrelay_core.ports.directory import (
+    EntryPublished,
+    PeerAddress,
+    PublishEntry,
+    ServerEntry,
+    Topic,
+    TopicChange,
+    TopicExpired,
+    TopicFailed,
+    TopicListed,
+    TopicRead,
+)
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.record import Entry
+from briarrelay_core.routes.desk import RouteDesk
+from briarrelay_core.routes.follower import Follower
+from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_core.routes.peers import PeerKeeper
+from briarrelay_core.routes.servers import RETURN_S
+from briarrelay_core.timers import TimerService
+
+__all__ = ["NewsKeeper"]
+
+CONFIGURATION_WAIT_S = 8.0
+"""Seconds that a read of the configuration waits; each read is charged."""
+
+SERVERS_PAUSE_S = 0.8
+"""Seconds between reads of the servers; leaving ones are known well within 2 s."""
+
+ENTRIES_PAUSE_S = 30.0
+"""Seconds between reads of the entry instances; digests tell of new ones sooner."""
+
+UNSURE_S = 2.0
+"""Seconds without an answer beyond its wait after which news may have been missed."""
+
+PUBLISH_PAUSE_S = 1.0
+"""Seconds between tries to register this instance."""
+
+
+def _make_followers(timers: TimerService) -> dict[Topic, Follower]:
+    return {
+        Topic.CONFIGURATION: Follower(
+            Topic.CONFIGURATION, timers, 0.0, CONFIGURATION_WAIT_S
+        ),
+        Topic.SERVERS: Follower(Topic.SERVERS, timers, SERVERS_PAUSE_S, 0.0),
+        Topic.ENTRIES: Follower(Topic.ENTRIES, timers, ENTRIES_PAUSE_S, 0.0),
+    }
+
+
+@define(slots=True, eq=False)
+class NewsKeeper:
+    """Follows the platform's topics and applies what they and peers tell."""
+
+    desk: RouteDesk
+    peers: PeerKeeper
+    timers: TimerService
+    followers: dict[Topic, Follower] = field(init=False)
+    _asked: int = 0
+
+    def __attrs_post_init__(self):
+        self.followers = _make_followers(self.timers)
+
+    def start(self, now: float) -> list:
+        """Begin to follow, and register this instance."""
+        effects = []
+        for follower in self.followers.values():
+            effects += follower.start(now)
+        return [*effects, PublishEntry(self.peers.address, True)]
+
+    def on_listed(self, message: TopicListed, now: float) -> list:
+        """Take a page of a topic."""
+        changes, effects = self.followers[message.topic].on_listed(message, now)
+        return self._apply(message.topic, changes, "store", now) + effects
+
+    def on_read(self, message: TopicRead, now: float) -> list:
+        """Take changes of a topic."""
+        changes, effects = self.followers[message.topic].on_read(message, now)
+        return self._apply(message.topic, changes, "store", now) + effects
+
+    def on_expired(self, message: TopicExpired, now: float) -> list:
+        """List a topic whose records were dropped."""
+        return self.followers[message.topic].on_expired(now)
+
+    def on_failed(self, message: TopicFailed, now: float) -> list:
+        """Try again, and ask a peer while nothing is known."""
+        effects = self.followers[message.topic].on_failed(message.problem, now)
+        if not self.desk.configuration or not len(self.desk.servers):
+            self._asked += 1
+            effects += self.peers.ask_any(self._asked)
+        return effects
+
+    def on_published(self, message: EntryPublished, now: float) -> list:
+        """Register again if that failed."""
+        if not message.is_done:
+            self.timers.at(
+                now + PUBLISH_PAUSE_S,
+                lambda _: [PublishEntry(self.peers.address, True)],
+            )
+        return []
+
+    def on_peer_answer(self, message: PeerAnswered, now: float) -> list:
+        """Take what a peer knows, as far as the store has not told more."""
+        effects = self.peers.on_answer(message)
+        for change in message.changes:
+            value = change.value
+            if isinstance(value, RouteConfiguration):
+                effects += self.apply_configuration(value, "peer", now)
+            elif isinstance(value, ServerEntry):
+                if not self.followers[Topic.SERVERS].is_listed:
+                    effects += self._apply_server(value, now)
+        return effects
+
+    def refresh(self, now: float) -> None:
+        """Note whether the configuration may be older than the newest."""
+        follower = self.followers[Topic.CONFIGURATION]
+        self.desk.is_configuration_unsure = follower.is_unsure(now, UNSURE_S)
+
+    def _apply(
+        self, topic: Topic, changes: list[TopicChange], source: str, now: float
+    ) -> list:
+        effects = []
+        for change in changes:
+            if change.problem:
+                fields = (
+                    ("topic", topic.value),
+                    ("key", change.key),
+                    ("problem", change.problem),
+                )
+                effects += [
+                    Note("warning", "entry_bad", fields=fields),
+                    Count("store.entry_bad"),
+                ]
+            elif topic is Topic.SERVERS:
+                effects += self._apply_server_change(change, now)
+            elif topic is Topic.CONFIGURATION and change.value is not None:
+                effects += self.apply_configuration(change.value, source, now)
+            elif topic is Topic.ENTRIES:
+                self._apply_entry(change)
+        return effects
+
+    def _apply_server_change(self, change: TopicChange, now: float) -> list:
+        if change.value is not None:
+            return self._apply_server(change.value, now)
+        follower = self.followers[Topic.SERVERS]
+        returns_until = follower.recovered_at + RETURN_S
+        return self.desk.servers.remove(change.key, returns_until, now)
+
+    def _apply_server(self, entry: ServerEntry, now: float) -> list:
+        is_new, effects = self.desk.servers.apply(entry, now)
+        if is_new:
+            self.desk.health.forget(entry.name)
+            self.desk.pace.forget(entry.name)
+        return effects
+
+    def _apply_entry(self, change: TopicChange) -> None:
+        if isinstance(change.value, PeerAddress):
+            self.peers.add(change.value)
+        else:
+            self.peers.remove(change.key)
+
+    def apply_configuration(
+        self, configuration: RouteConfiguration, source: str, now: float
+    ) -> list:
+        """Put a configuration in force if it is newer than the one that is."""
+        old = self.desk.configuration
+        if old is not None and configuration.version <= old.version:
+            return []
+        self.desk.configuration = configuration
+        self.peers.version = configuration.version
+        fields = (
+            ("version", str(configuration.version)),
+            ("before", str(old.version) if old else ""),
+            ("source", source),
+            ("routes", str(len(configuration.routes))),
+            ("workspaces", str(len(configuration.holders))),
+        )
+        self.desk.recorder.add(
+            Entry(
+                at=round(now, 3),
+                kind="change",
+                subject=f"configuration-{configuration.version}",
+                outcome="in_force",
+                why=source,
+            )
+        )
+        effects = [Note("info", "configuration_in_force", fields=fields)]
+        return effects + self.peers.on_changed(now)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -0,0 +1,187 @@
+"""What entry instances tell each other: load, versions, leaving servers."""
+
+from attrs import define, field
+
+from briarrelay_core.ports.digest import (
+    AskPeer,
+    DigestHeard,
+    LoadDigest,
+    PeerAnswered,
+    SendDigest,
+)
+from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.observe import Note
+from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.servers import ServerTable
+from briarrelay_core.timers import TimerService
+
+__all__ = ["PeerKeeper"]
+
+BEAT_S = 0.5
+"""Longest time in seconds between digests."""
+
+SPACING_S = 0.02
+"""Shortest time in seconds between digests, so that a burst of sends costs few."""
+
+SILENT_S = 4.0
+"""Seconds after which a peer counts as gone."""
+
+ASK_AFTER_S = 0.3
+"""Seconds by which the store may be behind a peer before the peer is asked."""
+
+MAX_PEERS = 24
+"""Most peers that digests go to; bounds control traffic on large deployments."""
+
+
+@define(slots=True)
+class _Peer:
+    """Another entry instance.
+
+    :param heard_at: time of its last digest, None if only its address is known.
+    """
+
+    address: PeerAddress
+    heard_at: float | None = None
+    incarnation: int = 0
+    number: int = -1
+    version: int = 0
+
+
+@define(slots=True)
+class PeerKeeper:
+    """Exchanges digests with the other entry instances.
+
+    :param address: where this instance is reached.
+    :param version: version of the configuration in force.
+    """
+
+    address: PeerAddress
+    incarnation: int
+    timers: TimerService
+    load: LoadTable
+    servers: ServerTable
+    version: int = 0
+    _peers: dict[str, _Peer] = field(factory=dict)
+    _number: int = 0
+    _sent_at: float = float("-inf")
+    _is_due: bool = False
+    _behind_since: float | None = None
+
+    @property
+    def instances(self) -> int:
+        """Entry instances known, this one included."""
+        return 1 + sum(peer.heard_at is not None for peer in self._peers.values())
+
+    def known(self) -> tuple[PeerAddress, ...]:
+        """Return the addresses of all peers."""
+        return tuple(peer.address for peer in self._peers.values())
+
+    def start(self, now: float) -> list:
+        """Begin to send digests."""
+        self.timers.every(BEAT_S, self._beat, now + SPACING_S)
+        return []
+
+    def add(self, address: PeerAddress) -> None:
+        """Take a peer's address, as listed or as told by another peer."""
+        if address.host == self.address.host:
+            return
+        known = self._peers.get(address.host)
+        if known is None:
+            self._peers[address.host] = _Peer(address)
+        elif known.heard_at is None:
+            known.address = address
+
+    def remove(self, host: str) -> None:
+        """Forget a peer that stopped."""
+        peer = self._peers.pop(host, None)
+        if peer is not None:
+            self.load.forget_peer(peer.address.name)
+
+    def on_digest(self, message: DigestHeard, now: float) -> list:
+        """Take a peer's digest, unless a newer one was heard."""
+        digest = message.digest
+        if digest.sender.host == self.address.host:
+            return []
+        self.add(digest.sender)
+        peer = self._peers[digest.sender.host]
+        if (digest.incarnation, digest.number) <= (peer.incarnation, peer.number):
+            return []
+        notes = []
+        if peer.heard_at is None:
+            fields = (("peer", digest.sender.name), ("host", digest.sender.host))
+            notes.append(Note("info", "peer_heard", fields=fields))
+        peer.address = digest.sender
+        peer.heard_at = now
+        peer.incarnation, peer.number = digest.incarnation, digest.number
+        peer.version = digest.version
+        self.load.hear(digest, now)
+        for address in digest.peers:
+            self.add(address)
+        for news in digest.leaving:
+            notes += self.servers.hear_leaving(news, now)
+        return notes + self._ask_if_behind(now)
+
+    def on_changed(self, now: float) -> list:
+        """Tell peers soon that the load changed."""
+        if self._is_due:
+            return []
+        self._is_due = True
+        self.timers.at(max(now, self._sent_at + SPACING_S), self._send)
+        return []
+
+    def _beat(self, now: float) -> list:
+        notes = []
+        for host, peer in list(self._peers.items()):
+            if peer.heard_at is not None and now - peer.heard_at > SILENT_S:
+                fields = (("peer", peer.address.name), ("host", host))
+                notes.append(Note("warning", "peer_lost", fields=fields))
+                self.load.forget_peer(peer.address.name)
+                peer.heard_at = None
+        return notes + self._send(now)
+
+    def _send(self, now: float) -> list:
+        self._is_due = False
+        self._sent_at = now
+        if not self._peers:
+            return []
+        self._number += 1
+        heard = [p for p in self._peers.values() if p.heard_at is not None]
+        unheard = [p for p in self._peers.values() if p.heard_at is None]
+        peers = tuple(p.address for p in [*heard, *unheard][:MAX_PEERS])
+        digest = LoadDigest(
+            sender=self.address,
+            incarnation=self.incarnation,
+            number=self._number,
+            version=self.version,
+            loads=self.load.own(now),
+            leaving=self.servers.leaving_news(now),
+            peers=tuple(peer.address for peer in heard[:MAX_PEERS]),
+        )
+        return [SendDigest(digest, peers)]
+
+    def _ask_if_behind(self, now: float) -> list:
+        """Ask the peer with the newest configuration if the store does not tell."""
+        heard = [p for p in self._peers.values() if p.heard_at is not None]
+        newest = max(heard, key=lambda peer: peer.version, default=None)
+        if newest is None or newest.version <= self.version:
+            self._behind_since = None
+            return []
+        if self._behind_since is None:
+            self._behind_since = now
+            self.timers.at(now + ASK_AFTER_S, self._ask_if_behind)
+        if now - self._behind_since < ASK_AFTER_S - 1e-3:
+            return []
+        self._behind_since = None
+        return [AskPeer(newest.address)]
+
+    def on_answer(self, answer: PeerAnswered) -> list:
+        """Note a question that a peer did not answer."""
+        if not answer.problem:
+            return []
+        fields = (("peer", answer.peer.name), ("problem", answer.problem))
+        return [Note("warning", "peer_silent", fields=fields)]
+
+    def ask_any(self, attempt: int) -> list:
+        """Ask one of the peers, in turn, while the store tells nothing."""
+        peers = self.known()
+        return [AskPeer(peers[attempt % len(peers)])] if peers else []
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -0,0 +1,237 @@
+"""Chooses the engine for a request, and the engines that help to read its prompt.
+
+A prompt that joins an engine lengthens the engine's pass, and with it a pause of every
+stream written there. The choice weighs that against the request's own first event.
+"""
+
+from attrs import frozen
+
+from briarrelay_core.ports.digest import ServerLoad
+from briarrelay_core.routes.model import EngineProfile
+
+__all__ = ["Candidate", "Placement", "Prompt", "place_call", "place_prompt"]
+
+MAX_HELPERS = 16
+"""Most engines that may help one prompt; the engines' own bound."""
+
+HELPER_COUNTS = (0, 1, 2, 3, 5, 7, 11, 16)
+"""Numbers of helpers that are compared."""
+
+WHOLE_READ_S = 0.05
+"""Prompts read within these seconds are not shared; about one pass that reads none."""
+
+RAMP_FROM = 0.6
+"""Part of a limit from which a loss is expected, since estimates are uncertain."""
+
+RAMP_TO = 1.05
+"""Part of a limit at which the whole loss is expected."""
+
+MEMORY_PART = 0.94
+"""Part of an engine's memory that is filled; the rest is for growing answers."""
+
+NEW_NEIGHBOUR_COST = 0.04
+"""Loss for bringing streams with short pauses to an engine that has none."""
+
+BUSY_COST = 0.3
+"""Loss for each second of reading that the engine has before it."""
+
+REMOTE_COST = 0.01
+"""Loss for an engine in another data centre."""
+
+HELPER_COST = 0.01
+"""Loss for each helper: hops, and reads it delays that are not known yet."""
+
+
+@frozen(slots=True)
+class Candidate:
+    """An engine that may get the request.
+
+    :param pace: observed time over expected time, 1 for a sound engine.
+    """
+
+    name: str
+    load: ServerLoad
+    slots: int
+    is_local: bool
+    pace: float = 1.0
+
+
+@frozen(slots=True)
+class Prompt:
+    """What has to be read and written.
+
+    :param aim_s: seconds until the first event.
+    :param limit_s: longest pause between events, 0 for none.
+    :param weight: what a late answer costs.
+    """
+
+    tokens: int
+    output_tokens: int
+    aim_s: float
+    limit_s: float
+    weight: float
+
+
+@frozen(slots=True)
+class Placement:
+    """The engines chosen.
+
+    :param read_s: seconds that each of them reads.
+    :param expected_s: seconds until the first event.
+    """
+
+    lead: str
+    helpers: tuple[str, ...]
+    read_s: float
+    expected_s: float
+    cost: float
+
+
+def _ramp(part: float) -> float:
+    """Return the expected part of a loss when a limit is used to some part."""
+    return min(1.0, max(0.0, (part - RAMP_FROM) / (RAMP_TO - RAMP_FROM)))
+
+
+def _harm(profile: EngineProfile, candidate: Candidate, read_s: float) -> float:
+    """Return the loss to streams written on an engine that reads more."""
+    load = candidate.load
+    if not load.streams:
+        return 0.0
+    quiet = profile.pass_s(load.leads, load.tokens)
+    before = (quiet + load.read_s) * candidate.pace
+    after = (quiet + load.read_s + read_s) * candidate.pace
+    return sum(
+        weight * (_ramp(after / limit) - _ramp(before / limit))
+        for limit, weight in load.streams
+    )
+
+
+def _first_event_s(
+    profile: EngineProfile, candidate: Candidate, read_s: float
+) -> float:
+    """Return seconds until the first event of a prompt that joins an engine."""
+    load = candidate.load
+    quiet = profile.pass_s(load.leads, load.tokens)
+    return (1.5 * quiet + load.read_s + read_s) * candidate.pace
+
+
+def _has_room(profile: EngineProfile, candidate: Candidate, prompt: Prompt) -> bool:
+    load = candidate.load
+    if load.leads >= candidate.slots:
+        return False
+    need = load.tokens + prompt.tokens + prompt.output_tokens
+    return need <= profile.memory_tokens * MEMORY_PART
+
+
+def _shortest_limit(load: ServerLoad) -> float:
+    return min((limit for limit, _ in load.streams), default=float("inf"))
+
+
+def _lead_cost(
+    profile: EngineProfile, candidate: Candidate, prompt: Prompt, read_s: float
+) -> float:
+    """Return the loss of a request and its neighbours on an engine."""
+    load = candidate.load
+    first_s = _first_event_s(profile, candidate, read_s)
+    cost = prompt.weight * _ramp(first_s / prompt.aim_s)
+    cost += _harm(profile, candidate, read_s)
+    cost += BUSY_COST * (load.read_s + 0.02 * load.leads) * candidate.pace
+    cost += 0.0 if candidate.is_local else REMOTE_COST
+    neighbours = _shortest_limit(load)
+    if prompt.limit_s and neighbours > 2 * prompt.limit_s:
+        cost += NEW_NEIGHBOUR_COST
+    if prompt.limit_s > 2 * neighbours:
+        cost += NEW_NEIGHBOUR_COST
+    if candidate.pace > 1.5:
+        cost += 0.1 * prompt.weight * candidate.pace
+    return cost
+
+
+def _place_whole(profile: EngineProfile, roomy: list[Candidate], prompt: Prompt):
+    read_s = profile.read_s(prompt.tokens)
+    costs = [(_lead_cost(profile, c, prompt, read_s), c) for c in roomy]
+    cost, lead = min(costs, key=lambda pair: (pair[0], pair[1].name))
+    expected = _first_event_s(profile, lead, read_s)
+    return Placement(lead.name, (), read_s, expected, cost)
+
+
+def _place_shared(
+    profile: EngineProfile,
+    roomy: list[Candidate],
+    candidates: list[Candidate],
+    prompt: Prompt,
+) -> Placement:
+    total_s = profile.read_s(prompt.tokens)
+    nominal_s = total_s / (MAX_HELPERS + 1)
+    costs = [(_lead_cost(profile, c, prompt, nominal_s), c) for c in roomy]
+    lead = min(costs, key=lambda pair: (pair[0], pair[1].name))[1]
+    others = [
+        (_helper_cost(profile, c, nominal_s), c.name, c)
+        for c in candidates
+        if c is not lead and c.load.helps < c.slots
+    ]
+    others.sort(key=lambda entry: entry[:2])
+    best = None
+    for count in HELPER_COUNTS:
+        if count > len(others):
+            break
+        chosen = [entry[2] for entry in others[:count]]
+        placement = _judge_parts(profile, lead, chosen, prompt, total_s / (count + 1))
+        if best is None or placement.cost < best.cost:
+            best = placement
+    return best
+
+
+def _helper_cost(profile: EngineProfile, candidate: Candidate, read_s: float) -> float:
+    cost = _harm(profile, candidate, read_s) + candidate.load.read_s
+    if _shortest_limit(candidate.load) < 0.3:
+        cost += NEW_NEIGHBOUR_COST
+    return cost + (candidate.pace - 1.0) + (0.0 if candidate.is_local else 0.001)
+
+
+def _judge_parts(
+    profile: EngineProfile,
+    lead: Candidate,
+    helpers: list[Candidate],
+    prompt: Prompt,
+    part_s: float,
+) -> Placement:
+    first_s = max(
+        [
+            _first_event_s(profile, lead, part_s),
+            *(_first_event_s(profile, helper, part_s) for helper in helpers),
+        ]
+    )
+    cost = prompt.weight * _ramp(first_s / prompt.aim_s)
+    cost += BUSY_COST * first_s + HELPER_COST * len(helpers)
+    cost += _harm(profile, lead, part_s)
+    cost += sum(_harm(profile, helper, part_s) for helper in helpers)
+    names = tuple(helper.name for helper in helpers)
+    return Placement(lead.name, names, part_s, first_s, cost)
+
+
+def place_prompt(
+    profile: EngineProfile, candidates: list[Candidate], prompt: Prompt
+) -> Placement | None:
+    """Return where a prompt is read and written, or None if no engine has room."""
+    roomy = [c for c in candidates if _has_room(profile, c, prompt)]
+    if not roomy:
+        return None
+    if profile.read_s(prompt.tokens) <= WHOLE_READ_S:
+        return _place_whole(profile, roomy, prompt)
+    return _place_shared(profile, roomy, candidates, prompt)
+
+
+def place_call(candidates: list[Candidate]) -> Placement | None:
+    """Return the plain service with the fewest requests, or None if all are full."""
+    free = [c for c in candidates if c.load.leads < c.slots]
+    if not free:
+        return None
+    best = min(
+        free,
+        key=lambda c: (
+            c.load.leads * c.pace / c.slots + (0.0 if c.is_local else 0.05),
+            c.name,
+        ),
+    )
+    return Placement(best.name, (), 0.0, 0.0, 0.0)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -0,0 +1,256 @@
+"""What backend servers say to the sends of a desk, and their silence."""
+
+from attrs import define
+
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.ports.route import (
+    AbortSend,
+    HeadKind,
+    RelayEnd,
+    RelayEvent,
+    RelayHead,
+    RelayWhole,
+    SendDone,
+    SendEvent,
+    SendHead,
+    SendLost,
+)
+from briarrelay_core.reasons import RetryReason
+from briarrelay_core.routes.carried import Carried, Sending
+from briarrelay_core.routes.desk import RouteDesk
+from briarrelay_core.routes.model import RouteKind
+
+__all__ = ["SendMail"]
+
+FIRST_EVENT_S = 0.6
+"""Seconds beyond the expectation after which a first event counts as missing."""
+
+FIRST_EVENT_FACTOR = 2.0
+"""Times the expectation after which a first event counts as missing."""
+
+GAP_S = 0.8
+"""Shortest silence of a stream in seconds that counts as lost."""
+
+GAP_FACTOR = 2.5
+"""Times the longest pause on time after which a stream counts as lost."""
+
+SAFE_FACTOR = 3.0
+"""Times the target latency after which a repeatable call counts as lost."""
+
+
+@define(slots=True, eq=False)
+class SendMail:
+    """Applies what backend servers say to the requests of a desk."""
+
+    desk: RouteDesk
+
+    def on_head(self, message: SendHead, now: float) -> list:
+        """Take the head of an answer."""
+        carried = self.desk.sends.get(message.send_id)
+        if carried is None:
+            return []
+        sending = carried.sending
+        sending.kind = message.kind
+        sending.status = message.status
+        sending.progress_at = now
+        if message.kind is HeadKind.NOT_RUN:
+            return self._on_refused(carried, message, now)
+        if message.kind is HeadKind.OTHER_SERVER:
+            return self._on_replaced(carried, now)
+        if message.kind is HeadKind.UNPROVEN:
+            return self._on_broken(carried, "unproven answer", now)
+        return []
+
+    def _on_refused(self, carried: Carried, message: SendHead, now: float) -> list:
+        sending = self.desk.end_send(carried)
+        blamed = self._server_at(message.at_fault, sending) or sending.server
+        fields = (
+            ("server", sending.server),
+            ("blamed", blamed),
+            ("status", str(message.status)),
+        )
+        note = Note("info", "not_run", carried.request.caller_id, fields)
+        if message.at_fault:
+            self.desk.health.note_failure(blamed, now, certain=True)
+        effects = [note, AbortSend(sending.send_id)]
+        return effects + self.desk.repeat_or_give_up(
+            carried, RetryReason.SERVER_REFUSED, now
+        )
+
+    def _server_at(self, address: str, sending: Sending) -> str:
+        """Return the name of the engine of a send that has an address."""
+        if not address:
+            return ""
+        for name in (sending.server, *sending.helpers):
+            known = self.desk.servers.get(name)
+            if known is not None and known.entry.address == address:
+                return name
+        return ""
+
+    def _on_replaced(self, carried: Carried, now: float) -> list:
+        sending = self.desk.end_send(carried)
+        known = self.desk.servers.get(sending.server)
+        if known is not None:
+            known.is_misdirected = True
+        fields = (("server", sending.server),)
+        note = Note("warning", "server_replaced", carried.request.caller_id, fields)
+        effects = [note, AbortSend(sending.send_id)]
+        return effects + self.desk.repeat_or_give_up(
+            carried, RetryReason.SERVER_REPLACED, now
+        )
+
+    def on_event(self, message: SendEvent, now: float) -> list:
+        """Pass an event on unless the caller has it already."""
+        carried = self.desk.sends.get(message.send_id)
+        if carried is None:
+            return []
+        sending = carried.sending
+        sending.progress_at = now
+        sending.events += 1
+        effects = []
+        if sending.events == 1:
+            self._on_first_event(carried, now)
+        if not carried.is_begun:
+            carried.is_begun = True
+            carried.first_event_at = now
+            effects.append(RelayHead(carried.request.request_id, sending.send_id))
+        if not _is_newer(message.event_id, carried.last_event):
+            return [*effects, Count("route.event_repeated")]
+        carried.last_event = message.event_id
+        effects.append(RelayEvent(carried.request.request_id, message.data))
+        return effects
+
+    def _on_first_event(self, carried: Carried, now: float) -> None:
+        sending = carried.sending
+        self.desk.load.note_read(sending.send_id)
+        taken = now - sending.sent_at
+        self.desk.pace.observe(sending.server, sending.expected_s, taken, now)
+        self.desk.health.note_success(sending.server)
+
+    def on_done(self, message: SendDone, now: float) -> list:
+        """Take word that an answer is whole."""
+        desk = self.desk
+        carried = desk.sends.get(message.send_id)
+        if carried is None:
+            return []
+        sending = carried.sending
+        if sending.kind is HeadKind.FAILURE:
+            return self._on_failure(carried, now)
+        desk.health.note_success(sending.server)
+        request_id = carried.request.request_id
+        if carried.route.kind is not RouteKind.STREAM:
+            carried.first_event_at = now
+            relay = [RelayWhole(request_id, sending.send_id)]
+        elif carried.is_begun:
+            relay = [RelayEnd(request_id)]
+        else:
+            relay = [RelayHead(request_id, sending.send_id), RelayEnd(request_id)]
+        desk.load.remove(sending.send_id)
+        effects = [
+            effect
+            for effect in desk.close(carried, "done", now)
+            if not isinstance(effect, AbortSend)
+        ]
+        return effects + relay + desk.serve_waiting(now)
+
+    def _on_failure(self, carried: Carried, now: float) -> list:
+        desk = self.desk
+        sending = desk.end_send(carried)
+        carried.runs += 1
+        carried.failure = sending.send_id
+        if sending.status < 500:
+            return desk.give_up(carried, now) + desk.serve_waiting(now)
+        desk.health.note_failure(sending.server, now)
+        fields = (("server", sending.server), ("status", str(sending.status)))
+        note = Note("info", "server_failed", carried.request.caller_id, fields)
+        return [
+            note,
+            *desk.repeat_or_give_up(carried, RetryReason.SERVER_FAILED, now),
+            *desk.serve_waiting(now),
+        ]
+
+    def on_lost(self, message: SendLost, now: float) -> list:
+        """Take word that there will be no whole answer."""
+        carried = self.desk.sends.get(message.send_id)
+        if carried is None:
+            return []
+        if message.is_sent:
+            return self._on_broken(carried, message.problem, now)
+        sending = self.desk.end_send(carried)
+        self.desk.health.note_failure(sending.server, now, certain=True)
+        return [
+            self._note_lost(carried, sending, message.problem),
+            *self.desk.repeat_or_give_up(carried, RetryReason.SERVER_LOST, now),
+            *self.desk.serve_waiting(now),
+        ]
+
+    def _on_broken(self, carried: Carried, problem: str, now: float) -> list:
+        """Deal with a send after which the request may have run."""
+        sending = self.desk.end_send(carried)
+        carried.runs += 1
+        self.desk.health.note_failure(sending.server, now)
+        return [
+            self._note_lost(carried, sending, problem),
+            AbortSend(sending.send_id),
+            *self.desk.repeat_or_give_up(carried, RetryReason.SERVER_LOST, now),
+            *self.desk.serve_waiting(now),
+        ]
+
+    def _note_lost(self, carried: Carried, sending: Sending, problem: str) -> Note:
+        fields = (
+            ("server", sending.server),
+            ("problem", problem),
+            ("events", str(sending.events)),
+        )
+        return Note("info", "send_lost", carried.request.caller_id, fields)
+
+    def check_silence(self, now: float) -> list:
+        """Move requests that may be repeated off servers that went silent."""
+        effects = []
+        for carried in list(self.desk.carried.values()):
+            sending = carried.sending
+            if sending is None or not carried.route.is_repeatable:
+                continue
+            patience = _patience_s(carried, sending)
+            if now - sending.progress_at > patience:
+                effects += self._on_silent(carried, now)
+        return effects
+
+    def _on_silent(self, carried: Carried, now: float) -> list:
+        desk = self.desk
+        sending = carried.sending
+        desk.health.note_failure(sending.server, now, certain=True)
+        if carried.runs + 1 >= carried.route.attempts:
+            sending.progress_at = now
+            return []
+        desk.end_send(carried)
+        carried.runs += 1
+        fields = (
+            ("server", sending.server),
+            ("silent_s", f"{now - sending.progress_at:.2f}"),
+            ("expected_s", f"{sending.expected_s:.2f}"),
+            ("events", str(sending.events)),
+        )
+        return [
+            Note("info", "server_silent", carried.request.caller_id, fields),
+            AbortSend(sending.send_id),
+            *desk.repeat_or_give_up(carried, RetryReason.SERVER_SILENT, now),
+        ]
+
+
+def _patience_s(carried: Carried, sending: Sending) -> float:
+    """Return seconds of silence after which a server counts as lost."""
+    if carried.route.kind is not RouteKind.STREAM:
+        return SAFE_FACTOR * carried.route.target_latency_s
+    if not sending.events:
+        return FIRST_EVENT_S + FIRST_EVENT_FACTOR * sending.expected_s
+    return max(GAP_S, GAP_FACTOR * (carried.route.gap_limit_s or 0.0))
+
+
+def _is_newer(event_id: str, last: str) -> bool:
+    if not last:
+        return True
+    try:
+        return int(event_id) > int(last)
+    except ValueError:
+        return event_id != last
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -0,0 +1,144 @@
+"""Which backend servers may get work, by what was last learnt of each."""
+
+from attrs import define, field
+
+from briarrelay_core.ports.directory import ServerEntry, ServerState
+from briarrelay_core.ports.observe import Note
+
+__all__ = ["KnownServer", "ServerTable"]
+
+RETURN_S = 2.3
+"""Seconds after an outage in which lapsed entries of live servers come back."""
+
+LEAVING_NEWS_S = 8.0
+"""Seconds for which peers are told that a server leaves."""
+
+
+@define(slots=True, eq=False)
+class KnownServer:
+    """A registered backend server.
+
+    :param lapses_at: time from which it gets no work, None while it is registered.
+    :param is_misdirected: another server answered at its address since its last entry.
+    """
+
+    entry: ServerEntry
+    learnt_at: float
+    lapses_at: float | None = None
+    is_leaving: bool = False
+    is_misdirected: bool = False
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether it may get new work."""
+        if self.is_leaving or self.is_misdirected:
+            return False
+        return self.lapses_at is None or now < self.lapses_at
+
+
+@define(slots=True)
+class ServerTable:
+    """Backend servers by name."""
+
+    _servers: dict[str, KnownServer] = field(factory=dict)
+    _by_service: dict[str, dict[str, KnownServer]] = field(factory=dict)
+    _left: dict[str, tuple[float, float]] = field(factory=dict)
+
+    def __len__(self) -> int:
+        return len(self._servers)
+
+    def get(self, name: str) -> KnownServer | None:
+        """Return a server by name."""
+        return self._servers.get(name)
+
+    def of_service(self, service: str, now: float) -> list[KnownServer]:
+        """Return the servers of a service that may get new work."""
+        known = self._by_service.get(service, {})
+        return [server for server in known.values() if server.is_usable(now)]
+
+    def entries(self) -> list[ServerEntry]:
+        """Return the entries of all registered servers."""
+        return [s.entry for s in self._servers.values() if s.lapses_at is None]
+
+    def leaving_news(self, now: float) -> tuple[str, ...]:
+        """Return ``name@born`` of servers that were learnt to leave of late."""
+        old = [name for name, (_, at) in self._left.items() if now - at > 60.0]
+        for name in old:
+            del self._left[name]
+        return tuple(
+            f"{name}@{born}"
+            for name, (born, at) in self._left.items()
+            if now - at < LEAVING_NEWS_S
+        )
+
+    def apply(self, entry: ServerEntry, now: float) -> tuple[bool, list]:
+        """Take a server's entry.
+
+        :returns: whether the server is new or started anew, and effects.
+        """
+        known = self._servers.get(entry.name)
+        is_new = known is None or known.entry.born != entry.born
+        if known is not None and known.entry.service != entry.service:
+            self._by_service[known.entry.service].pop(entry.name, None)
+        server = KnownServer(entry, now)
+        left = self._left.get(entry.name)
+        server.is_leaving = entry.state is ServerState.DRAINING or (
+            left is not None and left[0] == entry.born
+        )
+        self._servers[entry.name] = server
+        self._by_service.setdefault(entry.service, {})[entry.name] = server
+        was_leaving = known is not None and known.is_leaving and not is_new
+        if server.is_leaving and not was_leaving:
+            return is_new, self._note_leaving(entry, "store", now)
+        if is_new:
+            return True, [_note("server_listed", entry)]
+        return False, []
+
+    def remove(self, name: str, returns_until: float, now: float) -> list:
+        """Take word that an entry is gone.
+
+        :param returns_until: time until which the entry may come back, if the store
+            was out of reach.
+        """
+        known = self._servers.get(name)
+        if known is None or known.lapses_at is not None:
+            return []
+        if now < returns_until:
+            known.lapses_at = returns_until
+            return [_note("server_lapsed", known.entry)]
+        known.lapses_at = now
+        return [_note("server_gone", known.entry)]
+
+    def drop_lapsed(self, now: float) -> list[str]:
+        """Forget servers whose entries lapsed; return their names."""
+        names = [
+            name
+            for name, server in self._servers.items()
+            if server.lapses_at is not None and server.lapses_at <= now
+        ]
+        for name in names:
+            service = self._servers.pop(name).entry.service
+            self._by_service[service].pop(name, None)
+        return names
+
+    def hear_leaving(self, news: str, now: float) -> list:
+        """Take a peer's word, ``name@born``, that a server leaves."""
+        name, _, text = news.rpartition("@")
+        known = self._servers.get(name)
+        if known is None or known.is_leaving or str(known.entry.born) != text:
+            return []
+        known.is_leaving = True
+        return self._note_leaving(known.entry, "peer", now)
+
+    def _note_leaving(self, entry: ServerEntry, source: str, now: float) -> list:
+        self._left[entry.name] = (entry.born, now)
+        return [_note("server_leaving", entry, source)]
+
+
+def _note(event: str, entry: ServerEntry, source: str = "store") -> Note:
+    fields = (
+        ("server", entry.name),
+        ("service", entry.service),
+        ("address", entry.address),
+        ("source", source),
+    )
+    return Note("info", event, fields=fields)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
@@ -0,0 +1,70 @@
+"""The planned stop: no new callers, nothing in progress is cut."""
+
+from attrs import define
+
+from briarrelay_core.ports.control import Stopped
+from briarrelay_core.ports.directory import PublishEntry
+from briarrelay_core.ports.observe import Note
+from briarrelay_core.record import AUDIT_STREAM
+from briarrelay_core.routes.desk import RouteDesk
+from briarrelay_core.routes.peers import PeerKeeper
+
+__all__ = ["Stopping"]
+
+BALANCER_S = 2.6
+"""Seconds until the balancer has seen two refusals of readiness, one a second."""
+
+LAST_NEW_PART = 0.6
+"""Part of the grace time in which requests that still arrive are taken."""
+
+MARGIN_S = 0.6
+"""Seconds before the end of the grace time at which the process ends anyway."""
+
+
+@define(slots=True, eq=False)
+class Stopping:
+    """Decides when a process that was told to stop may end.
+
+    :param grace_s: seconds from the signal until the process is killed.
+    """
+
+    desk: RouteDesk
+    peers: PeerKeeper
+    outbox: object
+    cut_record: object
+    grace_s: float
+    began_at: float | None = None
+    _is_over: bool = False
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the process was told to stop."""
+        return self.began_at is not None
+
+    def begin(self, now: float) -> list:
+        """Begin the stop; a second request to stop changes nothing."""
+        if self.is_begun:
+            return []
+        self.began_at = now
+        fields = (("in_progress", str(len(self.desk.carried))),)
+        return [Note("info", "stopping", fields=fields)]
+
+    def check(self, now: float) -> list:
+        """Return the effect that ends the process once that is due."""
+        if not self.is_begun or self._is_over:
+            return []
+        elapsed = now - self.began_at
+        self.desk.is_closing = elapsed > LAST_NEW_PART * self.grace_s
+        idle = not self.desk.carried and elapsed >= BALANCER_S
+        if not idle and elapsed < self.grace_s - MARGIN_S:
+            return []
+        self._is_over = True
+        fields = (
+            ("after_s", f"{elapsed:.2f}"),
+            ("in_progress", str(len(self.desk.carried))),
+            ("record_waiting", str(self.outbox.waiting(AUDIT_STREAM))),
+        )
+        effects = self.cut_record(now) + self.outbox.flush(now)
+        effects.append(PublishEntry(self.peers.address, False))
+        effects.append(Note("info", "stop_due", fields=fields))
+        return [*effects, Stopped()]
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -0,0 +1,122 @@
+"""Digests between entry instances by datagram, and questions over HTTP."""
+
+import socket
+
+import orjson
+
+from briarrelay_core.checked import CheckedError, from_mapping, to_mapping
+from briarrelay_core.ports.digest import (
+    AskPeer,
+    DigestHeard,
+    LoadDigest,
+    PeerAnswered,
+    SendDigest,
+)
+from briarrelay_core.ports.directory import ServerEntry, TopicChange
+from briarrelay_core.routes.instance import RouteInstance
+from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_daemon.host import Host
+from briarrelay_daemon.httpcall import HttpClient
+from briarrelay_daemon.jsoncall import JsonAnswer
+from briarrelay_daemon.pages import PageServer
+from briarrelay_daemon.settings import Address
+from briarrelay_daemon.wire import READ
+
+__all__ = ["DigestPort"]
+
+MAX_DATAGRAM_BYTES = 60_000
+"""Longest digest; a longer one does not fit into a datagram."""
+
+MAX_DATAGRAMS = 64
+"""Datagrams read in one turn of the loop."""
+
+QUESTION_PATH = "/peer/knowledge"
+
+QUESTION_S = 1.0
+"""Seconds for a peer's answer."""
+
+
+class DigestPort:
+    """Performs the effects that concern peers.
+
+    :param pages: where peers' questions are answered.
+    """
+
+    def __init__(self, host: Host, client: HttpClient, pages: PageServer, bind):
+        self._host = host
+        self._client = client
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        self._sock.bind((bind.host, bind.port))
+        host.wire.watch(self._sock, READ, self._on_ready)
+        host.register(SendDigest, self._send)
+        host.register(AskPeer, self._ask)
+        pages.add(QUESTION_PATH, self._answer)
+
+    def _send(self, effect: SendDigest) -> None:
+        body = orjson.dumps(to_mapping(effect.digest))
+        if len(body) > MAX_DATAGRAM_BYTES:
+            self._host.counters.add("peer.digest_too_long")
+            return
+        for peer in effect.peers:
+            try:
+                self._sock.sendto(body, (peer.host, peer.digest_port))
+            except OSError:
+                self._host.counters.add("peer.digest_not_sent")
+
+    def _on_ready(self, _: int) -> None:
+        for _ in range(MAX_DATAGRAMS):
+            try:
+                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                return  # nothing more to read
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            digest = from_mapping(LoadDigest, orjson.loads(data), "digest")
+        except (CheckedError, ValueError):
+            self._host.counters.add("peer.digest_bad")
+            return
+        self._host.tell(DigestHeard(digest))
+
+    def _ask(self, effect: AskPeer) -> None:
+        def done(status: int, value) -> None:
+            self._host.tell(_read_answer(effect, status, value))
+
+        def lost(sent: bool) -> None:
+            self._host.tell(PeerAnswered(effect.peer, problem="no answer"))
+
+        self._client.call(
+            Address(effect.peer.host, effect.peer.question_port),
+            "GET",
+            QUESTION_PATH,
+            JsonAnswer(done, lost),
+            timeout=QUESTION_S,
+            fresh=True,
+        )
+
+    def _answer(self) -> tuple[int, bytes]:
+        core: RouteInstance = self._host.core
+        configuration = core.desk.configuration
+        body = {
+            "configuration": to_mapping(configuration) if configuration else None,
+            "servers": [to_mapping(entry) for entry in core.desk.servers.entries()],
+        }
+        return 200, orjson.dumps(body)
+
+
+def _read_answer(effect: AskPeer, status: int, value) -> PeerAnswered:
+    changes = []
+    try:
+        if value["configuration"] is not None:
+            configuration = from_mapping(
+                RouteConfiguration, value["configuration"], "peer"
+            )
+            changes.append(TopicChange("configuration", configuration))
+        for mapping in value["servers"]:
+            entry = from_mapping(ServerEntry, mapping, "peer")
+            changes.append(TopicChange(entry.name, entry))
+    except (CheckedError, KeyError, TypeError) as error:
+        return PeerAnswered(effect.peer, problem=f"status {status}: {error}")
+    return PeerAnswered(effect.peer, tuple(changes))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -17,10 +17,32 @@
 MAX_IDLE = 8
 """Connections to one address that are kept for further calls."""
 
+IDLE_S = 4.0
+"""Seconds that a connection is kept when the server names no time; most keep 5."""
+
+IDLE_MARGIN_S = 1.0
+"""Seconds before the server's own time at which a connection is not used again."""
+
+CONNECT_S = 0.5
+"""Seconds for a connection to be established; the longest way takes a few ms."""
+
+KEEP_ALIVE_S = 1
+"""Seconds of silence before, and between, TCP keep-alive probes."""
+
+KEEP_ALIVE_PROBES = 2
+"""Unanswered probes after which a connection is lost."""
+
 
 class CallSink:
     """Receives what becomes of a call; every method may be overridden."""
 
+    def accepts(self, status: int, headers: dict[str, str]) -> bool:
+        """Return whether an answer is the one to this call; others are skipped."""
+        return True
+
+    def on_raw_headers(self, pairs: list[tuple[bytes, bytes]]) -> None:
+        """Take the headers of the answer as they came, before its head."""
+
     def on_head(self, status: int, headers: dict[str, str]) -> None:
         """Take the status and headers of the answer."""
 
@@ -44,37 +66,76 @@
     sock: socket.socket
     is_connected: bool = False
     outgoing: memoryview = field(default=memoryview(b""))
+    usable_until: float = 0.0
 
 
 class _AnswerReader:
-    """Callbacks of the parser for one answer."""
+    """Callbacks of the parser for the answer to one call.
+
+    :ivar is_whole: the answer has been read to its end.
+    :ivar keeps_alive: the server keeps the connection; the parser only tells while
+        it is at the end of the answer.
+    :ivar has_more: bytes came after the end, which belong to no call.
+    """
 
     def __init__(self, sink: CallSink):
         self._sink = sink
-        self._headers: dict[str, str] = {}
+        self._pairs: list[tuple[bytes, bytes]] = []
+        self._is_skipped = False
+        self._has_head = False
+        self.headers: dict[str, str] = {}
         self.is_whole = False
-        self.on_body = sink.on_data
+        self.has_more = False
+        self.keeps_alive = False
         self.parser = HttpResponseParser(self)
 
+    def on_message_begin(self) -> None:
+        """Prepare for an answer."""
+        if self.is_whole:
+            self.has_more = True
+        self._pairs = []
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._pairs.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass the head on."""
-        self._sink.on_head(self.parser.get_status_code(), self._headers)
+        if self.is_whole:
+            return
+        status = self.parser.get_status_code()
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in self._pairs
+        }
+        self._is_skipped = status < 200 or not self._sink.accepts(status, headers)
+        if self._is_skipped:
+            return
+        self._has_head = True
+        self.headers = headers
+        self._sink.on_raw_headers(self._pairs)
+        self._sink.on_head(status, headers)
+
+    def on_body(self, data: bytes) -> None:
+        """Pass a part of the body on."""
+        if not self.is_whole and not self._is_skipped:
+            self._sink.on_data(data)
 
     def on_message_complete(self) -> None:
         """Note that the answer is whole."""
-        self.is_whole = True
+        if self._is_skipped:
+            self._is_skipped = False
+        elif not self.is_whole:
+            self.is_whole = True
+            self.keeps_alive = self.parser.should_keep_alive()
 
     @property
     def ends_with_connection(self) -> bool:
         """Whether the end of the connection is the end of the answer."""
-        framed = "content-length" in self._headers or (
-            "transfer-encoding" in self._headers
+        framed = "content-length" in self.headers or (
+            "transfer-encoding" in self.headers
         )
-        return bool(self._headers) and not framed
+        return self._has_head and not self._is_skipped and not framed
 
 
 class HttpCall:
@@ -86,9 +147,11 @@
         self._sink = sink
         self._connection: _Connection | None = None
         self._timer = None
+        self._connect_timer = None
         self._sent = False
         self._reader = _AnswerReader(sink)
         self.is_over = False
+        self.problem = ""
 
     def begin(self, connection: _Connection, message: bytes, timeout: float) -> None:
         """Send the call on a connection."""
@@ -96,12 +159,21 @@
         self._connection = connection
         connection.outgoing = memoryview(message)
         self._timer = wire.timers.at(wire.clock() + timeout, self._on_timeout)
+        if not connection.is_connected:
+            due = wire.clock() + min(CONNECT_S, timeout)
+            self._connect_timer = wire.timers.at(due, self._on_connect_timeout)
         wire.watch(connection.sock, WRITE | READ, self._on_ready)
 
     def _on_timeout(self, _: float) -> list:
+        self.problem = "no whole answer in time"
         self.abort()
         return []
 
+    def _on_connect_timeout(self, _: float) -> list:
+        if not self._sent:
+            self._lose("no connection in time")
+        return []
+
     def abort(self) -> None:
         """End the call; the sink is told that it is lost."""
         self._lose()
@@ -124,7 +196,7 @@
         if not connection.is_connected:
             error = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
-                self._lose()
+                self._lose(f"connecting failed: {errno.errorcode.get(error, error)}")
                 return False
             connection.is_connected = True
         try:
@@ -135,9 +207,11 @@
             if error.errno == errno.ENOTCONN:
                 connection.is_connected = False
                 return False
-            self._lose()
+            self._lose(f"writing failed: {error.strerror}")
             return False
-        self._sent = True
+        if not self._sent:
+            self._sent = True
+            self._cancel_connect_timer()
         connection.outgoing = connection.outgoing[count:]
         if connection.outgoing:
             return False
@@ -149,18 +223,21 @@
             data = self._connection.sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            self._lose()
+        except OSError as error:
+            self._lose(f"reading failed: {error.strerror}")
             return
         if not data:
             self._on_closed()
             return
+        reader = self._reader
         try:
-            self._reader.parser.feed_data(data)
-        except HttpParserError:
-            self._lose()
-            return
-        if self._reader.is_whole and not self.is_over:
+            reader.parser.feed_data(data)
+        except HttpParserError as error:
+            if not reader.is_whole:
+                self._lose(f"not an HTTP answer: {error}")
+                return
+            reader.has_more = True
+        if reader.is_whole and not self.is_over:
             self._finish()
 
     def _on_closed(self) -> None:
@@ -168,25 +245,39 @@
             self._close()
             self._sink.on_end()
         else:
-            self._lose()
+            self._lose("closed before the answer was whole")
 
     def _finish(self) -> None:
-        self.is_over = True
-        self._timer.cancel()
-        self._client.wire.unwatch(self._connection.sock)
-        reusable = self._reader.parser.should_keep_alive()
-        self._client.give_back(self._address, self._connection, reusable)
+        self._end()
+        connection = self._connection
+        self._client.wire.unwatch(connection.sock)
+        reader = self._reader
+        reusable = (
+            reader.keeps_alive and not reader.has_more and not connection.outgoing
+        )
+        kept_s = _kept_s(reader.headers.get("keep-alive", ""))
+        self._client.give_back(self._address, connection, reusable, kept_s)
         self._sink.on_end()
 
-    def _lose(self) -> None:
+    def _lose(self, problem: str = "") -> None:
         if self.is_over:
             return
+        self.problem = self.problem or problem
         self._close()
         self._sink.on_lost(self._sent)
 
-    def _close(self) -> None:
+    def _cancel_connect_timer(self) -> None:
+        if self._connect_timer is not None:
+            self._connect_timer.cancel()
+            self._connect_timer = None
+
+    def _end(self) -> None:
         self.is_over = True
         self._timer.cancel()
+        self._cancel_connect_timer()
+
+    def _close(self) -> None:
+        self._end()
         self._client.wire.unwatch(self._connection.sock)
         self._connection.sock.close()
 
@@ -216,10 +307,21 @@
         :param fresh: use a new connection, so that an old one that has gone silent
             does no harm.
         """
-        call = HttpCall(self, address, sink)
-        connection = self._connection(address, fresh)
         message = self._encode(address, method, target, body, headers)
-        call.begin(connection, message, timeout)
+        return self.send(address, message, sink, timeout=timeout, fresh=fresh)
+
+    def send(
+        self,
+        address: Address,
+        message: bytes,
+        sink: CallSink,
+        *,
+        timeout: float,
+        fresh: bool = False,
+    ) -> HttpCall:
+        """Start a call whose request is encoded already."""
+        call = HttpCall(self, address, sink)
+        call.begin(self._connection(address, fresh), message, timeout)
         return call
 
     def _encode(self, address, method: str, target: str, body: bytes, headers) -> bytes:
@@ -233,26 +335,53 @@
         idle = self._idle.get(address)
         while idle and not fresh:
             connection = idle.pop()
-            if _is_usable(connection.sock):
+            is_young = self.wire.clock() < connection.usable_until
+            if is_young and _is_usable(connection.sock):
                 return connection
             connection.sock.close()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _watch_for_silence(sock)
         sock.connect_ex((address.host, address.port))
         return _Connection(sock)
 
     def give_back(
-        self, address: Address, connection: _Connection, reusable: bool
+        self,
+        address: Address,
+        connection: _Connection,
+        reusable: bool,
+        kept_s: float = IDLE_S,
     ) -> None:
-        """Keep a connection whose call is over, if it can be used again."""
+        """Keep a connection whose call is over, if it can be used again.
+
+        :param kept_s: seconds for which the server keeps it.
+        """
         idle = self._idle.setdefault(address, [])
-        if reusable and len(idle) < MAX_IDLE:
+        if reusable and kept_s > 0 and len(idle) < MAX_IDLE:
+            connection.usable_until = self.wire.clock() + kept_s
             idle.append(connection)
         else:
             connection.sock.close()
 
 
+def _watch_for_silence(sock: socket.socket) -> None:
+    """Let the system find out that the other side is gone without a word."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+
+
+def _kept_s(keep_alive: str) -> float:
+    """Return seconds that a connection can be used again by a Keep-Alive header."""
+    for part in keep_alive.split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.strip().isdigit():
+            return min(IDLE_S, int(value) - IDLE_MARGIN_S)
+    return IDLE_S
+
+
 def _is_usable(sock: socket.socket) -> bool:
     """Return whether an idle connection was not closed by the other side."""
     try:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/observe.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/observe.py
@@ -1,6 +1,8 @@
 """JSON log lines by logbook and counters by statsd."""
 
+import os
 import sys
+from time import monotonic
 
 import orjson
 from logbook import Handler, Logger, lookup_level
@@ -10,7 +12,62 @@
 from briarrelay_core.reasons import RefusalReason, RetryReason
 from briarrelay_daemon.settings import Settings
 
-__all__ = ["Counters", "JsonHandler", "reason_counters", "write_note"]
+__all__ = ["BoundedOutput", "Counters", "JsonHandler", "reason_counters", "write_note"]
+
+
+LINES_PER_S = 300.0
+"""Log lines a second in the long run; a line costs about 0.1 ms."""
+
+BURST_LINES = 3_000.0
+"""Log lines that may come at once."""
+
+
+class BoundedOutput:
+    """Writes lines to a descriptor without blocking, and not more than allowed.
+
+    Lines that are left out are counted, and the count is written with the next one.
+    """
+
+    def __init__(self, descriptor: int):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._allowed = BURST_LINES
+        self._at = monotonic()
+        self._rest = b""
+        self.left_out = 0
+
+    def write(self, line: bytes) -> None:
+        """Write a line, or count it as left out."""
+        now = monotonic()
+        self._allowed += (now - self._at) * LINES_PER_S
+        self._allowed = min(BURST_LINES, self._allowed)
+        self._at = now
+        if self._allowed < 1.0 or not self._push(b""):
+            self.left_out += 1
+            return
+        self._allowed -= 1.0
+        if self.left_out:
+            line = b'{"event":"lines_left_out","count":%d}\n' % self.left_out + line
+            self.left_out = 0
+        self._push(line)
+
+    def _push(self, data: bytes) -> bool:
+        """Write what is left of an earlier line, then more; True if all left."""
+        data = self._rest + data
+        self._rest = b""
+        if not data:
+            return True
+        try:
+            count = os.write(self._descriptor, data)
+        except BlockingIOError:
+            count = 0
+        except OSError:
+            return True  # nobody reads the log; there is nowhere to say so
+        self._rest = data[count:]
+        return not self._rest
+
+    def flush(self) -> None:
+        """Do nothing; lines are written at once."""
 
 
 class JsonHandler(Handler):
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/pages.py
@@ -0,0 +1,30 @@
+"""Small pages for balancers, peers and the collector of metrics."""
+
+from collections.abc import Callable
+
+from briarrelay_daemon.callerserver import CallerServer, RawExchange
+from briarrelay_daemon.settings import Address
+from briarrelay_daemon.wire import Wire
+
+__all__ = ["PageServer"]
+
+
+class PageServer:
+    """Answers GET requests by path; a page returns status and body."""
+
+    def __init__(self, bind: Address, wire: Wire):
+        self._pages: dict[str, Callable[[], tuple[int, bytes]]] = {}
+        self.server = CallerServer(bind, wire, self._on_request, lambda _: None)
+
+    def add(self, path: str, page: Callable[[], tuple[int, bytes]]) -> None:
+        """Answer a path with what a page returns."""
+        self._pages[path] = page
+
+    def _on_request(self, exchange: RawExchange) -> None:
+        path = exchange.target.partition(b"?")[0].decode("latin-1")
+        page = self._pages.get(path)
+        if page is None or exchange.method != "GET":
+            exchange.reply(404, [], b"no such page\n")
+            return
+        status, body = page()
+        exchange.reply(status, [], body)
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -0,0 +1,293 @@
+"""Carries requests of routes between callers and backend servers, as bytes."""
+
+from abc import ABC, abstractmethod
+from time import perf_counter
+
+from attrs import define, field
+
+from briarrelay_core.outcomes import Failed, NotRun
+from briarrelay_core.ports.route import (
+    AbortSend,
+    CallerLeft,
+    CutAnswer,
+    Forward,
+    HeadKind,
+    RelayEnd,
+    RelayEvent,
+    RelayHead,
+    RelayWhole,
+    RouteRefused,
+    RouteRequest,
+    SendDone,
+    SendEvent,
+    SendHead,
+    SendLost,
+)
+from briarrelay_daemon.callerserver import CallerServer, RawExchange
+from briarrelay_daemon.eventsplit import EventSplitter
+from briarrelay_daemon.host import Host
+from briarrelay_daemon.httpcall import CallSink, HttpCall, HttpClient
+from briarrelay_daemon.settings import Address
+
+__all__ = ["Dialect", "RoutePort", "passable_headers"]
+
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+"""Headers that concern one connection, or that frame a body anew on the next one."""
+
+MAX_WHOLE_BYTES = 16_777_216
+"""Longest answer that is not a stream."""
+
+
+def passable_headers(pairs: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    """Return headers without those that concern only one connection."""
+    named = set(HOP_HEADERS)
+    for name, value in pairs:
+        if name.lower() == b"connection":
+            named.update(part.strip().lower() for part in value.split(b","))
+    return [(name, value) for name, value in pairs if name.lower() not in named]
+
+
+class Dialect(ABC):
+    """Names and formats that callers and backend servers use."""
+
+    @abstractmethod
+    def read_request(
+        self, exchange: RawExchange, request_id: int
+    ) -> RouteRequest | NotRun:
+        """Return the typed request of an exchange, or why there is none."""
+
+    @abstractmethod
+    def write_request(self, exchange: RawExchange, forward: Forward) -> bytes:
+        """Return the request that a backend server gets."""
+
+    @abstractmethod
+    def is_answer_to(self, headers: dict[str, str], exchange: RawExchange) -> bool:
+        """Return whether an answer is the one to a request."""
+
+    @abstractmethod
+    def read_head(self, status: int, headers: dict[str, str], send_id: int) -> SendHead:
+        """Return what the head of an answer says."""
+
+    @abstractmethod
+    def write_refusal(
+        self, outcome: NotRun | Failed, exchange: RawExchange
+    ) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+        """Return status, headers and body of a failure of our own."""
+
+
+class _Send(CallSink):
+    """One send and the answer that comes back."""
+
+    def __init__(self, port: "RoutePort", forward: Forward, exchange: RawExchange):
+        self._port = port
+        self._forward = forward
+        self._exchange = exchange
+        self._splitter: EventSplitter | None = None
+        self.call: HttpCall | None = None
+        self.is_over = False
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+
+    def accepts(self, status: int, headers: dict[str, str]) -> bool:
+        return self._port.dialect.is_answer_to(headers, self._exchange)
+
+    def on_raw_headers(self, pairs: list[tuple[bytes, bytes]]) -> None:
+        self.headers = passable_headers(pairs)
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        self.status = status
+        head = self._port.dialect.read_head(status, headers, self._forward.send_id)
+        is_events = headers.get("content-type", "").startswith("text/event-stream")
+        if head.kind is HeadKind.SUCCESS and is_events:
+            self._splitter = EventSplitter()
+        self._tell(head)
+
+    def on_data(self, data: bytes) -> None:
+        if self.is_over:
+            return
+        if self._splitter is None:
+            self.body += data
+            if len(self.body) > MAX_WHOLE_BYTES:
+                self.call.problem = f"answer over {MAX_WHOLE_BYTES} bytes"
+                self.call.abort()
+            return
+        for event in self._splitter.feed(data):
+            self._tell(SendEvent(self._forward.send_id, event.event_id, event.data))
+
+    def on_end(self) -> None:
+        if self._splitter is not None and self._splitter.has_rest:
+            self._tell(SendLost(self._forward.send_id, True, "ended within an event"))
+        else:
+            self._tell(SendDone(self._forward.send_id))
+
+    def on_lost(self, sent: bool) -> None:
+        problem = self.call.problem if self.call else ""
+        self._tell(SendLost(self._forward.send_id, sent, problem))
+
+    def _tell(self, message) -> None:
+        if not self.is_over:
+            self._port.host.tell(message)
+
+
+@define(slots=True, eq=False)
+class _Carried:
+    """An exchange and the sends that were made for it."""
+
+    exchange: RawExchange
+    begun_at: float
+    sends: list[int] = field(factory=list)
+    is_answered: bool = False
+
+
+class RoutePort:
+    """Performs the effects that concern requests of routes."""
+
+    def __init__(
+        self, host: Host, client: HttpClient, listen: Address, dialect: Dialect
+    ):
+        self.host = host
+        self.dialect = dialect
+        self._client = client
+        self._carried: dict[int, _Carried] = {}
+        self._request_ids: dict[RawExchange, int] = {}
+        self._sends: dict[int, _Send] = {}
+        self._count = 0
+        self.server = CallerServer(
+            listen, host.wire, self._on_request, self._on_left, self._on_improper
+        )
+        for effect_class, perform in (
+            (Forward, self._forward),
+            (AbortSend, self._abort),
+            (RelayHead, self._relay_head),
+            (RelayEvent, self._relay_event),
+            (RelayEnd, self._relay_end),
+            (RelayWhole, self._relay_whole),
+            (CutAnswer, self._cut),
+            (RouteRefused, self._refuse),
+        ):
+            host.register(effect_class, perform)
+
+    # Callers
+
+    def _on_request(self, exchange: RawExchange) -> None:
+        self._count += 1
+        request_id = self._count
+        self.host.counters.add("route.requests")
+        request = self.dialect.read_request(exchange, request_id)
+        if isinstance(request, NotRun):
+            self.host.counters.add(f"refused.{request.reason.value}")
+            self.host.logger.info("refused", reason=request.message)
+            exchange.reply(*self.dialect.write_refusal(request, exchange))
+            return
+        self._carried[request_id] = _Carried(exchange, perf_counter())
+        self._request_ids[exchange] = request_id
+        self.host.tell(request)
+
+    def _on_left(self, exchange: RawExchange) -> None:
+        request_id = self._request_ids.get(exchange)
+        if request_id is not None:
+            self._drop(request_id)
+            self.host.tell(CallerLeft(request_id))
+
+    def _on_improper(self, status: int, text: bytes) -> None:
+        self.host.counters.add(f"improper.{status}")
+        self.host.logger.info("improper", status=status, problem=text.decode())
+
+    def _drop(self, request_id: int) -> _Carried | None:
+        carried = self._carried.pop(request_id, None)
+        if carried is None:
+            return None
+        self._request_ids.pop(carried.exchange, None)
+        for send_id in carried.sends:
+            self._drop_send(send_id)
+        return carried
+
+    def _drop_send(self, send_id: int) -> None:
+        send = self._sends.pop(send_id, None)
+        if send is None:
+            return
+        send.is_over = True
+        if not send.call.is_over:
+            send.call.drop()
+
+    # Backend servers
+
+    def _forward(self, effect: Forward) -> None:
+        carried = self._carried.get(effect.request_id)
+        if carried is None:
+            return
+        exchange = carried.exchange
+        send = _Send(self, effect, exchange)
+        self._sends[effect.send_id] = send
+        carried.sends.append(effect.send_id)
+        send.call = self._client.send(
+            Address(effect.host, effect.port),
+            self.dialect.write_request(exchange, effect),
+            send,
+            timeout=effect.patience_s + 1.0,
+            fresh=effect.is_fresh,
+        )
+
+    def _abort(self, effect: AbortSend) -> None:
+        send = self._sends.get(effect.send_id)
+        if send is not None and not send.call.is_over:
+            send.is_over = True
+            send.call.drop()
+
+    # Answers
+
+    def _relay_head(self, effect: RelayHead) -> None:
+        carried = self._carried.get(effect.request_id)
+        send = self._sends.get(effect.send_id)
+        if carried is None or send is None:
+            return
+        seconds = perf_counter() - carried.begun_at
+        self.host.counters.observe("first_event", seconds)
+        carried.exchange.begin(send.status, send.headers)
+
+    def _relay_event(self, effect: RelayEvent) -> None:
+        carried = self._carried.get(effect.request_id)
+        if carried is not None:
+            carried.exchange.send(effect.data)
+
+    def _relay_end(self, effect: RelayEnd) -> None:
+        carried = self._drop(effect.request_id)
+        if carried is not None:
+            self._observe_whole(carried)
+            carried.exchange.end()
+
+    def _relay_whole(self, effect: RelayWhole) -> None:
+        send = self._sends.get(effect.send_id)
+        carried = self._drop(effect.request_id)
+        if carried is not None and send is not None:
+            self._observe_whole(carried)
+            carried.exchange.reply(send.status, send.headers, bytes(send.body))
+
+    def _observe_whole(self, carried: _Carried) -> None:
+        self.host.counters.observe("whole", perf_counter() - carried.begun_at)
+
+    def _cut(self, effect: CutAnswer) -> None:
+        carried = self._drop(effect.request_id)
+        if carried is not None:
+            carried.exchange.cut()
+
+    def _refuse(self, effect: RouteRefused) -> None:
+        carried = self._drop(effect.request_id)
+        if carried is not None:
+            exchange = carried.exchange
+            exchange.reply(*self.dialect.write_refusal(effect.outcome, exchange))
