--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -12,6 +12,7 @@
     "CutAnswer",
     "Forward",
     "HeadKind",
+    "HelperAddress",
     "RelayEnd",
     "RelayEvent",
     "RelayHead",
@@ -55,13 +56,25 @@
     request_id: int
 
 
+@frozen(slots=True)
+class HelperAddress:
+    """An engine that reads a part of a prompt.
+
+    :param address: ``host:port``.
+    :param reservation_id: memory set aside there for the part, empty for none.
+    """
+
+    address: str
+    reservation_id: str = ""
+
+
 @frozen(slots=True, kw_only=True)
 class Forward:
     """Effect: send a request to a backend server.
 
     :param server: name that the backend server must have to run the request.
-    :param helpers: ``host:port``, or ``host:port/reservation``, of engines that read
-        parts of the prompt.
+    :param helpers: engines that read parts of the prompt, those that keep a part of
+        its memory first.
     :param patience_s: seconds after which the answer is of no use.
     :param is_fresh: use a new connection.
     """
@@ -73,7 +86,7 @@
     port: int
     patience_s: float
     workspace: str = ""
-    helpers: tuple[str, ...] = ()
+    helpers: tuple[HelperAddress, ...] = ()
     resume_after: str = ""
     is_fresh: bool = False
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
@@ -4,6 +4,7 @@
 
 from briarrelay_core.ports.route import HeadKind, RouteRequest
 from briarrelay_core.routes.model import EngineProfile, Route
+from briarrelay_core.routes.placement import Placement
 
 __all__ = ["Carried", "Sending"]
 
@@ -14,6 +15,7 @@
 
     :param expected_s: seconds until the first event, as estimated when it was sent.
     :param progress_at: time of the last sign of life.
+    :param placement: kept while memory is set aside, None once the send has left.
     :param kind: what the head of the answer said, None before it came.
     """
 
@@ -23,6 +25,7 @@
     sent_at: float
     expected_s: float
     progress_at: float
+    placement: Placement | None = None
     kind: HeadKind | None = None
     status: int = 0
     events: int = 0
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -10,6 +10,7 @@
     CallerLeft,
     CutAnswer,
     Forward,
+    HelperAddress,
     RelayWhole,
     RouteRefused,
     RouteRequest,
@@ -29,6 +30,7 @@
     place_call,
     place_prompt,
 )
+from briarrelay_core.routes.reserving import Reservations
 from briarrelay_core.routes.servers import KnownServer, ServerTable
 
 __all__ = ["RouteDesk"]
@@ -67,6 +69,7 @@
     load: LoadTable
     budget: RepeatBudget
     recorder: Recorder
+    reservations: Reservations
     health: HealthTable = field(factory=HealthTable)
     pace: PaceTable = field(factory=PaceTable)
     configuration: RouteConfiguration | None = None
@@ -200,28 +203,67 @@
         )
         self.sends[send_id] = carried
         self._add_load(carried, placement, send_id, now)
-        entry = self.servers.get(placement.lead).entry
-        helpers = [self.servers.get(name).entry.address for name in placement.helpers]
-        return [
-            Forward(
-                request_id=carried.request.request_id,
-                send_id=send_id,
-                server=entry.name,
-                host=entry.host,
-                port=entry.port,
-                patience_s=carried.due - now,
-                workspace=carried.workspace,
-                helpers=tuple(helpers),
-                resume_after=carried.last_event or carried.request.resume_after,
-                is_fresh=not carried.route.is_repeatable,
-            )
+        if not placement.holdings:
+            return [self._forward(carried, placement, now)]
+        carried.sending.placement = placement
+        holdings = [
+            (self.servers.get(name).entry, tokens)
+            for name, tokens in placement.holdings
         ]
+        return self.reservations.begin(send_id, holdings, now)
+
+    def on_granted(self, send_id: int, now: float) -> list:
+        """Send a request whose memory is set aside."""
+        carried = self.sends[send_id]
+        placement = carried.sending.placement
+        carried.sending.placement = None
+        carried.sending.sent_at = carried.sending.progress_at = now
+        gone = [
+            name
+            for name in (placement.lead, *placement.helpers)
+            if self.servers.get(name) is None
+        ]
+        if gone:
+            return self.on_denied(send_id, now)
+        return [self._forward(carried, placement, now)]
+
+    def on_denied(self, send_id: int, now: float) -> list:
+        """Place a request anew whose memory was not to be had."""
+        carried = self.sends[send_id]
+        self.end_send(carried, now)
+        carried.tried.pop()
+        carried.sends -= 1
+        self._waiting[carried.request.request_id] = carried
+        return []
+
+    def _forward(self, carried: Carried, placement: Placement, now: float) -> Forward:
+        send_id = carried.sending.send_id
+        reserved = self.reservations.ids_of(send_id)
+        entry = self.servers.get(placement.lead).entry
+        return Forward(
+            request_id=carried.request.request_id,
+            send_id=send_id,
+            server=entry.name,
+            host=entry.host,
+            port=entry.port,
+            patience_s=carried.due - now,
+            workspace=carried.workspace,
+            helpers=tuple(
+                HelperAddress(
+                    self.servers.get(name).entry.address, reserved.get(name, "")
+                )
+                for name in placement.helpers
+            ),
+            resume_after=carried.last_event or carried.request.resume_after,
+            is_fresh=not carried.route.is_repeatable,
+        )
 
     def _add_load(
         self, carried: Carried, placement: Placement, send_id: int, now: float
     ) -> None:
         request = carried.request
-        tokens = request.prompt_tokens + request.output_tokens
+        held = dict(placement.holdings)
+        tokens = request.prompt_tokens + request.output_tokens - sum(held.values())
         self.load.add(
             send_id,
             placement.lead,
@@ -276,12 +318,13 @@
             return False
         return self.budget.spend(carried.service, now)
 
-    def end_send(self, carried: Carried) -> Sending:
+    def end_send(self, carried: Carried, now: float) -> Sending:
         """Take a send that is over off the load."""
         sending = carried.sending
         carried.sending = None
         del self.sends[sending.send_id]
         self.load.remove(sending.send_id)
+        self.reservations.release(sending.send_id, now)
         return sending
 
     # Ends
@@ -354,7 +397,7 @@
         effects = []
         sending = carried.sending
         if sending is not None:
-            self.end_send(carried)
+            self.end_send(carried, now)
             effects.append(AbortSend(sending.send_id))
         self.carried.pop(request.request_id, None)
         self._waiting.pop(request.request_id, None)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -21,6 +21,7 @@
     TopicRead,
 )
 from briarrelay_core.ports.log import AppendDone, AppendFailed
+from briarrelay_core.ports.memory import ReleaseAnswered, ReserveAnswered
 from briarrelay_core.ports.observe import Note
 from briarrelay_core.ports.route import (
     CallerLeft,
@@ -36,6 +37,7 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.news import NewsKeeper
 from briarrelay_core.routes.peers import PeerKeeper
+from briarrelay_core.routes.reserving import Reservations
 from briarrelay_core.routes.sendmail import SendMail
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.stopping import Stopping
@@ -58,6 +60,7 @@
     :param address: where peers reach it.
     :param repeats: repeated sends allowed over all instances.
     :param grace_s: seconds that a planned stop may take.
+    :param hold_s: seconds that memory of an engine is set aside without renewal.
     :param seeds: addresses of peers that are tried at the start.
     """
 
@@ -65,10 +68,12 @@
     address: PeerAddress
     repeats: RepeatLimits
     grace_s: float
+    hold_s: float
     seeds: tuple[PeerAddress, ...] = ()
     timers: TimerService = field(factory=TimerService)
     recorder: Recorder = field(init=False)
     outbox: Outbox = field(init=False)
+    reservations: Reservations = field(init=False)
     desk: RouteDesk = field(init=False)
     mail: SendMail = field(init=False)
     peers: PeerKeeper = field(init=False)
@@ -79,6 +84,9 @@
         identity = self.identity
         self.recorder = Recorder(identity)
         self.outbox = Outbox(identity, self.timers, {AUDIT_STREAM: RECORD_PERIOD_S})
+        self.reservations = Reservations(
+            f"{identity.name}-{identity.incarnation}", self.hold_s, self.timers
+        )
         load = LoadTable()
         servers = ServerTable()
         self.desk = RouteDesk(
@@ -87,7 +95,10 @@
             load=load,
             budget=RepeatBudget(self.repeats),
             recorder=self.recorder,
+            reservations=self.reservations,
         )
+        self.reservations.on_granted = self.desk.on_granted
+        self.reservations.on_denied = self.desk.on_denied
         self.mail = SendMail(self.desk)
         self.peers = PeerKeeper(
             self.address, identity.incarnation, self.timers, load, servers
@@ -128,7 +139,8 @@
         return self._complete(self.timers.run_due(now), now)
 
     def _complete(self, effects: list, now: float) -> list:
-        """Tell peers if the load changed."""
+        """Give memory back, and tell peers if the load changed."""
+        effects += self.reservations.take_effects()
         load = self.desk.load
         if load.is_changed:
             load.is_changed = False
@@ -178,6 +190,14 @@
     def _(self, message: SendLost, now: float) -> list:
         return self.mail.on_lost(message, now)
 
+    @_take.register
+    def _(self, message: ReserveAnswered, now: float) -> list:
+        return self.reservations.on_reserved(message, now)
+
+    @_take.register
+    def _(self, message: ReleaseAnswered, now: float) -> list:
+        return self.reservations.on_released(message, now)
+
     @_take.register
     def _(self, message: TopicListed, now: float) -> list:
         return self.news.on_listed(message, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -31,6 +31,11 @@
     weight: float = 0.0
     is_reading: bool = True
 
+    @property
+    def stays(self) -> bool:
+        """Whether it is there until the answer is whole."""
+        return self.is_lead or self.tokens > 0
+
     def left_s(self, now: float) -> float:
         """Return seconds of reading that are left."""
         if not self.is_reading:
@@ -81,9 +86,9 @@
         loads = self._sends.get(send_id, [])
         for load in loads:
             load.is_reading = False
-            if not load.is_lead:
+            if not load.stays:
                 self._by_server[load.server].remove(load)
-        self._sends[send_id] = [load for load in loads if load.is_lead]
+        self._sends[send_id] = [load for load in loads if load.stays]
         self.is_changed = True
 
     def remove(self, send_id: int) -> None:
@@ -115,7 +120,7 @@
             read_s += load.left_s(now)
             tokens += load.tokens
             if not load.is_lead:
-                helps += 1
+                helps += load.is_reading
                 continue
             leads += 1
             if load.limit_s:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -4,7 +4,7 @@
 stream written there. The choice weighs that against the request's own first event.
 """
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from briarrelay_core.ports.digest import ServerLoad
 from briarrelay_core.routes.model import EngineProfile
@@ -29,6 +29,10 @@
 MEMORY_PART = 0.94
 """Part of an engine's memory that is filled; the rest is for growing answers."""
 
+SPREAD_PART = 0.5
+"""Part of an engine's memory from which a prompt is spread rather than left waiting
+for one engine to be free."""
+
 NEW_NEIGHBOUR_COST = 0.04
 """Loss for bringing streams with short pauses to an engine that has none."""
 
@@ -78,6 +82,8 @@
 
     :param read_s: seconds that each of them reads.
     :param expected_s: seconds until the first event.
+    :param holdings: helpers that keep a part of the prompt's memory, with the tokens
+        that each sets aside.
     """
 
     lead: str
@@ -85,6 +91,7 @@
     read_s: float
     expected_s: float
     cost: float
+    holdings: tuple[tuple[str, int], ...] = ()
 
 
 def _ramp(part: float) -> float:
@@ -115,12 +122,17 @@
     return (1.5 * quiet + load.read_s + read_s) * candidate.pace
 
 
+def _free_tokens(profile: EngineProfile, candidate: Candidate) -> int:
+    """Return the tokens of context that an engine can still take."""
+    whole = int(profile.memory_tokens * MEMORY_PART)
+    return max(0, whole - candidate.load.tokens)
+
+
 def _has_room(profile: EngineProfile, candidate: Candidate, prompt: Prompt) -> bool:
-    load = candidate.load
-    if load.leads >= candidate.slots:
+    if candidate.load.leads >= candidate.slots:
         return False
-    need = load.tokens + prompt.tokens + prompt.output_tokens
-    return need <= profile.memory_tokens * MEMORY_PART
+    need = prompt.tokens + prompt.output_tokens
+    return need <= _free_tokens(profile, candidate)
 
 
 def _shortest_limit(load: ServerLoad) -> float:
@@ -182,6 +194,54 @@
     return best
 
 
+def _place_spread(
+    profile: EngineProfile, candidates: list[Candidate], prompt: Prompt
+) -> Placement | None:
+    """Spread a prompt's memory over as few engines as hold it."""
+    need = prompt.tokens + prompt.output_tokens
+    part_s = profile.read_s(prompt.tokens, min(len(candidates), MAX_HELPERS + 1))
+    ranked = sorted(
+        candidates,
+        key=lambda c: (
+            _harm(profile, c, part_s) + c.load.read_s - _free_tokens(profile, c) / need,
+            c.name,
+        ),
+    )
+    lead = next((c for c in ranked if c.load.leads < c.slots), None)
+    if lead is None:
+        return None
+    holders = [lead]
+    for candidate in ranked:
+        if sum(_free_tokens(profile, c) for c in holders) >= need:
+            break
+        if candidate is not lead and candidate.load.helps < candidate.slots:
+            holders.append(candidate)
+    shares = _share_tokens([_free_tokens(profile, c) for c in holders], need)
+    if shares is None or len(holders) > MAX_HELPERS:
+        return None
+    readers = [c for c in ranked if c not in holders and c.load.helps < c.slots][
+        : MAX_HELPERS + 1 - len(holders)
+    ]
+    helpers = [*holders[1:], *readers]
+    placement = _judge_parts(
+        profile, lead, helpers, prompt, profile.read_s(prompt.tokens, 1 + len(helpers))
+    )
+    held = zip(holders[1:], shares[1:], strict=True)
+    return evolve(placement, holdings=tuple((c.name, tokens) for c, tokens in held))
+
+
+def _share_tokens(free: list[int], need: int) -> list[int] | None:
+    """Split a prompt's memory as evenly as the engines' free memory allows."""
+    if sum(free) < need:
+        return None
+    shares = [0] * len(free)
+    left = need
+    for count, index in enumerate(sorted(range(len(free)), key=free.__getitem__)):
+        shares[index] = min(free[index], -(-left // (len(free) - count)))
+        left -= shares[index]
+    return shares
+
+
 def _helper_cost(profile: EngineProfile, candidate: Candidate, read_s: float) -> float:
     cost = _harm(profile, candidate, read_s) + candidate.load.read_s
     if _shortest_limit(candidate.load) < 0.3:
@@ -216,7 +276,10 @@
     """Return where a prompt is read and written, or None if no engine has room."""
     roomy = [c for c in candidates if _has_room(profile, c, prompt)]
     if not roomy:
-        return None
+        whole = profile.memory_tokens * MEMORY_PART
+        if prompt.tokens + prompt.output_tokens <= SPREAD_PART * whole:
+            return None
+        return _place_spread(profile, candidates, prompt)
     if profile.read_s(prompt.tokens) <= WHOLE_READ_S:
         return _place_whole(profile, roomy, prompt)
     return _place_shared(profile, roomy, candidates, prompt)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/reserving.py
@@ -0,0 +1,189 @@
+"""Memory set aside on several engines for one prompt: all of it or none.
+
+A reservation is held for a short time and renewed while its request runs, so that the
+memory of a dead entry instance is free again soon without anybody's help.
+"""
+
+from collections.abc import Callable
+
+from attrs import define, field
+
+from briarrelay_core.ports.directory import ServerEntry
+from briarrelay_core.ports.memory import (
+    Release,
+    ReleaseAnswered,
+    Reserve,
+    ReserveAnswered,
+)
+from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.timers import TimerService
+
+__all__ = ["Reservations"]
+
+RENEW_PART = 0.35
+"""Part of the holding time after which a reservation is renewed; leaves two tries."""
+
+RELEASE_AGAIN_S = 0.5
+"""Seconds between tries to release what an engine did not confirm."""
+
+LATE_ORDER_S = 12.0
+"""Seconds within which an engine may carry out an order that it did not answer."""
+
+LATE_RELEASE_S = 1.5
+"""Seconds between releases while an order may still be carried out late."""
+
+
+@define(slots=True, eq=False)
+class _Reservation:
+    """Memory of one engine.
+
+    :param unanswered_at: time of the last order that got no answer.
+    """
+
+    reservation_id: str
+    send_id: int
+    server: ServerEntry
+    tokens: int
+    is_granted: bool = False
+    is_released: bool = False
+    released_at: float = 0.0
+    unanswered_at: float = float("-inf")
+
+
+@define(slots=True, eq=False)
+class Reservations:
+    """Reservations of this instance.
+
+    :param prefix: makes ids unique among instances and incarnations.
+    :param hold_s: seconds that a reservation lasts without being renewed.
+    :param on_granted: called with a send's id and the time once all is granted.
+    :param on_denied: called with a send's id and the time if something is not.
+    """
+
+    prefix: str
+    hold_s: float
+    timers: TimerService
+    on_granted: Callable[[int, float], list] | None = None
+    on_denied: Callable[[int, float], list] | None = None
+    _known: dict[str, _Reservation] = field(factory=dict)
+    _by_send: dict[int, list[_Reservation]] = field(factory=dict)
+    _effects: list = field(factory=list)
+
+    def ids_of(self, send_id: int) -> dict[str, str]:
+        """Return the reservation of each server of a send."""
+        return {r.server.name: r.reservation_id for r in self._by_send.get(send_id, ())}
+
+    def begin(
+        self, send_id: int, holdings: list[tuple[ServerEntry, int]], now: float
+    ) -> list:
+        """Ask engines to set memory aside for a send."""
+        reservations = [
+            _Reservation(f"{self.prefix}-{send_id}-{index}", send_id, server, tokens)
+            for index, (server, tokens) in enumerate(holdings)
+        ]
+        self._by_send[send_id] = reservations
+        for reservation in reservations:
+            self._known[reservation.reservation_id] = reservation
+        self.timers.at(
+            now + self.hold_s * RENEW_PART, lambda t: self._renew(send_id, t)
+        )
+        return [self._reserve(reservation) for reservation in reservations]
+
+    def _reserve(self, reservation: _Reservation) -> Reserve:
+        return Reserve(
+            reservation_id=reservation.reservation_id,
+            host=reservation.server.host,
+            port=reservation.server.port,
+            tokens=reservation.tokens,
+            hold_s=self.hold_s,
+        )
+
+    def _renew(self, send_id: int, now: float) -> list:
+        reservations = self._by_send.get(send_id)
+        if not reservations:
+            return []
+        self.timers.at(
+            now + self.hold_s * RENEW_PART, lambda t: self._renew(send_id, t)
+        )
+        return [self._reserve(reservation) for reservation in reservations]
+
+    def on_reserved(self, message: ReserveAnswered, now: float) -> list:
+        """Take an engine's answer."""
+        reservation = self._known.get(message.reservation_id)
+        if reservation is None:
+            return []
+        if message.is_granted is None:
+            reservation.unanswered_at = now
+        if reservation.is_released:
+            return []
+        if reservation.is_granted:
+            return self._on_renewed(reservation, message)
+        if not message.is_granted:
+            return self._deny(reservation, message, now)
+        reservation.is_granted = True
+        group = self._by_send[reservation.send_id]
+        if all(r.is_granted for r in group):
+            return self.on_granted(reservation.send_id, now)
+        return []
+
+    def _on_renewed(self, reservation: _Reservation, message: ReserveAnswered) -> list:
+        if message.is_granted:
+            return []
+        fields = (
+            ("reservation", reservation.reservation_id),
+            ("server", reservation.server.name),
+            ("answered", str(message.is_granted is not None)),
+        )
+        return [Note("warning", "renewal_failed", fields=fields)]
+
+    def _deny(
+        self, reservation: _Reservation, message: ReserveAnswered, now: float
+    ) -> list:
+        fields = (
+            ("reservation", reservation.reservation_id),
+            ("server", reservation.server.name),
+            ("tokens", str(reservation.tokens)),
+            ("answered", str(message.is_granted is not None)),
+        )
+        note = Note("info", "reservation_denied", fields=fields)
+        send_id = reservation.send_id
+        self.release(send_id, now)
+        return [
+            note,
+            Count("reservation.denied"),
+            *self.on_denied(send_id, now),
+        ]
+
+    def release(self, send_id: int, now: float) -> None:
+        """Give back what a send holds; the orders leave with the next effects."""
+        for reservation in self._by_send.pop(send_id, ()):
+            reservation.is_released = True
+            reservation.released_at = now
+            self._effects.append(_release(reservation))
+
+    def on_released(self, message: ReleaseAnswered, now: float) -> list:
+        """Take an engine's answer; release again what may still be set aside."""
+        reservation = self._known.get(message.reservation_id)
+        if reservation is None:
+            return []
+        late_until = reservation.unanswered_at + LATE_ORDER_S
+        give_up_at = max(late_until, reservation.released_at + 2 * self.hold_s)
+        if now >= give_up_at or (message.is_done and now >= late_until):
+            del self._known[message.reservation_id]
+            return []
+        pause = LATE_RELEASE_S if message.is_done else RELEASE_AGAIN_S
+        self.timers.at(now + pause, lambda _: [_release(reservation)])
+        return []
+
+    def take_effects(self) -> list:
+        """Return the orders that are to leave."""
+        effects, self._effects = self._effects, []
+        return effects
+
+
+def _release(reservation: _Reservation) -> Release:
+    return Release(
+        reservation_id=reservation.reservation_id,
+        host=reservation.server.host,
+        port=reservation.server.port,
+    )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -62,7 +62,7 @@
         return []
 
     def _on_refused(self, carried: Carried, message: SendHead, now: float) -> list:
-        sending = self.desk.end_send(carried)
+        sending = self.desk.end_send(carried, now)
         blamed = self._server_at(message.at_fault, sending) or sending.server
         fields = (
             ("server", sending.server),
@@ -88,7 +88,7 @@
         return ""
 
     def _on_replaced(self, carried: Carried, now: float) -> list:
-        sending = self.desk.end_send(carried)
+        sending = self.desk.end_send(carried, now)
         known = self.desk.servers.get(sending.server)
         if known is not None:
             known.is_misdirected = True
@@ -155,7 +155,7 @@
 
     def _on_failure(self, carried: Carried, now: float) -> list:
         desk = self.desk
-        sending = desk.end_send(carried)
+        sending = desk.end_send(carried, now)
         carried.runs += 1
         carried.failure = sending.send_id
         if sending.status < 500:
@@ -176,7 +176,7 @@
             return []
         if message.is_sent:
             return self._on_broken(carried, message.problem, now)
-        sending = self.desk.end_send(carried)
+        sending = self.desk.end_send(carried, now)
         self.desk.health.note_failure(sending.server, now, certain=True)
         return [
             self._note_lost(carried, sending, message.problem),
@@ -186,7 +186,7 @@
 
     def _on_broken(self, carried: Carried, problem: str, now: float) -> list:
         """Deal with a send after which the request may have run."""
-        sending = self.desk.end_send(carried)
+        sending = self.desk.end_send(carried, now)
         carried.runs += 1
         self.desk.health.note_failure(sending.server, now)
         return [
@@ -209,7 +209,9 @@
         effects = []
         for carried in list(self.desk.carried.values()):
             sending = carried.sending
-            if sending is None or not carried.route.is_repeatable:
+            if sending is None or sending.placement is not None:
+                continue
+            if not carried.route.is_repeatable:
                 continue
             patience = _patience_s(carried, sending)
             if now - sending.progress_at > patience:
@@ -223,7 +225,7 @@
         if carried.runs + 1 >= carried.route.attempts:
             sending.progress_at = now
             return []
-        desk.end_send(carried)
+        desk.end_send(carried, now)
         carried.runs += 1
         fields = (
             ("server", sending.server),
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -45,6 +45,7 @@
     :param digests: where peers send their digests.
     :param metrics: where counters and histograms are read.
     :param grace_s: seconds that a planned stop may take.
+    :param hold_s: seconds that memory of an engine is set aside without renewal.
     """
 
     name: str
@@ -58,6 +59,7 @@
     metrics_path: str
     repeats: RepeatLimits
     grace_s: float
+    hold_s: float
     seeds: tuple[PeerAddress, ...] = ()
 
 
@@ -156,5 +158,10 @@
         digest_port=settings.digests.port,
     )
     return RouteInstance(
-        identity, address, settings.repeats, settings.grace_s, settings.seeds
+        identity=identity,
+        address=address,
+        repeats=settings.repeats,
+        grace_s=settings.grace_s,
+        hold_s=settings.hold_s,
+        seeds=settings.seeds,
     )
