Check the servers of a prompt again once its memory is set aside

Cause, found by a new state machine of the promises to callers: a server that began to leave while memory was being reserved still got the prompt; and with no server left, the spreading of a prompt divided by zero, so its request got no answer. Ruled out: the reservation itself, which was released in both cases. Change: servers are checked when the reservation is granted; nothing is placed without servers. The machine fails before and passes after.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -135,7 +135,7 @@
         if carried.due - now < SHORTEST_SEND_S:
             return self.give_up(carried, now)
         known = self._candidates(carried, now)
-        placement = self._choose(carried, known, now)
+        placement = self._choose(carried, known, now) if known else None
         if placement is not None:
             self._waiting.pop(carried.request.request_id, None)
             return self._send(carried, placement, now)
@@ -218,12 +218,8 @@
         placement = carried.sending.placement
         carried.sending.placement = None
         carried.sending.sent_at = carried.sending.progress_at = now
-        gone = [
-            name
-            for name in (placement.lead, *placement.helpers)
-            if self.servers.get(name) is None
-        ]
-        if gone:
+        names = (placement.lead, *placement.helpers)
+        if not all(self.servers.is_usable(name, now) for name in names):
             return self.on_denied(send_id, now)
         return [self._forward(carried, placement, now)]
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -50,6 +50,11 @@
         """Return a server by name."""
         return self._servers.get(name)
 
+    def is_usable(self, name: str, now: float) -> bool:
+        """Return whether a server may get new work."""
+        server = self._servers.get(name)
+        return server is not None and server.is_usable(now)
+
     def of_service(self, service: str, now: float) -> list[KnownServer]:
         """Return the servers of a service that may get new work."""
         known = self._by_service.get(service, {})
