Count reading as life, judge the parts of spread prompts, lose late weight by part

Ruled out: the engines (they answered), the store (stable then), the retry budget. Connecting is given up after 0.25 s.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -62,6 +62,7 @@
     """Requests in progress and what becomes of them.
 
     :param data_centre: where this instance is.
+    :param heard_at: time of the last word of each server.
     """
 
     data_centre: str
@@ -77,6 +78,7 @@
     is_closing: bool = False
     carried: dict[int, Carried] = field(factory=dict)
     sends: dict[int, Carried] = field(factory=dict)
+    heard_at: dict[str, float] = field(factory=dict)
     _waiting: dict[int, Carried] = field(factory=dict)
     _send_count: int = 0
 
@@ -426,6 +428,12 @@
         )
         self.recorder.add(entry)
 
+    def forget_server(self, name: str) -> None:
+        """Drop what was observed of a server that left or started anew."""
+        self.health.forget(name)
+        self.pace.forget(name)
+        self.heard_at.pop(name, None)
+
     def on_caller_left(self, message: CallerLeft, now: float) -> list:
         """Abort what a caller no longer waits for."""
         carried = self.carried.get(message.request_id)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -152,7 +152,7 @@
         self.desk.budget.instances = self.peers.instances
         effects = self.mail.check_silence(now) + self.desk.expire(now)
         for name in self.desk.servers.drop_lapsed(now):
-            self.desk.health.forget(name)
+            self.desk.forget_server(name)
         effects += self.desk.serve_waiting(now)
         return effects + self.stopping.check(now)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -105,6 +105,16 @@
         """Leave out a peer that stopped."""
         self._peers.pop(name, None)
 
+    def reading_s(self, server: str, now: float) -> float:
+        """Return seconds for which a server may be silent because it reads.
+
+        What this instance had read there counts whole, since its start is not known.
+        """
+        own = self._by_server.get(server, ())
+        whole = sum(load.read_s for load in own if load.is_reading)
+        left = sum(load.left_s(now) for load in own)
+        return self.of(server, now).read_s - left + whole
+
     def own(self, now: float) -> dict[str, ServerLoad]:
         """Return what this instance has in progress, by server."""
         return {
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -33,6 +33,9 @@
 """Part of an engine's memory from which a prompt is spread rather than left waiting
 for one engine to be free."""
 
+LATE_LOSS = 0.75
+"""Part of a request's weight that is lost when its first event is late."""
+
 NEW_NEIGHBOUR_COST = 0.04
 """Loss for bringing streams with short pauses to an engine that has none."""
 
@@ -145,7 +148,7 @@
     """Return the loss of a request and its neighbours on an engine."""
     load = candidate.load
     first_s = _first_event_s(profile, candidate, read_s)
-    cost = prompt.weight * _ramp(first_s / prompt.aim_s)
+    cost = LATE_LOSS * prompt.weight * _ramp(first_s / prompt.aim_s)
     cost += _harm(profile, candidate, read_s)
     cost += BUSY_COST * (load.read_s + 0.02 * load.leads) * candidate.pace
     cost += 0.0 if candidate.is_local else REMOTE_COST
@@ -183,15 +186,7 @@
         if c is not lead and c.load.helps < c.slots
     ]
     others.sort(key=lambda entry: entry[:2])
-    best = None
-    for count in HELPER_COUNTS:
-        if count > len(others):
-            break
-        chosen = [entry[2] for entry in others[:count]]
-        placement = _judge_parts(profile, lead, chosen, prompt, total_s / (count + 1))
-        if best is None or placement.cost < best.cost:
-            best = placement
-    return best
+    return _best_count(profile, lead, [], [entry[2] for entry in others], prompt)
 
 
 def _place_spread(
@@ -219,15 +214,32 @@
     shares = _share_tokens([_free_tokens(profile, c) for c in holders], need)
     if shares is None or len(holders) > MAX_HELPERS:
         return None
-    readers = [c for c in ranked if c not in holders and c.load.helps < c.slots][
-        : MAX_HELPERS + 1 - len(holders)
-    ]
-    helpers = [*holders[1:], *readers]
-    placement = _judge_parts(
-        profile, lead, helpers, prompt, profile.read_s(prompt.tokens, 1 + len(helpers))
-    )
+    others = [c for c in ranked if c not in holders and c.load.helps < c.slots]
     held = zip(holders[1:], shares[1:], strict=True)
-    return evolve(placement, holdings=tuple((c.name, tokens) for c, tokens in held))
+    best = _best_count(profile, lead, holders[1:], others, prompt)
+    return evolve(best, holdings=tuple((c.name, tokens) for c, tokens in held))
+
+
+def _best_count(
+    profile: EngineProfile,
+    lead: Candidate,
+    needed: list[Candidate],
+    others: list[Candidate],
+    prompt: Prompt,
+) -> Placement:
+    """Return the best number of helpers.
+
+    :param needed: helpers that there must be.
+    :param others: further ones, the best first.
+    """
+    total_s = profile.read_s(prompt.tokens)
+    most = min(MAX_HELPERS - len(needed), len(others))
+    placements = []
+    for count in (*[n for n in HELPER_COUNTS if n < most], most):
+        helpers = [*needed, *others[:count]]
+        part_s = total_s / (len(helpers) + 1)
+        placements.append(_judge_parts(profile, lead, helpers, prompt, part_s))
+    return min(placements, key=lambda placement: placement.cost)
 
 
 def _share_tokens(free: list[int], need: int) -> list[int] | None:
@@ -262,7 +274,7 @@
             *(_first_event_s(profile, helper, part_s) for helper in helpers),
         ]
     )
-    cost = prompt.weight * _ramp(first_s / prompt.aim_s)
+    cost = LATE_LOSS * prompt.weight * _ramp(first_s / prompt.aim_s)
     cost += BUSY_COST * first_s + HELPER_COST * len(helpers)
     cost += _harm(profile, lead, part_s)
     cost += sum(_harm(profile, helper, part_s) for helper in helpers)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -34,6 +34,9 @@
 GAP_FACTOR = 2.5
 """Times the longest pause on time after which a stream counts as lost."""
 
+READING_FACTOR = 1.5
+"""Times the reading known to be in progress by which a server may be silent longer."""
+
 SAFE_FACTOR = 3.0
 """Times the target latency after which a repeatable call counts as lost."""
 
@@ -50,6 +53,7 @@
         if carried is None:
             return []
         sending = carried.sending
+        self.desk.heard_at[sending.server] = now
         sending.kind = message.kind
         sending.status = message.status
         sending.progress_at = now
@@ -106,6 +110,7 @@
             return []
         sending = carried.sending
         sending.progress_at = now
+        self.desk.heard_at[sending.server] = now
         sending.events += 1
         effects = []
         if sending.events == 1:
@@ -214,14 +219,22 @@
             if not carried.route.is_repeatable:
                 continue
             patience = _patience_s(carried, sending)
+            patience += READING_FACTOR * self._reading_s(sending, now)
             if now - sending.progress_at > patience:
                 effects += self._on_silent(carried, now)
         return effects
 
+    def _reading_s(self, sending: Sending, now: float) -> float:
+        """Return seconds that the engines of a send may read without a word."""
+        load = self.desk.load
+        names = (sending.server, *(() if sending.events else sending.helpers))
+        return max(load.reading_s(name, now) for name in names)
+
     def _on_silent(self, carried: Carried, now: float) -> list:
         desk = self.desk
         sending = carried.sending
-        desk.health.note_failure(sending.server, now, certain=True)
+        is_mute = desk.heard_at.get(sending.server, 0.0) <= sending.progress_at
+        desk.health.note_failure(sending.server, now, certain=is_mute)
         if carried.runs + 1 >= carried.route.attempts:
             sending.progress_at = now
             return []
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -23,7 +23,7 @@
 IDLE_MARGIN_S = 1.0
 """Seconds before the server's own time at which a connection is not used again."""
 
-CONNECT_S = 0.5
+CONNECT_S = 0.25
 """Seconds for a connection to be established; the longest way takes a few ms."""
 
 KEEP_ALIVE_S = 1
