Find a cut data centre out by two servers, and missed first events sooner

Cause: with a zone cut, every server behind it was found out by a request of its own, 0.25 s each, by each instance; chats that met one were late (aim 300 ms). A mute engine was left only after 0.6 s beyond twice the expectation. Ruled out: ejection alone, which learns one server at a time. Change: two unreached servers with no word from their data centre since make it suspect for a second; connecting is given up after 0.12 s, a first event after 0.35 s beyond twice the expectation. A prompt that the present engines could not hold even idle is refused at once. Request lines carry the longest pause.

--- /dev/null
+++ b/features/properties/test_route_load.py
@@ -0,0 +1,147 @@
+"""Decisions of the route desk under loads that went wrong on played days."""
+
+import unittest
+
+from briarrelay_core.ports.digest import DigestHeard, LoadDigest, ServerLoad
+from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.memory import Reserve, ReserveAnswered
+from briarrelay_core.ports.route import (
+    AbortSend,
+    HeadKind,
+    RouteRefused,
+    SendEvent,
+    SendHead,
+    SendLost,
+)
+from properties.routeworld import PROFILE, RouteWorld, make_entry
+
+
+def begin(world: RouteWorld, send_id: int) -> None:
+    """Let a send's first event come."""
+    world.tell(SendHead(send_id=send_id, kind=HeadKind.SUCCESS, status=200))
+    world.tell(SendEvent(send_id, "1", b"1"))
+
+
+class SilenceTest(unittest.TestCase):
+    def test_reading_is_no_silence(self):
+        """Chats wait while a prompt of 500 k tokens is read on their engines."""
+        world = RouteWorld(engines=2)
+        chats = [
+            world.forwards(world.request("chat", patience_s=10.0))[0] for _ in range(8)
+        ]
+        for forward in chats:
+            begin(world, forward.send_id)
+        effects = world.request("file", prompt_tokens=500_000, patience_s=15.0)
+        for reserve in world.of(effects, Reserve):
+            world.tell(ReserveAnswered(reserve.reservation_id, True))
+        part_s = PROFILE.read_s(500_000, 2)
+        effects = world.advance(part_s)
+        self.assertEqual(world.of(effects, AbortSend), [])
+
+    def test_mute_server_is_left(self):
+        world = RouteWorld()
+        first = world.forwards(world.request("chat"))[0]
+        effects = world.advance(1.0)
+        again = world.forwards(effects)
+        self.assertEqual(len(again), 1)
+        self.assertNotEqual(again[0].server, first.server)
+
+    def test_late_answer_of_a_left_server_is_nobodys(self):
+        world = RouteWorld()
+        first = world.forwards(world.request("chat"))[0]
+        world.advance(1.0)
+        self.assertEqual(world.tell(SendEvent(first.send_id, "1", b"1")), [])
+
+
+class CutTest(unittest.TestCase):
+    def make_world(self) -> RouteWorld:
+        world = RouteWorld(engines=0)
+        here = [make_entry(f"engine-{n}", "llm") for n in (1, 2, 3)]
+        there = [
+            make_entry(f"engine-{n}", "llm", data_centre="b") for n in range(4, 20)
+        ]
+        world.list_servers(*here, *there)
+        return world
+
+    def test_two_unreached_servers_condemn_a_data_centre(self):
+        world = self.make_world()
+        lost = 0
+        for _ in range(20):
+            queue = world.forwards(world.request("chat"))
+            while queue:
+                forward = queue.pop()
+                if int(forward.server.rpartition("-")[2]) > 3:
+                    lost += 1
+                    effects = world.tell(
+                        SendLost(forward.send_id, False, "", is_unreached=True)
+                    )
+                    queue += world.forwards(effects)
+        self.assertLessEqual(lost, 2)
+
+    def test_a_word_clears_it(self):
+        world = self.make_world()
+        reach = world.core.desk.reach
+        reach.note_unreached("b", "engine-4", world.now)
+        reach.note_unreached("b", "engine-5", world.now)
+        self.assertTrue(reach.is_suspect("b", world.now))
+        world.core.desk.note_word("engine-6", world.now)
+        self.assertFalse(reach.is_suspect("b", world.now))
+
+    def test_it_is_tried_again(self):
+        world = self.make_world()
+        reach = world.core.desk.reach
+        reach.note_unreached("b", "engine-4", world.now)
+        reach.note_unreached("b", "engine-5", world.now)
+        self.assertFalse(reach.is_suspect("b", world.now + 1.0))
+
+
+class PlaceTest(unittest.TestCase):
+    def test_chats_share_engines_and_leave_others_for_reading(self):
+        world = RouteWorld(engines=6)
+        for _ in range(12):
+            begin(world, world.forwards(world.request("chat"))[0].send_id)
+            world.advance(0.05)
+        used = {forward.server for forward in world.forwards()}
+        self.assertLessEqual(len(used), 3)
+        forward = world.forwards(world.request("file", prompt_tokens=210_000))[0]
+        addresses = {f"10.0.0.{name.rpartition('-')[2]}:8080" for name in sorted(used)}
+        helping = {helper.address for helper in forward.helpers}
+        self.assertNotIn(forward.server, used)
+        self.assertEqual(helping & addresses, set())
+
+    def test_peers_sends_count(self):
+        world = RouteWorld(engines=2)
+        peer = PeerAddress(
+            name="entry-2", host="10.9.0.2", question_port=1, digest_port=2
+        )
+        busy = ServerLoad(read_s=2.0, leads=8, tokens=400_000)
+        digest = LoadDigest(
+            sender=peer, incarnation=1, number=1, version=1, loads={"engine-1": busy}
+        )
+        world.tell(DigestHeard(digest))
+        servers = {world.forwards(world.request("chat"))[0].server for _ in range(4)}
+        self.assertEqual(servers, {"engine-2"})
+
+    def test_prompt_that_nothing_holds_is_refused_at_once(self):
+        world = RouteWorld(engines=2)
+        effects = world.request("file", prompt_tokens=1_000_000)
+        refused = world.of(effects, RouteRefused)
+        self.assertEqual(len(refused), 1)
+
+    def test_full_fleet_refuses_with_a_time_to_return(self):
+        world = RouteWorld(engines=1)
+        sends = [world.forwards(world.request("chat"))[0].send_id for _ in range(8)]
+        effects = world.request("chat")
+        for number in range(1, 30):
+            for send_id in sends:
+                head = SendHead(send_id=send_id, kind=HeadKind.SUCCESS, status=200)
+                world.tell(head)
+                world.tell(SendEvent(send_id, str(number), b"1"))
+            effects += world.advance(0.1)
+        refused = world.of(effects, RouteRefused)
+        self.assertEqual(len(refused), 1)
+        self.assertGreater(refused[0].outcome.retry_after, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
@@ -57,6 +57,8 @@
     last_event: str = ""
     failure: int = 0
     first_event_at: float | None = None
+    last_event_at: float = 0.0
+    longest_gap_s: float = 0.0
 
     @property
     def is_prompt(self) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -29,7 +29,9 @@
     Prompt,
     place_call,
     place_prompt,
+    whole_memory,
 )
+from briarrelay_core.routes.reach import ReachTable
 from briarrelay_core.routes.reserving import Reservations
 from briarrelay_core.routes.servers import KnownServer, ServerTable
 
@@ -41,6 +43,9 @@
 SHORTEST_SEND_S = 0.02
 """Seconds below which a request is not worth sending."""
 
+SHORTEST_AIM_S = 0.05
+"""Seconds to the first event that are aimed at when the target has passed already."""
+
 LATE_ANSWER_S = 0.1
 """Seconds after the time of a request in which its server's own answer may come."""
 
@@ -78,6 +83,7 @@
     is_closing: bool = False
     carried: dict[int, Carried] = field(factory=dict)
     sends: dict[int, Carried] = field(factory=dict)
+    reach: ReachTable = field(factory=ReachTable)
     heard_at: dict[str, float] = field(factory=dict)
     _waiting: dict[int, Carried] = field(factory=dict)
     _send_count: int = 0
@@ -137,6 +143,8 @@
         if carried.due - now < SHORTEST_SEND_S:
             return self.give_up(carried, now)
         known = self._candidates(carried, now)
+        if known and carried.is_prompt and self._is_too_large(carried, len(known)):
+            return self.give_up(carried, now, RefusalReason.SERVERS_FULL)
         placement = self._choose(carried, known, now) if known else None
         if placement is not None:
             self._waiting.pop(carried.request.request_id, None)
@@ -158,8 +166,13 @@
             for server in fresh
             if self.health.admits(server.entry.name, request_id, now)
         ]
+        reached = [
+            server
+            for server in sound
+            if not self.reach.is_suspect(server.entry.data_centre, now)
+        ]
         if sound:
-            return sound
+            return reached or sound
         return fresh if carried.tried or len(fresh) == len(usable) else usable
 
     def _choose(
@@ -179,16 +192,13 @@
         ]
         if not is_prompt:
             return place_call(candidates)
+        return place_prompt(carried.profile, candidates, _make_prompt(carried, now))
+
+    def _is_too_large(self, carried: Carried, engines: int) -> bool:
+        """Return whether the engines could not hold a prompt if all were idle."""
         request = carried.request
-        route = carried.route
-        prompt = Prompt(
-            tokens=request.prompt_tokens,
-            output_tokens=request.output_tokens,
-            aim_s=max(0.05, route.target_latency_s - (now - carried.arrived_at)),
-            limit_s=route.gap_limit_s or 0.0,
-            weight=carried.weight,
-        )
-        return place_prompt(carried.profile, candidates, prompt)
+        need = request.prompt_tokens + request.output_tokens
+        return need > whole_memory(carried.profile, engines)
 
     def _send(self, carried: Carried, placement: Placement, now: float) -> list:
         self._send_count += 1
@@ -411,6 +421,7 @@
             ("expected_ms", f"{1000 * sending.expected_s:.0f}" if sending else ""),
             ("first_ms", f"{1000 * (first - carried.arrived_at):.0f}" if first else ""),
             ("whole_ms", f"{1000 * (now - carried.arrived_at):.0f}"),
+            ("gap_ms", f"{1000 * carried.longest_gap_s:.0f}"),
             ("last_event", carried.last_event),
             ("tokens", str(request.prompt_tokens)),
         )
@@ -428,6 +439,19 @@
         )
         self.recorder.add(entry)
 
+    def note_word(self, server: str, now: float) -> None:
+        """Note that a server said something."""
+        self.heard_at[server] = now
+        known = self.servers.get(server)
+        if known is not None:
+            self.reach.note_word(known.entry.data_centre)
+
+    def note_unreached(self, server: str, now: float) -> None:
+        """Note that no connection to a server came about."""
+        known = self.servers.get(server)
+        if known is not None:
+            self.reach.note_unreached(known.entry.data_centre, server, now)
+
     def forget_server(self, name: str) -> None:
         """Drop what was observed of a server that left or started anew."""
         self.health.forget(name)
@@ -461,3 +485,15 @@
         if carried.sending is not None:
             carried.runs += 1
         return self.give_up(carried, now, RefusalReason.CANNOT_FINISH)
+
+
+def _make_prompt(carried: Carried, now: float) -> Prompt:
+    request = carried.request
+    left_s = carried.route.target_latency_s - (now - carried.arrived_at)
+    return Prompt(
+        tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        aim_s=max(SHORTEST_AIM_S, left_s),
+        limit_s=carried.route.gap_limit_s or 0.0,
+        weight=carried.weight,
+    )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -9,7 +9,14 @@
 from briarrelay_core.ports.digest import ServerLoad
 from briarrelay_core.routes.model import EngineProfile
 
-__all__ = ["Candidate", "Placement", "Prompt", "place_call", "place_prompt"]
+__all__ = [
+    "Candidate",
+    "Placement",
+    "Prompt",
+    "place_call",
+    "place_prompt",
+    "whole_memory",
+]
 
 MAX_HELPERS = 16
 """Most engines that may help one prompt; the engines' own bound."""
@@ -282,6 +289,12 @@
     return Placement(lead.name, names, part_s, first_s, cost)
 
 
+def whole_memory(profile: EngineProfile, engines: int) -> int:
+    """Return the tokens of the largest prompt that a number of idle engines holds."""
+    whole = int(profile.memory_tokens * MEMORY_PART)
+    return whole * min(engines, MAX_HELPERS + 1)
+
+
 def place_prompt(
     profile: EngineProfile, candidates: list[Candidate], prompt: Prompt
 ) -> Placement | None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -22,7 +22,7 @@
 
 __all__ = ["SendMail"]
 
-FIRST_EVENT_S = 0.6
+FIRST_EVENT_S = 0.35
 """Seconds beyond the expectation after which a first event counts as missing."""
 
 FIRST_EVENT_FACTOR = 2.0
@@ -53,7 +53,7 @@
         if carried is None:
             return []
         sending = carried.sending
-        self.desk.heard_at[sending.server] = now
+        self.desk.note_word(sending.server, now)
         sending.kind = message.kind
         sending.status = message.status
         sending.progress_at = now
@@ -109,8 +109,13 @@
         if carried is None:
             return []
         sending = carried.sending
+        if carried.is_begun:
+            carried.longest_gap_s = max(
+                carried.longest_gap_s, now - carried.last_event_at
+            )
+        carried.last_event_at = now
         sending.progress_at = now
-        self.desk.heard_at[sending.server] = now
+        self.desk.note_word(sending.server, now)
         sending.events += 1
         effects = []
         if sending.events == 1:
@@ -183,6 +188,8 @@
             return self._on_broken(carried, message.problem, now)
         sending = self.desk.end_send(carried, now)
         self.desk.health.note_failure(sending.server, now, certain=True)
+        if message.is_unreached:
+            self.desk.note_unreached(sending.server, now)
         return [
             self._note_lost(carried, sending, message.problem),
             *self.desk.repeat_or_give_up(carried, RetryReason.SERVER_LOST, now),
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -23,8 +23,9 @@
 IDLE_MARGIN_S = 1.0
 """Seconds before the server's own time at which a connection is not used again."""
 
-CONNECT_S = 0.25
-"""Seconds for a connection to be established; the longest way takes a few ms."""
+CONNECT_S = 0.12
+"""Seconds for a connection to be established; the longest way takes a few ms, and
+there is time left to try elsewhere."""
 
 KEEP_ALIVE_S = 1
 """Seconds of silence before, and between, TCP keep-alive probes."""
@@ -152,6 +153,7 @@
         self._reader = _AnswerReader(sink)
         self.is_over = False
         self.problem = ""
+        self.is_unreached = False
 
     def begin(self, connection: _Connection, message: bytes, timeout: float) -> None:
         """Send the call on a connection."""
@@ -171,6 +173,7 @@
 
     def _on_connect_timeout(self, _: float) -> list:
         if not self._sent:
+            self.is_unreached = True
             self._lose("no connection in time")
         return []
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -136,8 +136,9 @@
             self._tell(SendDone(self._forward.send_id))
 
     def on_lost(self, sent: bool) -> None:
-        problem = self.call.problem if self.call else ""
-        self._tell(SendLost(self._forward.send_id, sent, problem))
+        call = self.call
+        send_id = self._forward.send_id
+        self._tell(SendLost(send_id, sent, call.problem, call.is_unreached))
 
     def _tell(self, message) -> None:
         if not self.is_over:
