--- /dev/null
+++ b/features/properties/test_platform_path.py
@@ -0,0 +1,195 @@
+"""The whole path on the platform's protocol: real processes before stand-ins."""
+
+import signal
+import socket
+import threading
+import time
+import unittest
+
+from standins.fleet import HOST, Fleet, call, configuration, event_ids, post
+
+
+class PathTest(unittest.TestCase):
+    """One fleet for all tests, since a start takes seconds."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(engines=3, desks=2, entries=2, base="1.1")
+        cls.fleet.__enter__()
+        cls.addClassCleanup(cls.fleet.__exit__)
+
+    def setUp(self):
+        for name in self.fleet.names:
+            self.fleet.order("trouble", name, trouble={})
+            self.fleet.order("silent", name, is_silent=False)
+        self.entry = self.fleet.instances[0]
+
+    def ran(self, attempt: str) -> list[dict]:
+        return [run for run in self.fleet.runs() if run["attempt"] == attempt]
+
+    def trouble(self, **parts) -> None:
+        for name in self.fleet.names:
+            self.fleet.order("trouble", name, trouble=parts)
+
+    def test_stream_is_whole_and_sealed(self):
+        answer = call(self.entry, "/chat/x", "s1", tokens="1000,5")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["x-response-seal"], "seal.s1")
+        self.assertEqual(event_ids(answer), [1, 2, 3, 4, 5])
+        run = self.ran("s1")[0]
+        self.assertEqual(run["workspace"], "owners")
+        self.assertFalse(run["has_key"])
+
+    def test_stream_goes_on_elsewhere(self):
+        self.trouble(**{"break": 0.1})
+        answers = [
+            call(self.entry, "/chat/x", f"r{n}", tokens="1000,12") for n in range(8)
+        ]
+        for answer in answers:
+            ids = event_ids(answer)
+            self.assertEqual(ids, list(range(1, len(ids) + 1)))
+            if answer.is_whole and answer.status == 200:
+                self.assertEqual(len(ids), 12)
+
+    def test_booking_runs_once_though_its_answer_is_lost(self):
+        self.trouble(cut=1.0)
+        answer = call(self.entry, "/book/x", "b1")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(self.ran("b1")), 1)
+
+    def test_lookup_is_repeated(self):
+        self.fleet.order("trouble", "desk-0", trouble={"cut": 1.0})
+        for n in range(6):
+            answer = call(self.entry, "/look/x", f"l{n}", method="GET", body=b"")
+            self.assertEqual(answer.status, 200)
+
+    def test_refused_everywhere_is_not_run(self):
+        self.trouble(shed=1.0)
+        answer = call(self.entry, "/book/x", "b2")
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertEqual(self.ran("b2"), [])
+
+    def test_unknown_route_and_key(self):
+        self.assertEqual(call(self.entry, "/none/x", "u1").status, 404)
+        self.assertEqual(call(self.entry, "/book/x", "u2", key="no").status, 401)
+        self.assertEqual(self.ran("u1") + self.ran("u2"), [])
+
+    def test_bad_headers_are_refused(self):
+        for headers in (
+            {"X-Request-Deadline": "soon"},
+            {"X-Token-Counts": "many"},
+            {"X-Attempt-Id": ""},
+        ):
+            answer = call(self.entry, "/chat/x", "h1", tokens="1,1", more=headers)
+            self.assertEqual(answer.status, 400, headers)
+        self.assertEqual(self.ran("h1"), [])
+
+    def test_configuration_is_in_force_everywhere(self):
+        self.fleet.put("keyed.op", "config", configuration(5, routes=("new",)))
+        time.sleep(0.5)
+        for number, entry in enumerate(self.fleet.instances):
+            answer = call(entry, "/new/x", f"c{number}", method="GET", body=b"")
+            self.assertEqual(answer.status, 200)
+        self.fleet.put("keyed.op", "config", configuration(4))
+        time.sleep(0.3)
+        answer = call(self.entry, "/new/x", "c9", method="GET", body=b"")
+        self.assertEqual(answer.status, 200)
+
+    def test_broken_entries_harm_nobody(self):
+        for number, value in enumerate(
+            ("text", {"address": 5}, {"service": "desk", "state": "odd"})
+        ):
+            self.fleet.put("keyed.servers", f"odd-{number}", value)
+        self.fleet.put("keyed.op", "config", {"version": "high"})
+        time.sleep(1.2)
+        self.assertEqual(call(self.entry, "/book/x", "k1").status, 200)
+        bad = [e for e in self.entry.lines() if e["event"] == "entry_bad"]
+        self.assertGreaterEqual(len(bad), 4)
+
+    def test_forgotten_history(self):
+        post(*self.fleet.store, "/standin/forget")
+        time.sleep(1.2)
+        self.fleet.put("keyed.op", "config", configuration(8, routes=("later",)))
+        time.sleep(0.8)
+        answer = call(self.entry, "/later/x", "f1", method="GET", body=b"")
+        self.assertEqual(answer.status, 200)
+
+    def test_leaving_caller_is_followed(self):
+        def leave():
+            sock = socket.create_connection((self.entry.host, self.entry.front))
+            sock.sendall(
+                f"POST /chat/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: g1\r\n"
+                "X-Token-Counts: 100,200\r\nAuthorization: Bearer key-1\r\n"
+                "Content-Length: 0\r\n\r\n".encode()
+            )
+            sock.recv(100)
+            sock.close()
+
+        leave()
+        self.fleet.wait(
+            lambda: any(
+                e["event"] == "request"
+                and e["request_id"] == "g1"
+                and e["outcome"] == "caller_gone"
+                for e in self.entry.lines()
+            ),
+            3.0,
+        )
+
+    def test_metrics_are_served(self):
+        import http.client
+
+        connection = http.client.HTTPConnection(self.entry.host, 9464, timeout=2)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        self.assertIn('briarrelay_total{name="refused.unknown_route"}', text)
+
+
+class StopTest(unittest.TestCase):
+    def test_planned_stop_cuts_nothing(self):
+        with Fleet(engines=2, desks=1, entries=2, base="1.2") as fleet:
+            entry = fleet.instances[0]
+            answers = []
+
+            def stream(number: int):
+                answers.append(call(entry, "/chat/x", f"p{number}", tokens="1000,60"))
+
+            threads = [threading.Thread(target=stream, args=(n,)) for n in range(4)]
+            for thread in threads:
+                thread.start()
+            time.sleep(0.3)
+            entry.process.send_signal(signal.SIGTERM)
+            for thread in threads:
+                thread.join()
+            self.assertEqual([len(event_ids(a)) for a in answers], [60] * 4)
+            self.assertEqual(entry.process.wait(10), 0)
+            events = [line["event"] for line in entry.lines()]
+            self.assertIn("stopping", events)
+            self.assertIn("stopped", events)
+
+    def test_draining_server_gets_no_new_work(self):
+        with Fleet(engines=2, desks=1, entries=1, base="1.3") as fleet:
+            entry = fleet.instances[0]
+            fleet.order("drain", "engine-0")
+            time.sleep(2.0)
+            for number in range(6):
+                call(entry, "/chat/x", f"d{number}", tokens="1000,2")
+            servers = {r["server"] for r in fleet.runs()}
+            self.assertEqual(servers, {"engine-1"})
+
+    def test_start_without_the_store(self):
+        """A new instance learns configuration and servers from a peer."""
+        with Fleet(engines=2, desks=1, entries=2, base="1.4") as fleet:
+            post(*fleet.store, "/standin/trouble", {"busy": 1.0})
+            entry = fleet.instances[1]
+            entry.process.kill()
+            entry.process.wait()
+            fleet.start(entry)
+            fleet.wait(entry.is_ready, 10)
+            answer = call(entry, "/chat/x", "w1", tokens="1000,3")
+            self.assertEqual(event_ids(answer), [1, 2, 3])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/features/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform, written from its pages."""
--- /dev/null
+++ b/features/standins/loop.py
@@ -0,0 +1,45 @@
+"""The loop that stand-ins run on."""
+
+from time import monotonic
+
+from circuits import Component
+from circuits.core.pollers import EPoll
+
+from briarrelay_daemon.callerserver import CallerServer, RawExchange
+from briarrelay_daemon.settings import Address
+from briarrelay_daemon.wire import Wire
+
+
+class StandInLoop(Component):
+    """A loop with sockets and timers."""
+
+    channel = "standin"
+
+    def __init__(self):
+        super().__init__(channel=self.channel)
+        poller = EPoll().register(self)
+        self.wire = Wire(monotonic).register(self)
+        self.wire.attach(poller)
+
+    def serve(self, host: str, port: int, on_request, on_left=None) -> CallerServer:
+        """Listen on an address."""
+        server = CallerServer(
+            Address(host, port), self.wire, on_request, on_left or (lambda _: None)
+        )
+        server.limits = server.limits.__class__(body_bytes=64_000_000, idle_s=600.0)
+        return server
+
+    def later(self, seconds: float, callback) -> None:
+        """Call back after some seconds."""
+        self.wire.timers.at(self.wire.clock() + seconds, lambda _: callback() or [])
+
+
+def read_query(exchange: RawExchange) -> dict[str, str]:
+    """Return the query of a request's target."""
+    text = exchange.target.partition(b"?")[2].decode()
+    return dict(part.split("=", 1) for part in text.split("&") if "=" in part)
+
+
+def read_path(exchange: RawExchange) -> str:
+    """Return the path of a request's target."""
+    return exchange.target.partition(b"?")[0].decode()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -52,11 +52,17 @@
 
 @define(slots=True)
 class LoadTable:
-    """Load of every server, as far as this instance knows."""
+    """Load of every server, as far as this instance knows.
+
+    :ivar _peers: by server and peer, what the peer has in progress there and when it
+        said so.
+    :ivar _told: servers that each peer named in its last digest.
+    """
 
     _sends: dict[int, list[SendLoad]] = field(factory=dict)
     _by_server: dict[str, list[SendLoad]] = field(factory=dict)
-    _peers: dict[str, tuple[LoadDigest, float]] = field(factory=dict)
+    _peers: dict[str, dict[str, tuple[ServerLoad, float]]] = field(factory=dict)
+    _told: dict[str, tuple[str, ...]] = field(factory=dict)
     is_changed: bool = False
 
     def add(
@@ -99,11 +105,16 @@
 
     def hear(self, digest: LoadDigest, now: float) -> None:
         """Take a peer's digest."""
-        self._peers[digest.sender.name] = (digest, now)
+        name = digest.sender.name
+        self.forget_peer(name)
+        for server, load in digest.loads.items():
+            self._peers.setdefault(server, {})[name] = (load, now)
+        self._told[name] = tuple(digest.loads)
 
     def forget_peer(self, name: str) -> None:
         """Leave out a peer that stopped."""
-        self._peers.pop(name, None)
+        for server in self._told.pop(name, ()):
+            del self._peers[server][name]
 
     def reading_s(self, server: str, now: float) -> float:
         """Return seconds for which a server may be silent because it reads.
@@ -141,10 +152,9 @@
         """Return the load of a server by all that is known."""
         loads = self._by_server.get(server)
         total = self._own_of(loads, now) if loads else NOTHING
-        for digest, heard_at in self._peers.values():
+        for load, heard_at in self._peers.get(server, {}).values():
             age = now - heard_at
-            load = digest.loads.get(server)
-            if load is None or age > PEER_STALE_S:
+            if age > PEER_STALE_S:
                 continue
             total = ServerLoad(
                 total.read_s + max(0.0, load.read_s - age),
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -20,8 +20,12 @@
 BEAT_S = 0.5
 """Longest time in seconds between digests."""
 
-SPACING_S = 0.02
-"""Shortest time in seconds between digests, so that a burst of sends costs few."""
+SPACING_S = 0.005
+"""Shortest time in seconds between digests for each peer that gets them, so that a
+burst of sends costs few and the cost does not grow with the square of the peers."""
+
+LEAST_SPACING_S = 0.02
+"""Shortest time in seconds between digests, however few peers there are."""
 
 SILENT_S = 4.0
 """Seconds after which a peer counts as gone."""
@@ -78,7 +82,7 @@
 
     def start(self, now: float) -> list:
         """Begin to send digests."""
-        self.timers.every(BEAT_S, self._beat, now + SPACING_S)
+        self.timers.every(BEAT_S, self._beat, now + LEAST_SPACING_S)
         return []
 
     def add(self, address: PeerAddress) -> None:
@@ -126,7 +130,8 @@
         if self._is_due:
             return []
         self._is_due = True
-        self.timers.at(max(now, self._sent_at + SPACING_S), self._send)
+        spacing = max(LEAST_SPACING_S, SPACING_S * min(len(self._peers), MAX_PEERS))
+        self.timers.at(max(now, self._sent_at + spacing), self._send)
         return []
 
     def _beat(self, now: float) -> list:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -107,8 +108,43 @@
         return b"\r\n".join([*lines, b"", b""])
 
 
+@define(slots=True, eq=False)
+class _Message:
+    """A request that is being read.
+
+    :param head_bytes: bytes received before its header was whole.
+    """
+
+    target: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(factory=list)
+    body: bytearray = field(factory=bytearray)
+    head_bytes: int = 0
+    has_head: bool = False
+    method: str = ""
+    keeps_alive: bool = False
+
+    def excess(self, limits: CallerLimits) -> tuple[int, bytes] | None:
+        """Return status and text of a refusal if it is over a limit."""
+        head = sum(len(name) + len(value) + 4 for name, value in self.headers)
+        head = max(head + len(self.target), 0 if self.has_head else self.head_bytes)
+        if head > limits.header_bytes:
+            text = b"the header is over %d bytes; send a shorter one"
+            return 431, text % limits.header_bytes
+        declared = self._declared() if self.has_head else 0
+        if max(len(self.body), declared) > limits.body_bytes:
+            text = b"the body is over %d bytes; send a shorter one"
+            return 413, text % limits.body_bytes
+        return None
+
+    def _declared(self) -> int:
+        for name, value in self.headers:
+            if name.lower() == b"content-length" and value.strip().isdigit():
+                return int(value)
+        return 0
+
+
 class _Caller:
-    """A caller's connection and the request that is being read from it."""
+    """A caller's connection and the requests that are read from it."""
 
     def __init__(self, server: "CallerServer", sock: socket.socket):
         self.server = server
@@ -121,48 +157,48 @@
         self._is_flush_due = False
         self._on_ready = self._handle_ready
         self.is_closed = False
-        self._prepare()
+        self._parser = HttpRequestParser(self)
+        self._message = _Message()
+        self._whole: deque[_Message] = deque()
+        self.has_bytes = False
         self.since = server.wire.clock()
         server.wire.watch(sock, READ, self._on_ready)
 
-    def _prepare(self) -> None:
-        self.parser = HttpRequestParser(self)
-        self._target = b""
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body = bytearray()
-        self._head_bytes = 0
-        self._is_whole = False
-        self._keeps_alive = False
-        self.has_head = False
-        self.has_bytes = False
-
     @property
     def is_busy(self) -> bool:
         """Whether a request is being answered."""
         return self._exchange is not None
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the header of the request that is being read is whole."""
+        return self._message.has_head
+
     # Callbacks of the parser
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the request's target."""
-        self._target += url
+        self._message.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take a header."""
-        self._headers.append((name, value))
+        self._message.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Note that the body begins."""
-        self.has_head = True
+        self._message.has_head = True
 
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
-        self._body += data
+        self._message.body += data
 
     def on_message_complete(self) -> None:
-        """Note that the request is whole."""
-        self._is_whole = True
-        self._keeps_alive = self.parser.should_keep_alive()
+        """Put a whole request in line; the next one may follow in the same bytes."""
+        message = self._message
+        message.method = self._parser.get_method().decode("ascii")
+        message.keeps_alive = self._parser.should_keep_alive()
+        self._whole.append(message)
+        self._message = _Message()
 
     # Reading
 
@@ -193,11 +229,10 @@
         if not self.has_bytes:
             self.has_bytes = True
             self.since = self.server.wire.clock()
-        limits = self.server.limits
-        if not self.has_head:
-            self._head_bytes += len(data)
+        if not self._message.has_head:
+            self._message.head_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            self._parser.feed_data(data)
         except HttpParserUpgrade:
             self.refuse(400, b"upgrades are not served; send a plain request")
             return
@@ -205,41 +240,27 @@
             text = str(error).encode("ascii", "replace")
             self.refuse(400, b"the request can not be read (%b); correct it" % text)
             return
-        self._check_sizes(limits)
-        if self._is_whole and not self._is_closing and not self.is_closed:
-            self._hand_on()
-
-    def _check_sizes(self, limits: CallerLimits) -> None:
-        head = sum(len(n) + len(v) + 4 for n, v in self._headers) + len(self._target)
-        if not self.has_head:
-            head = max(head, self._head_bytes)
-        if head > limits.header_bytes:
-            text = b"the header is over %d bytes; send a shorter one"
-            self.refuse(431, text % limits.header_bytes)
-        elif len(self._body) > limits.body_bytes or (
-            self.has_head and self._declared() > limits.body_bytes
-        ):
-            text = b"the body is over %d bytes; send a shorter one"
-            self.refuse(413, text % limits.body_bytes)
-
-    def _declared(self) -> int:
-        for name, value in self._headers:
-            if name.lower() == b"content-length" and value.strip().isdigit():
-                return int(value)
-        return 0
+        self._hand_on()
 
     def _hand_on(self) -> None:
-        exchange = RawExchange(
-            method=self.parser.get_method().decode("ascii"),
-            target=self._target,
-            headers=self._headers,
-            body=bytes(self._body),
-            keeps_alive=self._keeps_alive,
-            connection=self,
-        )
-        self._exchange = exchange
-        self._prepare()
-        self.server.on_request(exchange)
+        """Hand the next whole request on, if none is being answered."""
+        if self._exchange is not None or self._is_closing or self.is_closed:
+            return
+        message = self._whole.popleft() if self._whole else None
+        refusal = (message or self._message).excess(self.server.limits)
+        if refusal is not None:
+            self.refuse(*refusal)
+        elif message is not None:
+            self.has_bytes = bool(self._whole or self._message.head_bytes)
+            self._exchange = RawExchange(
+                method=message.method,
+                target=message.target,
+                headers=message.headers,
+                body=bytes(message.body),
+                keeps_alive=message.keeps_alive,
+                connection=self,
+            )
+            self.server.on_request(self._exchange)
 
     def _on_left(self) -> None:
         exchange = self._exchange
@@ -304,14 +325,16 @@
         if not exchange.keeps_alive:
             self._is_closing = True
             return
-        if self._ahead:
+        if self._whole or self._ahead:
+            self.server.wire.at_turn_end(self._go_on)
+
+    def _go_on(self) -> None:
+        """Go on with what came while a request was answered."""
+        self._hand_on()
+        if self._exchange is None and self._ahead and not self.is_closed:
             ahead = bytes(self._ahead)
             self._ahead.clear()
-            self.server.wire.at_turn_end(lambda: self._feed_ahead(ahead))
-
-    def _feed_ahead(self, data: bytes) -> None:
-        if not self.is_closed and not self._is_closing:
-            self._feed(data)
+            self._feed(ahead)
 
     def close(self) -> None:
         """Close the connection at once."""
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -0,0 +1,81 @@
+"""Digests as datagrams: JSON arrays, since one instance reads hundreds a second."""
+
+import orjson
+
+from briarrelay_core.ports.digest import LoadDigest, ServerLoad
+from briarrelay_core.ports.directory import PeerAddress
+
+__all__ = ["DigestError", "decode_digest", "encode_digest"]
+
+
+class DigestError(ValueError):
+    """A datagram is no digest of this version."""
+
+
+def encode_digest(digest: LoadDigest) -> bytes:
+    """Return a digest's datagram."""
+    return orjson.dumps(
+        [
+            _address(digest.sender),
+            digest.incarnation,
+            digest.number,
+            digest.version,
+            {
+                name: [
+                    round(load.read_s, 4),
+                    load.leads,
+                    load.helps,
+                    load.tokens,
+                    [[limit, round(weight, 2)] for limit, weight in load.streams],
+                ]
+                for name, load in digest.loads.items()
+            },
+            digest.leaving,
+            [_address(peer) for peer in digest.peers],
+        ]
+    )
+
+
+def decode_digest(data: bytes) -> LoadDigest:
+    """Return the digest of a datagram.
+
+    :raises DigestError: if it is none.
+    """
+    try:
+        sender, incarnation, number, version, loads, leaving, peers = orjson.loads(data)
+        return LoadDigest(
+            sender=_read_address(sender),
+            incarnation=int(incarnation),
+            number=int(number),
+            version=int(version),
+            loads={str(name): _read_load(row) for name, row in loads.items()},
+            leaving=tuple(str(news) for news in leaving),
+            peers=tuple(_read_address(row) for row in peers),
+        )
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
+        raise DigestError(f"not a digest: {error}") from error
+
+
+def _address(address: PeerAddress) -> list:
+    return [
+        address.name,
+        address.host,
+        address.question_port,
+        address.digest_port,
+    ]
+
+
+def _read_address(row: list) -> PeerAddress:
+    name, host, question_port, digest_port = row
+    return PeerAddress(
+        name=str(name),
+        host=str(host),
+        question_port=int(question_port),
+        digest_port=int(digest_port),
+    )
+
+
+def _read_load(row: list) -> ServerLoad:
+    read_s, leads, helps, tokens, streams = row
+    pairs = tuple((float(limit), float(weight)) for limit, weight in streams)
+    return ServerLoad(float(read_s), int(leads), int(helps), int(tokens), pairs)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -8,13 +8,13 @@
 from briarrelay_core.ports.digest import (
     AskPeer,
     DigestHeard,
-    LoadDigest,
     PeerAnswered,
     SendDigest,
 )
 from briarrelay_core.ports.directory import ServerEntry, TopicChange
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.jsoncall import JsonAnswer
@@ -54,7 +54,7 @@
         pages.add(QUESTION_PATH, self._answer)
 
     def _send(self, effect: SendDigest) -> None:
-        body = orjson.dumps(to_mapping(effect.digest))
+        body = encode_digest(effect.digest)
         if len(body) > MAX_DATAGRAM_BYTES:
             self._host.counters.add("peer.digest_too_long")
             return
@@ -74,8 +74,8 @@
 
     def _take(self, data: bytes) -> None:
         try:
-            digest = from_mapping(LoadDigest, orjson.loads(data), "digest")
-        except (CheckedError, ValueError):
+            digest = decode_digest(data)
+        except DigestError:
             self._host.counters.add("peer.digest_bad")
             return
         self._host.tell(DigestHeard(digest))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -189,37 +189,35 @@
     def _on_ready(self, events: int) -> None:
         if self.is_over:
             return
-        if self._connection.outgoing and not self._write():
-            return
-        if events & ~WRITE:
+        if self._connection.outgoing:
+            self._write()
+        if events & ~WRITE and not self.is_over:
             self._read()
 
-    def _write(self) -> bool:
+    def _write(self) -> None:
         connection = self._connection
         if not connection.is_connected:
             error = connection.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
             if error:
                 self._lose(f"connecting failed: {errno.errorcode.get(error, error)}")
-                return False
+                return
             connection.is_connected = True
         try:
             count = connection.sock.send(connection.outgoing)
         except BlockingIOError:
-            return False
+            return
         except OSError as error:
             if error.errno == errno.ENOTCONN:
                 connection.is_connected = False
-                return False
+                return
             self._lose(f"writing failed: {error.strerror}")
-            return False
+            return
         if not self._sent:
             self._sent = True
             self._cancel_connect_timer()
         connection.outgoing = connection.outgoing[count:]
-        if connection.outgoing:
-            return False
-        self._client.wire.watch(connection.sock, READ, self._on_ready)
-        return True
+        if not connection.outgoing:
+            self._client.wire.watch(connection.sock, READ, self._on_ready)
 
     def _read(self) -> None:
         try:
