End a planned stop sooner where the balancer knows no other instance

Ruled out: the balancer's two questions, which end after 2.6 s. Change: from 2.6 s on idle connections are closed and what comes is refused with a Retry-After of 0.02 s, so that the process is back sooner.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from briarrelay_core.ports.control import DrainRequested, Stopped
 from briarrelay_core.ports.digest import DigestHeard, LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.memory import Reserve, ReserveAnswered
@@ -9,10 +10,12 @@
     AbortSend,
     HeadKind,
     RouteRefused,
+    SendDone,
     SendEvent,
     SendHead,
     SendLost,
 )
+from briarrelay_core.reasons import RefusalReason
 from properties.routeworld import PROFILE, RouteWorld, make_entry
 
 
@@ -143,5 +146,40 @@
         self.assertGreater(refused[0].outcome.retry_after, 0)
 
 
+class StopTest(unittest.TestCase):
+    """A balancer that knows no other instance sends on until the process ends."""
+
+    def test_new_requests_do_not_hold_up_a_stop(self):
+        world = RouteWorld()
+        world.tell(DrainRequested())
+        sends, ended_at = {}, None
+        began = world.now
+        while ended_at is None and world.now < began + 8.0:
+            effects = world.request("chat", output_tokens=100)
+            for forward in world.forwards(effects):
+                sends[forward.send_id] = 0
+            for send_id in list(sends):
+                sends[send_id] += 1
+                begin(world, send_id)
+                if sends[send_id] == 15:
+                    world.tell(SendDone(send_id))
+                    del sends[send_id]
+            effects += world.advance(0.1)
+            if world.of(effects, Stopped):
+                ended_at = world.now
+        self.assertIsNotNone(ended_at)
+        self.assertLess(ended_at - began, 5.0)
+        self.assertEqual(sends, {})
+
+    def test_refusal_while_stopping_sends_the_caller_elsewhere(self):
+        world = RouteWorld()
+        world.tell(DrainRequested())
+        world.request("chat")
+        world.advance(2.7)
+        refused = world.of(world.request("chat"), RouteRefused)[0]
+        self.assertEqual(refused.outcome.reason, RefusalReason.DRAINING)
+        self.assertLess(refused.outcome.retry_after, 0.1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/ports/control.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/control.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-__all__ = ["DrainRequested", "Stopped", "WokeUp"]
+__all__ = ["CloseIdle", "DrainRequested", "Stopped", "WokeUp"]
 
 
 @frozen(slots=True)
@@ -20,3 +20,8 @@
     """The instance stood still for some seconds; what it believes may be old."""
 
     stood_s: float
+
+
+@frozen(slots=True)
+class CloseIdle:
+    """Effect: close the callers' connections that carry no request."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -55,6 +55,9 @@
 RETRY_AFTER_S = 0.3
 """Shortest Retry-After; places become free about as fast as short answers end."""
 
+ELSEWHERE_S = 0.02
+"""Retry-After where another instance can take the request at once."""
+
 NO_SERVER_S = 1.0
 """Retry-After while no server is registered; entries come back within two seconds."""
 
@@ -122,7 +125,7 @@
         if configuration is None:
             return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
         if self.is_closing:
-            return NotRun(RefusalReason.DRAINING, retry_after=RETRY_AFTER_S)
+            return NotRun(RefusalReason.DRAINING, retry_after=ELSEWHERE_S)
         route = configuration.match(request.host, request.path)
         if route is None:
             return self._unknown(RefusalReason.UNKNOWN_ROUTE)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -20,11 +20,11 @@
 BEAT_S = 0.5
 """Longest time in seconds between digests."""
 
-LOCAL_SPACING_S = 0.005
+LOCAL_SPACING_S = 0.012
 """Shortest time in seconds between digests for each peer of the same data centre, so
 that a burst of sends costs few and the cost does not grow with the square of them."""
 
-REMOTE_SPACING_S = 0.01
+REMOTE_SPACING_S = 0.02
 """The same for peers elsewhere, since bytes between data centres are charged."""
 
 TOLD_PEERS = 2
--- a/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from briarrelay_core.ports.control import Stopped
+from briarrelay_core.ports.control import CloseIdle, Stopped
 from briarrelay_core.ports.directory import PublishEntry
 from briarrelay_core.ports.observe import Note
 from briarrelay_core.record import AUDIT_STREAM
@@ -12,10 +12,9 @@
 __all__ = ["Stopping"]
 
 BALANCER_S = 2.6
-"""Seconds until the balancer has seen two refusals of readiness, one a second."""
-
-LAST_NEW_PART = 0.6
-"""Part of the grace time in which requests that still arrive are taken."""
+"""Seconds until the balancer has seen two refusals of readiness, one a second. A
+balancer without another instance goes on sending; what comes then is refused, so that
+the stop ends and the instance is back soon."""
 
 MARGIN_S = 0.6
 """Seconds before the end of the grace time at which the process ends anyway."""
@@ -54,17 +53,20 @@
         if not self.is_begun or self._is_over:
             return []
         elapsed = now - self.began_at
-        self.desk.is_closing = elapsed > LAST_NEW_PART * self.grace_s
-        idle = not self.desk.carried and elapsed >= BALANCER_S
+        effects = []
+        if elapsed >= BALANCER_S and not self.desk.is_closing:
+            self.desk.is_closing = True
+            effects.append(CloseIdle())
+        idle = self.desk.is_closing and not self.desk.carried
         if not idle and elapsed < self.grace_s - MARGIN_S:
-            return []
+            return effects
         self._is_over = True
         fields = (
             ("after_s", f"{elapsed:.2f}"),
             ("in_progress", str(len(self.desk.carried))),
             ("record_waiting", str(self.outbox.waiting(AUDIT_STREAM))),
         )
-        effects = self.cut_record(now) + self.outbox.flush(now)
+        effects += self.cut_record(now) + self.outbox.flush(now)
         effects.append(PublishEntry(self.peers.address, False))
         effects.append(Note("info", "stop_due", fields=fields))
         return [*effects, Stopped()]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -10,7 +10,7 @@
 from logbook import Logger
 
 from briarrelay_core.identity import Identity
-from briarrelay_core.ports.control import DrainRequested, Stopped, WokeUp
+from briarrelay_core.ports.control import CloseIdle, DrainRequested, Stopped, WokeUp
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.routes.budget import RepeatLimits
 from briarrelay_core.routes.instance import RouteInstance
@@ -96,6 +96,7 @@
             settings.metrics_path, lambda: (200, self.metrics.render())
         )
         self.host.register(Stopped, self._on_stopped)
+        self.host.register(CloseIdle, lambda _: self.routes.server.close_idle())
         self._standing_s = _standing_s()
         self.wire.timers.every(
             FREEZE_CHECK_S, self._check_clocks, clock() + FREEZE_CHECK_S
