--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -3,7 +3,7 @@
 import unittest
 
 from briarrelay_core.ports.control import DrainRequested, Stopped
-from briarrelay_core.ports.digest import DigestHeard, LoadDigest, ServerLoad
+from briarrelay_core.ports.digest import DigestHeard, LoadDigest, SendDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.memory import Reserve, ReserveAnswered
 from briarrelay_core.ports.route import (
@@ -146,6 +146,38 @@
         self.assertGreater(refused[0].outcome.retry_after, 0)
 
 
+class HelperTest(unittest.TestCase):
+    def test_busy_helper_is_avoided_and_stays_in_use(self):
+        """An engine that helps others to its limit still serves chats."""
+        world = RouteWorld(engines=6)
+        first = world.forwards(world.request("file", prompt_tokens=200_000))[0]
+        busy = first.helpers[0].address
+        head = SendHead(
+            send_id=first.send_id, kind=HeadKind.NOT_RUN, status=503, at_fault=busy
+        )
+        again = world.forwards(world.tell(head))[0]
+        addresses = {helper.address for helper in again.helpers}
+        self.assertNotIn(busy, addresses | {f"{again.host}:{again.port}"})
+        name = f"engine-{busy.split(':')[0].rpartition('.')[2]}"
+        self.assertFalse(world.core.desk.health.is_ejected(name, world.now))
+
+    def test_peers_hear_of_long_reads_at_once(self):
+        world = RouteWorld(engines=6)
+        peer = PeerAddress(
+            name="entry-2",
+            host="10.9.0.2",
+            question_port=1,
+            digest_port=2,
+            data_centre="b",
+        )
+        world.core.peers.add(peer)
+        world.advance(0.1)
+        effects = world.request("file", prompt_tokens=200_000)
+        digests = world.of(effects, SendDigest)
+        self.assertEqual(digests[0].peers, (peer,))
+        self.assertTrue(digests[0].digest.loads)
+
+
 class StopTest(unittest.TestCase):
     """A balancer that knows no other instance sends on until the process ends."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
@@ -36,6 +36,7 @@
     """A request in progress.
 
     :param due: time of the final answer at the latest.
+    :param avoided: engines that refused to help it.
     :param runs: sends after which the request may have run.
     :param is_begun: the caller has the head of the answer.
     :param last_event: id of the last event passed on, empty for none.
@@ -51,6 +52,7 @@
     due: float
     sending: Sending | None = None
     tried: list[str] = field(factory=list)
+    avoided: set[str] = field(factory=set)
     sends: int = 0
     runs: int = 0
     is_begun: bool = False
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -164,7 +164,8 @@
     def _candidates(self, carried: Carried, now: float) -> list[KnownServer]:
         """Return servers that may take a request, without those that fail."""
         usable = self.servers.of_service(carried.service, now)
-        fresh = [s for s in usable if s.entry.name not in carried.tried]
+        left_out = carried.avoided.union(carried.tried)
+        fresh = [s for s in usable if s.entry.name not in left_out]
         request_id = str(carried.request.request_id)
         sound = [
             server
@@ -178,7 +179,7 @@
         ]
         if sound:
             return reached or sound
-        return fresh if carried.tried or len(fresh) == len(usable) else usable
+        return fresh if left_out or len(fresh) == len(usable) else usable
 
     def _choose(
         self, carried: Carried, known: list[KnownServer], now: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -146,8 +146,8 @@
         effects += self.reservations.take_effects()
         load = self.desk.load
         if load.is_changed:
-            load.is_changed = False
-            effects += self.peers.on_changed(now)
+            effects += self.peers.on_changed(now, load.is_urgent)
+            load.is_changed = load.is_urgent = False
         return effects
 
     def _check(self, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -9,6 +9,9 @@
 PEER_STALE_S = 1.5
 """Seconds after which a silent peer's load is left out; digests come twice a second."""
 
+LONG_READ_S = 0.08
+"""Seconds of reading that hold an engine up for longer than two passes."""
+
 NOTHING = ServerLoad()
 
 
@@ -54,6 +57,8 @@
 class LoadTable:
     """Load of every server, as far as this instance knows.
 
+    :ivar is_urgent: something was added that holds engines up, so that peers must know
+        it before they send more there.
     :ivar _peers: by server and peer, what the peer has in progress there and when it
         said so.
     :ivar _told: servers that each peer named in its last digest.
@@ -64,6 +69,7 @@
     _peers: dict[str, dict[str, tuple[ServerLoad, float]]] = field(factory=dict)
     _told: dict[str, tuple[str, ...]] = field(factory=dict)
     is_changed: bool = False
+    is_urgent: bool = False
 
     def add(
         self,
@@ -86,6 +92,7 @@
         here.append(load)
         self._sends.setdefault(send_id, []).append(load)
         self.is_changed = True
+        self.is_urgent = self.is_urgent or read_s >= LONG_READ_S
 
     def note_read(self, send_id: int) -> None:
         """Note that the prompt of a send has been read; helpers are done."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -24,7 +24,7 @@
 """Shortest time in seconds between digests for each peer of the same data centre, so
 that a burst of sends costs few and the cost does not grow with the square of them."""
 
-REMOTE_SPACING_S = 0.02
+REMOTE_SPACING_S = 0.006
 """The same for peers elsewhere, since bytes between data centres are charged."""
 
 TOLD_PEERS = 2
@@ -133,13 +133,19 @@
             notes += self.servers.hear_leaving(news, now)
         return notes + self._ask_if_behind(now)
 
-    def on_changed(self, now: float) -> list:
-        """Tell peers soon that the load changed."""
+    def on_changed(self, now: float, is_urgent: bool = False) -> list:
+        """Tell peers soon that the load changed.
+
+        :param is_urgent: tell all of them as soon as the least spacing allows.
+        """
+        if is_urgent and now - self._sent_at >= LEAST_SPACING_S:
+            self._sent_remote_at = float("-inf")
+            return self._send(now)
         if self._is_due:
             return []
         self._is_due = True
         spacing = max(LEAST_SPACING_S, LOCAL_SPACING_S * len(self._local()))
-        self.timers.at(max(now, self._sent_at + spacing), self._send)
+        self.timers.at(max(now, self._sent_at + spacing), self._send_due)
         return []
 
     def _local(self) -> list[_Peer]:
@@ -169,8 +175,11 @@
                 peer.heard_at = None
         return notes + self._send(now)
 
-    def _send(self, now: float) -> list:
+    def _send_due(self, now: float) -> list:
         self._is_due = False
+        return self._send(now)
+
+    def _send(self, now: float) -> list:
         self._sent_at = now
         if not self._peers:
             return []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -74,8 +74,9 @@
             ("status", str(message.status)),
         )
         note = Note("info", "not_run", carried.request.caller_id, fields)
-        if message.at_fault:
-            self.desk.health.note_failure(blamed, now, certain=True)
+        if blamed != sending.server:
+            carried.avoided.add(blamed)
+            self.desk.health.note_failure(blamed, now)
         effects = [note, AbortSend(sending.send_id)]
         return effects + self.desk.repeat_or_give_up(
             carried, RetryReason.SERVER_REFUSED, now
