--- a/features/properties/test_platform_path.py
+++ b/features/properties/test_platform_path.py
@@ -137,6 +137,22 @@
             3.0,
         )
 
+    def test_settings_are_read_again(self):
+        entry = self.entry
+
+        def events(name: str) -> list[dict]:
+            return [line for line in entry.lines() if line["event"] == name]
+
+        good = entry.settings.read_text()
+        entry.settings.write_text("node = ")
+        entry.process.send_signal(signal.SIGHUP)
+        self.fleet.wait(lambda: events("reload_failed"), 3.0)
+        self.fleet.write_settings(entry, grace=9)
+        self.fleet.wait(lambda: events("reloaded"), 5.0)
+        self.assertIn("grace_s", events("reloaded")[-1]["changed"])
+        entry.settings.write_text(good)
+        self.assertEqual(call(entry, "/book/x", "q1").status, 200)
+
     def test_metrics_are_served(self):
         import http.client
 
--- a/packages/briarrelay-core/src/briarrelay_core/ports/control.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/control.py
@@ -2,7 +2,16 @@
 
 from attrs import frozen
 
-__all__ = ["CloseIdle", "DrainRequested", "Stopped", "WokeUp"]
+from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.routes.budget import RepeatLimits
+
+__all__ = [
+    "CloseIdle",
+    "DrainRequested",
+    "RouteLimitsChanged",
+    "Stopped",
+    "WokeUp",
+]
 
 
 @frozen(slots=True)
@@ -25,3 +34,16 @@
 @frozen(slots=True)
 class CloseIdle:
     """Effect: close the callers' connections that carry no request."""
+
+
+@frozen(slots=True, kw_only=True)
+class RouteLimitsChanged:
+    """New settings are in force.
+
+    :param grace_s: seconds that a planned stop may take.
+    :param seeds: addresses of peers.
+    """
+
+    repeats: RepeatLimits
+    grace_s: float
+    seeds: tuple[PeerAddress, ...]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -10,7 +10,7 @@
 
 from briarrelay_core.identity import Identity
 from briarrelay_core.outbox import Outbox
-from briarrelay_core.ports.control import DrainRequested, WokeUp
+from briarrelay_core.ports.control import DrainRequested, RouteLimitsChanged, WokeUp
 from briarrelay_core.ports.digest import DigestHeard, PeerAnswered
 from briarrelay_core.ports.directory import (
     EntryPublished,
@@ -243,6 +243,14 @@
     def _(self, message: DrainRequested, now: float) -> list:
         return self.stopping.begin(now)
 
+    @_take.register
+    def _(self, message: RouteLimitsChanged, now: float) -> list:
+        self.desk.budget.limits = message.repeats
+        self.stopping.grace_s = message.grace_s
+        for seed in message.seeds:
+            self.peers.add(seed)
+        return []
+
     @_take.register
     def _(self, message: WokeUp, now: float) -> list:
         fields = (("stood_s", f"{message.stood_s:.2f}"),)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -1,10 +1,10 @@
 """briarrelayd where it carries routes: the loop and what is attached to it."""
 
 import signal
+from collections.abc import Callable
 from os import eventfd, eventfd_read, eventfd_write
 from time import CLOCK_BOOTTIME, CLOCK_MONOTONIC, clock_gettime
 
-from attrs import frozen
 from circuits import Component
 from circuits.core.pollers import EPoll
 from logbook import Logger
@@ -12,7 +12,6 @@
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.control import CloseIdle, DrainRequested, Stopped, WokeUp
 from briarrelay_core.ports.directory import PeerAddress
-from briarrelay_core.routes.budget import RepeatLimits
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_daemon.digestport import DigestPort
 from briarrelay_daemon.host import Host, SteadyClock
@@ -20,10 +19,10 @@
 from briarrelay_daemon.metrics import Metrics
 from briarrelay_daemon.pages import PageServer
 from briarrelay_daemon.routeport import Dialect, RoutePort
-from briarrelay_daemon.settings import Address
+from briarrelay_daemon.routesettings import Reload, RouteSettings, SettingsSource
 from briarrelay_daemon.wire import READ, Wire
 
-__all__ = ["RouteDaemon", "RouteSettings"]
+__all__ = ["RouteDaemon"]
 
 LAST_ANSWERS_S = 0.15
 """Seconds between the end of the last request and the end of the process."""
@@ -35,48 +34,24 @@
 """Seconds of standing still that are worth a look at what is believed."""
 
 
-@frozen(slots=True, kw_only=True)
-class RouteSettings:
-    """Settings of an entry instance that carries routes.
-
-    :param listen: where callers connect.
-    :param ready: where the balancer asks whether it may send callers here.
-    :param questions: where peers ask for the configuration and servers.
-    :param digests: where peers send their digests.
-    :param metrics: where counters and histograms are read.
-    :param grace_s: seconds that a planned stop may take.
-    :param hold_s: seconds that memory of an engine is set aside without renewal.
-    :param news_s: seconds within which a leaving server must get no new work.
-    """
-
-    name: str
-    data_centre: str
-    listen: Address
-    ready: Address
-    ready_path: str
-    questions: Address
-    digests: Address
-    metrics: Address
-    metrics_path: str
-    repeats: RepeatLimits
-    grace_s: float
-    hold_s: float
-    news_s: float
-    seeds: tuple[PeerAddress, ...] = ()
-
-
 class RouteDaemon(Component):
     """The loop and everything that is attached to it.
 
     :param dialect: names and formats of callers and backend servers.
     :param attach_platform: called with the host and the client; registers what
         performs the effects that concern the platform.
+    :param source: where settings are read from again when they change.
     """
 
     channel = "daemon"
 
     def __init__(
-        self, settings: RouteSettings, dialect: Dialect, attach_platform, logger: Logger
+        self,
+        settings: RouteSettings,
+        dialect: Dialect,
+        attach_platform: Callable[[Host, HttpClient], None],
+        source: SettingsSource,
+        logger: Logger,
     ):
         super().__init__(channel=self.channel)
         clock = SteadyClock()
@@ -101,6 +76,7 @@
         self.wire.timers.every(
             FREEZE_CHECK_S, self._check_clocks, clock() + FREEZE_CHECK_S
         )
+        self._reload = Reload(self.host, settings, source)
         self._stop_event = eventfd(0)
         self.wire.watch_fd(self._stop_event, READ, self._on_stop_event)
 
@@ -108,7 +84,7 @@
         """Begin to work once the loop runs."""
         signal.signal(signal.SIGTERM, self._on_stop_signal)
         signal.signal(signal.SIGINT, self._on_stop_signal)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        signal.signal(signal.SIGHUP, self._reload.on_signal)
         self.host.start()
         self.host.logger.info("started", port=self.routes.server.port)
 
