--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -83,16 +83,16 @@
 
     def test_a_word_clears_it(self):
         world = self.make_world()
-        reach = world.core.desk.reach
+        reach = world.core.desk.evidence.reach
         reach.note_unreached("b", "engine-4", world.now)
         reach.note_unreached("b", "engine-5", world.now)
         self.assertTrue(reach.is_suspect("b", world.now))
-        world.core.desk.note_word("engine-6", world.now)
+        world.core.desk.evidence.note_word("engine-6", world.now)
         self.assertFalse(reach.is_suspect("b", world.now))
 
     def test_it_is_tried_again(self):
         world = self.make_world()
-        reach = world.core.desk.reach
+        reach = world.core.desk.evidence.reach
         reach.note_unreached("b", "engine-4", world.now)
         reach.note_unreached("b", "engine-5", world.now)
         self.assertFalse(reach.is_suspect("b", world.now + 1.0))
@@ -159,7 +159,7 @@
         addresses = {helper.address for helper in again.helpers}
         self.assertNotIn(busy, addresses | {f"{again.host}:{again.port}"})
         name = f"engine-{busy.split(':')[0].rpartition('.')[2]}"
-        self.assertFalse(world.core.desk.health.is_ejected(name, world.now))
+        self.assertFalse(world.core.desk.evidence.health.is_ejected(name, world.now))
 
     def test_peers_hear_of_long_reads_at_once(self):
         world = RouteWorld(engines=6)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -113,14 +113,12 @@
     """The head of an answer.
 
     :param at_fault: address of the engine that caused a refusal, if told.
-    :param is_leaving: the server announced that it closes the connection.
     """
 
     send_id: int
     kind: HeadKind
     status: int
     at_fault: str = ""
-    is_leaving: bool = False
 
 
 @frozen(slots=True)
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/choosing.py
@@ -0,0 +1,102 @@
+"""Chooses among the servers of a service by what is known of their load and health."""
+
+from attrs import define
+
+from briarrelay_core.rendezvous import unit_hash
+from briarrelay_core.routes.carried import Carried
+from briarrelay_core.routes.evidence import ServerEvidence
+from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.placement import (
+    Candidate,
+    Placement,
+    Prompt,
+    place_call,
+    place_prompt,
+    whole_memory,
+)
+from briarrelay_core.routes.servers import KnownServer, ServerTable
+
+__all__ = ["Chooser", "is_too_large"]
+
+SHORTEST_AIM_S = 0.05
+"""Seconds to the first event that are aimed at when the target has passed already."""
+
+QUEUE_FACTOR = 2
+"""Requests sent to a plain service for each of its slots; it queues a few itself."""
+
+
+@define(slots=True, eq=False)
+class Chooser:
+    """Finds the servers that may take a request and the best of them.
+
+    :param name: name of this instance.
+    :param data_centre: where this instance is.
+    """
+
+    name: str
+    data_centre: str
+    servers: ServerTable
+    load: LoadTable
+    evidence: ServerEvidence
+
+    def candidates(self, carried: Carried, now: float) -> list[KnownServer]:
+        """Return servers that may take a request, without those that fail."""
+        usable = self.servers.of_service(carried.service, now)
+        left_out = carried.avoided.union(carried.tried)
+        fresh = [s for s in usable if s.entry.name not in left_out]
+        request_id = str(carried.request.request_id)
+        sound = [
+            server
+            for server in fresh
+            if self.evidence.health.admits(server.entry.name, request_id, now)
+        ]
+        reached = [
+            server
+            for server in sound
+            if not self.evidence.reach.is_suspect(server.entry.data_centre, now)
+        ]
+        if sound:
+            return reached or sound
+        return fresh if left_out or len(fresh) == len(usable) else usable
+
+    def choose(
+        self, carried: Carried, known: list[KnownServer], now: float
+    ) -> Placement | None:
+        """Return where a request goes among candidates, None if none has a place."""
+        is_prompt = carried.is_prompt
+        factor = 1 if is_prompt else QUEUE_FACTOR
+        candidates = [
+            Candidate(
+                server.entry.name,
+                self.load.of(server.entry.name, now),
+                server.entry.slots * factor,
+                server.entry.data_centre == self.data_centre,
+                self.evidence.pace.of(server.entry.name, now),
+                unit_hash(self.name, server.entry.name),
+            )
+            for server in known
+        ]
+        if not is_prompt:
+            return place_call(candidates)
+        return place_prompt(carried.profile, candidates, _make_prompt(carried, now))
+
+
+def is_too_large(carried: Carried, engines: int) -> bool:
+    """Return whether a number of engines could not hold a prompt if all were idle."""
+    if not carried.is_prompt:
+        return False
+    request = carried.request
+    need = request.prompt_tokens + request.output_tokens
+    return need > whole_memory(carried.profile, engines)
+
+
+def _make_prompt(carried: Carried, now: float) -> Prompt:
+    request = carried.request
+    left_s = carried.route.target_latency_s - (now - carried.arrived_at)
+    return Prompt(
+        tokens=request.prompt_tokens,
+        output_tokens=request.output_tokens,
+        aim_s=max(SHORTEST_AIM_S, left_s),
+        limit_s=carried.route.gap_limit_s or 0.0,
+        weight=carried.weight,
+    )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -2,7 +2,6 @@
 
 from attrs import define, field
 
-from briarrelay_core.health import HealthTable
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.observe import Count, Note
 from briarrelay_core.ports.route import (
@@ -20,20 +19,13 @@
 from briarrelay_core.rendezvous import unit_hash
 from briarrelay_core.routes.budget import RepeatBudget
 from briarrelay_core.routes.carried import Carried, Sending
+from briarrelay_core.routes.choosing import Chooser, is_too_large
+from briarrelay_core.routes.evidence import ServerEvidence
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.model import RouteConfiguration
-from briarrelay_core.routes.pace import PaceTable
-from briarrelay_core.routes.placement import (
-    Candidate,
-    Placement,
-    Prompt,
-    place_call,
-    place_prompt,
-    whole_memory,
-)
-from briarrelay_core.routes.reach import ReachTable
+from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.reserving import Reservations
-from briarrelay_core.routes.servers import KnownServer, ServerTable
+from briarrelay_core.routes.servers import ServerTable
 
 __all__ = ["RouteDesk"]
 
@@ -43,9 +35,6 @@
 SHORTEST_SEND_S = 0.02
 """Seconds below which a request is not worth sending."""
 
-SHORTEST_AIM_S = 0.05
-"""Seconds to the first event that are aimed at when the target has passed already."""
-
 LATE_ANSWER_S = 0.1
 """Seconds after the time of a request in which its server's own answer may come."""
 
@@ -61,35 +50,27 @@
 NO_SERVER_S = 1.0
 """Retry-After while no server is registered; entries come back within two seconds."""
 
-QUEUE_FACTOR = 2
-"""Requests sent to a plain service for each of its slots; it queues a few itself."""
-
 
 @define(slots=True, eq=False)
 class RouteDesk:
     """Requests in progress and what becomes of them.
 
-    :param name: name of this instance.
-    :param data_centre: where this instance is.
-    :param heard_at: time of the last word of each server.
+    :param is_configuration_unsure: a newer configuration may be in force elsewhere.
+    :param is_closing: new requests are refused, since the process is about to end.
     """
 
-    name: str
-    data_centre: str
     servers: ServerTable
     load: LoadTable
     budget: RepeatBudget
     recorder: Recorder
     reservations: Reservations
-    health: HealthTable = field(factory=HealthTable)
-    pace: PaceTable = field(factory=PaceTable)
+    evidence: ServerEvidence
+    chooser: Chooser
     configuration: RouteConfiguration | None = None
     is_configuration_unsure: bool = False
     is_closing: bool = False
     carried: dict[int, Carried] = field(factory=dict)
     sends: dict[int, Carried] = field(factory=dict)
-    reach: ReachTable = field(factory=ReachTable)
-    heard_at: dict[str, float] = field(factory=dict)
     _waiting: dict[int, Carried] = field(factory=dict)
     _send_count: int = 0
 
@@ -147,10 +128,10 @@
         """Send a request to the best server, or let it wait for one."""
         if carried.due - now < SHORTEST_SEND_S:
             return self.give_up(carried, now)
-        known = self._candidates(carried, now)
-        if known and carried.is_prompt and self._is_too_large(carried, len(known)):
+        known = self.chooser.candidates(carried, now)
+        if known and is_too_large(carried, len(known)):
             return self.give_up(carried, now, RefusalReason.SERVERS_FULL)
-        placement = self._choose(carried, known, now) if known else None
+        placement = self.chooser.choose(carried, known, now) if known else None
         if placement is not None:
             self._waiting.pop(carried.request.request_id, None)
             return self._send(carried, placement, now)
@@ -161,52 +142,6 @@
         self._waiting[carried.request.request_id] = carried
         return [Count("route.waited")]
 
-    def _candidates(self, carried: Carried, now: float) -> list[KnownServer]:
-        """Return servers that may take a request, without those that fail."""
-        usable = self.servers.of_service(carried.service, now)
-        left_out = carried.avoided.union(carried.tried)
-        fresh = [s for s in usable if s.entry.name not in left_out]
-        request_id = str(carried.request.request_id)
-        sound = [
-            server
-            for server in fresh
-            if self.health.admits(server.entry.name, request_id, now)
-        ]
-        reached = [
-            server
-            for server in sound
-            if not self.reach.is_suspect(server.entry.data_centre, now)
-        ]
-        if sound:
-            return reached or sound
-        return fresh if left_out or len(fresh) == len(usable) else usable
-
-    def _choose(
-        self, carried: Carried, known: list[KnownServer], now: float
-    ) -> Placement | None:
-        is_prompt = carried.is_prompt
-        factor = 1 if is_prompt else QUEUE_FACTOR
-        candidates = [
-            Candidate(
-                server.entry.name,
-                self.load.of(server.entry.name, now),
-                server.entry.slots * factor,
-                server.entry.data_centre == self.data_centre,
-                self.pace.of(server.entry.name, now),
-                unit_hash(self.name, server.entry.name),
-            )
-            for server in known
-        ]
-        if not is_prompt:
-            return place_call(candidates)
-        return place_prompt(carried.profile, candidates, _make_prompt(carried, now))
-
-    def _is_too_large(self, carried: Carried, engines: int) -> bool:
-        """Return whether the engines could not hold a prompt if all were idle."""
-        request = carried.request
-        need = request.prompt_tokens + request.output_tokens
-        return need > whole_memory(carried.profile, engines)
-
     def _send(self, carried: Carried, placement: Placement, now: float) -> list:
         self._send_count += 1
         send_id = self._send_count
@@ -446,25 +381,6 @@
         )
         self.recorder.add(entry)
 
-    def note_word(self, server: str, now: float) -> None:
-        """Note that a server said something."""
-        self.heard_at[server] = now
-        known = self.servers.get(server)
-        if known is not None:
-            self.reach.note_word(known.entry.data_centre)
-
-    def note_unreached(self, server: str, now: float) -> None:
-        """Note that no connection to a server came about."""
-        known = self.servers.get(server)
-        if known is not None:
-            self.reach.note_unreached(known.entry.data_centre, server, now)
-
-    def forget_server(self, name: str) -> None:
-        """Drop what was observed of a server that left or started anew."""
-        self.health.forget(name)
-        self.pace.forget(name)
-        self.heard_at.pop(name, None)
-
     def on_caller_left(self, message: CallerLeft, now: float) -> list:
         """Abort what a caller no longer waits for."""
         carried = self.carried.get(message.request_id)
@@ -492,15 +408,3 @@
         if carried.sending is not None:
             carried.runs += 1
         return self.give_up(carried, now, RefusalReason.CANNOT_FINISH)
-
-
-def _make_prompt(carried: Carried, now: float) -> Prompt:
-    request = carried.request
-    left_s = carried.route.target_latency_s - (now - carried.arrived_at)
-    return Prompt(
-        tokens=request.prompt_tokens,
-        output_tokens=request.output_tokens,
-        aim_s=max(SHORTEST_AIM_S, left_s),
-        limit_s=carried.route.gap_limit_s or 0.0,
-        weight=carried.weight,
-    )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -33,7 +33,9 @@
 )
 from briarrelay_core.record import AUDIT_STREAM, Recorder
 from briarrelay_core.routes.budget import RepeatBudget, RepeatLimits
+from briarrelay_core.routes.choosing import Chooser
 from briarrelay_core.routes.desk import RouteDesk
+from briarrelay_core.routes.evidence import ServerEvidence
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.news import NewsKeeper
 from briarrelay_core.routes.peers import PeerKeeper
@@ -91,14 +93,17 @@
         )
         load = LoadTable()
         servers = ServerTable()
+        evidence = ServerEvidence(servers)
         self.desk = RouteDesk(
-            name=identity.name,
-            data_centre=identity.data_centre,
             servers=servers,
             load=load,
             budget=RepeatBudget(self.repeats),
             recorder=self.recorder,
             reservations=self.reservations,
+            evidence=evidence,
+            chooser=Chooser(
+                identity.name, identity.data_centre, servers, load, evidence
+            ),
         )
         self.reservations.on_granted = self.desk.on_granted
         self.reservations.on_denied = self.desk.on_denied
@@ -155,7 +160,7 @@
         self.desk.budget.instances = self.peers.instances
         effects = self.mail.check_silence(now) + self.desk.expire(now)
         for name in self.desk.servers.drop_lapsed(now):
-            self.desk.forget_server(name)
+            self.desk.evidence.forget(name)
         effects += self.desk.serve_waiting(now)
         return effects + self.stopping.check(now)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/news.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -158,7 +158,7 @@
     def _apply_server(self, entry: ServerEntry, now: float) -> list:
         is_new, effects = self.desk.servers.apply(entry, now)
         if is_new:
-            self.desk.forget_server(entry.name)
+            self.desk.evidence.forget(entry.name)
         return effects
 
     def _apply_entry(self, change: TopicChange) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -53,7 +53,7 @@
         if carried is None:
             return []
         sending = carried.sending
-        self.desk.note_word(sending.server, now)
+        self.desk.evidence.note_word(sending.server, now)
         sending.kind = message.kind
         sending.status = message.status
         sending.progress_at = now
@@ -76,7 +76,7 @@
         note = Note("info", "not_run", carried.request.caller_id, fields)
         if blamed != sending.server:
             carried.avoided.add(blamed)
-            self.desk.health.note_failure(blamed, now)
+            self.desk.evidence.health.note_failure(blamed, now)
         effects = [note, AbortSend(sending.send_id)]
         return effects + self.desk.repeat_or_give_up(
             carried, RetryReason.SERVER_REFUSED, now
@@ -116,7 +116,7 @@
             )
         carried.last_event_at = now
         sending.progress_at = now
-        self.desk.note_word(sending.server, now)
+        self.desk.evidence.note_word(sending.server, now)
         sending.events += 1
         effects = []
         if sending.events == 1:
@@ -135,8 +135,8 @@
         sending = carried.sending
         self.desk.load.note_read(sending.send_id)
         taken = now - sending.sent_at
-        self.desk.pace.observe(sending.server, sending.expected_s, taken, now)
-        self.desk.health.note_success(sending.server)
+        self.desk.evidence.pace.observe(sending.server, sending.expected_s, taken, now)
+        self.desk.evidence.health.note_success(sending.server)
 
     def on_done(self, message: SendDone, now: float) -> list:
         """Take word that an answer is whole."""
@@ -147,7 +147,7 @@
         sending = carried.sending
         if sending.kind is HeadKind.FAILURE:
             return self._on_failure(carried, now)
-        desk.health.note_success(sending.server)
+        desk.evidence.health.note_success(sending.server)
         request_id = carried.request.request_id
         if carried.route.kind is not RouteKind.STREAM:
             carried.first_event_at = now
@@ -171,7 +171,7 @@
         carried.failure = sending.send_id
         if sending.status < 500:
             return desk.give_up(carried, now) + desk.serve_waiting(now)
-        desk.health.note_failure(sending.server, now)
+        desk.evidence.health.note_failure(sending.server, now)
         fields = (("server", sending.server), ("status", str(sending.status)))
         note = Note("info", "server_failed", carried.request.caller_id, fields)
         return [
@@ -188,9 +188,9 @@
         if message.is_sent:
             return self._on_broken(carried, message.problem, now)
         sending = self.desk.end_send(carried, now)
-        self.desk.health.note_failure(sending.server, now, certain=True)
+        self.desk.evidence.health.note_failure(sending.server, now, certain=True)
         if message.is_unreached:
-            self.desk.note_unreached(sending.server, now)
+            self.desk.evidence.note_unreached(sending.server, now)
         return [
             self._note_lost(carried, sending, message.problem),
             *self.desk.repeat_or_give_up(carried, RetryReason.SERVER_LOST, now),
@@ -201,7 +201,7 @@
         """Deal with a send after which the request may have run."""
         sending = self.desk.end_send(carried, now)
         carried.runs += 1
-        self.desk.health.note_failure(sending.server, now)
+        self.desk.evidence.health.note_failure(sending.server, now)
         return [
             self._note_lost(carried, sending, problem),
             AbortSend(sending.send_id),
@@ -241,8 +241,8 @@
     def _on_silent(self, carried: Carried, now: float) -> list:
         desk = self.desk
         sending = carried.sending
-        is_mute = desk.heard_at.get(sending.server, 0.0) <= sending.progress_at
-        desk.health.note_failure(sending.server, now, certain=is_mute)
+        is_mute = desk.evidence.heard_at.get(sending.server, 0.0) <= sending.progress_at
+        desk.evidence.health.note_failure(sending.server, now, certain=is_mute)
         if carried.runs + 1 >= carried.route.attempts:
             sending.progress_at = now
             return []
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -13,6 +13,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from briarrelay_core.routes.model import CallerLimits
+from briarrelay_daemon.callermessage import CallerMessage
 from briarrelay_daemon.settings import Address
 from briarrelay_daemon.wire import READ, WRITE, Wire
 
@@ -108,41 +109,6 @@
         return b"\r\n".join([*lines, b"", b""])
 
 
-@define(slots=True, eq=False)
-class _Message:
-    """A request that is being read.
-
-    :param head_bytes: bytes received before its header was whole.
-    """
-
-    target: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(factory=list)
-    body: bytearray = field(factory=bytearray)
-    head_bytes: int = 0
-    has_head: bool = False
-    method: str = ""
-    keeps_alive: bool = False
-
-    def excess(self, limits: CallerLimits) -> tuple[int, bytes] | None:
-        """Return status and text of a refusal if it is over a limit."""
-        head = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        head = max(head + len(self.target), 0 if self.has_head else self.head_bytes)
-        if head > limits.header_bytes:
-            text = b"the header is over %d bytes; send a shorter one"
-            return 431, text % limits.header_bytes
-        declared = self._declared() if self.has_head else 0
-        if max(len(self.body), declared) > limits.body_bytes:
-            text = b"the body is over %d bytes; send a shorter one"
-            return 413, text % limits.body_bytes
-        return None
-
-    def _declared(self) -> int:
-        for name, value in self.headers:
-            if name.lower() == b"content-length" and value.strip().isdigit():
-                return int(value)
-        return 0
-
-
 class _Caller:
     """A caller's connection and the requests that are read from it."""
 
@@ -158,8 +124,8 @@
         self._on_ready = self._handle_ready
         self.is_closed = False
         self._parser = HttpRequestParser(self)
-        self._message = _Message()
-        self._whole: deque[_Message] = deque()
+        self._message = CallerMessage()
+        self._whole: deque[CallerMessage] = deque()
         self.has_bytes = False
         self.since = server.wire.clock()
         server.wire.watch(sock, READ, self._on_ready)
@@ -198,7 +164,7 @@
         message.method = self._parser.get_method().decode("ascii")
         message.keeps_alive = self._parser.should_keep_alive()
         self._whole.append(message)
-        self._message = _Message()
+        self._message = CallerMessage()
 
     # Reading
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/serviceport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/serviceport.py
@@ -2,8 +2,9 @@
 
 from briarrelay_core.ports.service import CallService, ServiceAnswer, ServiceLost
 from briarrelay_daemon.host import Host
-from briarrelay_daemon.httpcall import CallSink, HttpClient
+from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.settings import Address
+from briarrelay_daemon.wholecall import WholeAnswer
 
 __all__ = ["ServicePort"]
 
@@ -14,27 +15,6 @@
 """Longest answer that is taken whole."""
 
 
-class _WholeAnswer(CallSink):
-    def __init__(self, host: Host, call_id: str):
-        self._host = host
-        self._call_id = call_id
-        self._status = 0
-        self._body = bytearray()
-
-    def on_head(self, status: int, headers: dict[str, str]) -> None:
-        self._status = status
-
-    def on_data(self, data: bytes) -> None:
-        self._body += data
-
-    def on_end(self) -> None:
-        body = bytes(self._body[:MAX_ANSWER_BYTES])
-        self._host.tell(ServiceAnswer(self._call_id, self._status, body))
-
-    def on_lost(self, sent: bool) -> None:
-        self._host.tell(ServiceLost(self._call_id, sent))
-
-
 class ServicePort:
     """Performs calls to plain services, each on a connection of its own."""
 
@@ -48,6 +28,11 @@
         if member is None or member.listed is None:
             self._host.tell(ServiceLost(effect.call_id, False))
             return
+        tell = self._host.tell
+
+        def done(status: int, body: bytes) -> None:
+            tell(ServiceAnswer(effect.call_id, status, body[:MAX_ANSWER_BYTES]))
+
         headers = [("Content-Type", "application/json")]
         if effect.idempotency_key:
             headers.append(("Idempotency-Key", effect.idempotency_key))
@@ -55,7 +40,7 @@
             Address(member.listed.host, member.listed.port),
             "POST",
             effect.path,
-            _WholeAnswer(self._host, effect.call_id),
+            WholeAnswer(done, lambda sent: tell(ServiceLost(effect.call_id, sent))),
             body=effect.body,
             headers=tuple(headers),
             timeout=max(0.1, effect.deadline - self._host.now) + LINGER_S,
--- /dev/null
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/wholecall.py
@@ -0,0 +1,35 @@
+"""Calls whose whole answer is taken as bytes."""
+
+from collections.abc import Callable
+
+from briarrelay_daemon.httpcall import CallSink
+
+__all__ = ["WholeAnswer"]
+
+
+class WholeAnswer(CallSink):
+    """Collects an answer and hands its status and body on.
+
+    :param done: called with the status and the body.
+    :param lost: called with whether the call may have been received.
+    """
+
+    def __init__(
+        self, done: Callable[[int, bytes], None], lost: Callable[[bool], None]
+    ):
+        self._done = done
+        self._lost = lost
+        self._status = 0
+        self._body = bytearray()
+
+    def on_head(self, status: int, headers: dict[str, str]) -> None:
+        self._status = status
+
+    def on_data(self, data: bytes) -> None:
+        self._body += data
+
+    def on_end(self) -> None:
+        self._done(self._status, bytes(self._body))
+
+    def on_lost(self, sent: bool) -> None:
+        self._lost(sent)
