--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -16,6 +16,7 @@
     SendLost,
 )
 from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.routes.budget import RepeatLimits
 from properties.routeworld import PROFILE, RouteWorld, make_entry
 
 
@@ -75,12 +76,22 @@
                 forward = queue.pop()
                 if int(forward.server.rpartition("-")[2]) > 3:
                     lost += 1
-                    effects = world.tell(
-                        SendLost(forward.send_id, False, "", is_unreached=True)
-                    )
+                    effects = world.tell(SendLost(forward.send_id, False))
                     queue += world.forwards(effects)
         self.assertLessEqual(lost, 2)
 
+    def test_what_never_arrived_is_repeated_without_the_budget(self):
+        """A cut that resets new connections used the budget up in 6 ms."""
+        world = self.make_world()
+        world.core.desk.budget.limits = RepeatLimits(ratio=0.0, slack=0.0)
+        lost = {f"engine-{n}" for n in range(4, 20)}
+        for _ in range(12):
+            forward = world.forwards(world.request("chat"))[0]
+            while forward.server in lost:
+                effects = world.tell(SendLost(forward.send_id, False))
+                self.assertEqual(world.of(effects, RouteRefused), [])
+                forward = world.forwards(effects)[0]
+
     def test_a_word_clears_it(self):
         world = self.make_world()
         reach = world.core.desk.evidence.reach
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -142,13 +142,11 @@
     """There will be no whole answer.
 
     :param is_sent: False if the server cannot have received the request.
-    :param is_unreached: no connection came about, and nothing refused it.
     """
 
     send_id: int
     is_sent: bool
     problem: str = ""
-    is_unreached: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
@@ -36,6 +36,7 @@
     """A request in progress.
 
     :param due: time of the final answer at the latest.
+    :param unsent: sends that never reached their server.
     :param avoided: engines that refused to help it.
     :param runs: sends after which the request may have run.
     :param is_begun: the caller has the head of the answer.
@@ -54,6 +55,7 @@
     tried: list[str] = field(factory=list)
     avoided: set[str] = field(factory=set)
     sends: int = 0
+    unsent: int = 0
     runs: int = 0
     is_begun: bool = False
     last_event: str = ""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -32,6 +32,9 @@
 NOT_RUN_SENDS = 3
 """Sends beyond a route's attempts that backend servers may refuse as not run."""
 
+UNSENT_SENDS = 6
+"""Sends that may fail to reach a server; a cut data centre costs two of them."""
+
 SHORTEST_SEND_S = 0.02
 """Seconds below which a request is not worth sending."""
 
@@ -240,10 +243,18 @@
     # Repeating
 
     def repeat_or_give_up(
-        self, carried: Carried, reason: RetryReason, now: float
+        self,
+        carried: Carried,
+        reason: RetryReason,
+        now: float,
+        has_arrived: bool = True,
     ) -> list:
-        """Send a request again if that is allowed, else answer it."""
-        if not self._may_repeat(carried, now):
+        """Send a request again if that is allowed, else answer it.
+
+        :param has_arrived: the last send reached its server, so that a further one
+            draws on the budget.
+        """
+        if not self._may_repeat(carried, has_arrived, now):
             return self.give_up(carried, now)
         fields = (
             ("reason", reason.value),
@@ -257,16 +268,18 @@
         counts = [note, Count(f"retried.{reason.value}")]
         return counts + self.place(carried, now)
 
-    def _may_repeat(self, carried: Carried, now: float) -> bool:
+    def _may_repeat(self, carried: Carried, has_arrived: bool, now: float) -> bool:
         if carried.runs and not carried.route.is_repeatable:
             return False
         if carried.runs >= carried.route.attempts:
             return False
-        if carried.sends >= carried.route.attempts + NOT_RUN_SENDS:
+        if carried.unsent > UNSENT_SENDS:
+            return False
+        if carried.sends - carried.unsent >= carried.route.attempts + NOT_RUN_SENDS:
             return False
         if carried.due - now < SHORTEST_SEND_S:
             return False
-        return self.budget.spend(carried.service, now)
+        return not has_arrived or self.budget.spend(carried.service, now)
 
     def end_send(self, carried: Carried, now: float) -> Sending:
         """Take a send that is over off the load."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -189,11 +189,13 @@
             return self._on_broken(carried, message.problem, now)
         sending = self.desk.end_send(carried, now)
         self.desk.evidence.health.note_failure(sending.server, now, certain=True)
-        if message.is_unreached:
-            self.desk.evidence.note_unreached(sending.server, now)
+        self.desk.evidence.note_unreached(sending.server, now)
+        carried.unsent += 1
         return [
             self._note_lost(carried, sending, message.problem),
-            *self.desk.repeat_or_give_up(carried, RetryReason.SERVER_LOST, now),
+            *self.desk.repeat_or_give_up(
+                carried, RetryReason.SERVER_LOST, now, has_arrived=False
+            ),
             *self.desk.serve_waiting(now),
         ]
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -153,7 +153,6 @@
         self._reader = _AnswerReader(sink)
         self.is_over = False
         self.problem = ""
-        self.is_unreached = False
 
     def begin(self, connection: _Connection, message: bytes, timeout: float) -> None:
         """Send the call on a connection."""
@@ -173,7 +172,6 @@
 
     def _on_connect_timeout(self, _: float) -> list:
         if not self._sent:
-            self.is_unreached = True
             self._lose("no connection in time")
         return []
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -138,7 +138,7 @@
     def on_lost(self, sent: bool) -> None:
         call = self.call
         send_id = self._forward.send_id
-        self._tell(SendLost(send_id, sent, call.problem, call.is_unreached))
+        self._tell(SendLost(send_id, sent, call.problem))
 
     def _tell(self, message) -> None:
         if not self.is_over:
