Group the core's modules by what they decide; distrust the store's news after a freeze

Fault: after a freeze the mark 'configuration may be old' was cleared 0.1 s later, since the steady clock had not counted the freeze; a key added meanwhile was refused for good. The test fails before and passes after.

--- a/features/properties/test_claims.py
+++ b/features/properties/test_claims.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from briarrelay_bench.worldfaults import LogFault, ServiceFault
-from briarrelay_core.claims import (
+from briarrelay_core.agreement.claims import (
     ClaimFold,
     ClaimKind,
     ClaimRecord,
--- a/features/properties/test_fold.py
+++ b/features/properties/test_fold.py
@@ -8,7 +8,7 @@
 
 from briarrelay_bench.workload import make_configuration
 from briarrelay_bench.worldfaults import LogFault
-from briarrelay_core.fold import CONFIG_STREAM, ConfigurationFold
+from briarrelay_core.agreement.fold import CONFIG_STREAM, ConfigurationFold
 from briarrelay_core.ports.log import LogRecord
 from properties.worlds import SmallWorld, change
 
--- a/features/properties/test_leases.py
+++ b/features/properties/test_leases.py
@@ -8,10 +8,10 @@
 from briarrelay_bench.engine_model import EngineModel
 from briarrelay_bench.workload import make_configuration
 from briarrelay_bench.worldfaults import LogFault
-from briarrelay_core.configuration import read_configuration
-from briarrelay_core.fold import CONFIG_STREAM
-from briarrelay_core.leases import LEASE_STREAM, LeaseFold, LeaseRecord
-from briarrelay_core.orders import SETTLED_AGE_S, assign_models
+from briarrelay_core.agreement.configuration import read_configuration
+from briarrelay_core.agreement.fold import CONFIG_STREAM
+from briarrelay_core.agreement.leases import LEASE_STREAM, LeaseFold, LeaseRecord
+from briarrelay_core.agreement.orders import SETTLED_AGE_S, assign_models
 from briarrelay_core.ports.log import LogRecord
 from briarrelay_core.ports.platform import WeightsReady
 from properties.worlds import SmallWorld, change
--- a/features/properties/test_parts.py
+++ b/features/properties/test_parts.py
@@ -5,15 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briarrelay_core.admission import fair_rates
-from briarrelay_core.allocator import Allocator, Reservation, plan_gang
-from briarrelay_core.engineview import EngineView, SentWork
-from briarrelay_core.fairqueue import BURST_TOKENS, FairQueue, Waiting
-from briarrelay_core.fleet import Fleet, Need
 from briarrelay_core.identity import Identity
-from briarrelay_core.lengths import LengthClass, class_of
-from briarrelay_core.limits import LimitShares
-from briarrelay_core.membership import Membership
+from briarrelay_core.membership.membership import Membership
+from briarrelay_core.memory.allocator import Allocator, Reservation, plan_gang
+from briarrelay_core.memory.sweeper import GRACE_S, orphans
 from briarrelay_core.ports.engine import (
     CacheEvent,
     CacheEvents,
@@ -21,9 +16,14 @@
     Resident,
 )
 from briarrelay_core.ports.platform import InstanceKind, LifeState
-from briarrelay_core.prefix import PrefixIndex
-from briarrelay_core.retries import MIN_RETRIES, RetryBudget, retry_delay
-from briarrelay_core.sweeper import GRACE_S, orphans
+from briarrelay_core.routing.admission import fair_rates
+from briarrelay_core.routing.engineview import EngineView, SentWork
+from briarrelay_core.routing.fairqueue import BURST_TOKENS, FairQueue, Waiting
+from briarrelay_core.routing.fleet import Fleet, Need
+from briarrelay_core.routing.lengths import LengthClass, class_of
+from briarrelay_core.routing.limits import LimitShares
+from briarrelay_core.routing.prefix import PrefixIndex
+from briarrelay_core.routing.retries import MIN_RETRIES, RetryBudget, retry_delay
 from properties.worlds import listed
 
 EVIDENCE = st.lists(
--- a/features/properties/test_record.py
+++ b/features/properties/test_record.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from briarrelay_core.identity import Identity
-from briarrelay_core.record import (
+from briarrelay_core.record.record import (
     MAX_ENTRIES,
     Entry,
     Recorder,
--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from briarrelay_core.ports.control import DrainRequested, Stopped
+from briarrelay_core.ports.control import DrainRequested, Stopped, WokeUp
 from briarrelay_core.ports.digest import DigestHeard, LoadDigest, SendDigest, ServerLoad
-from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.directory import PeerAddress, Topic
 from briarrelay_core.ports.memory import Reserve, ReserveAnswered
 from briarrelay_core.ports.route import (
     AbortSend,
@@ -189,6 +189,31 @@
         self.assertTrue(digests[0].digest.loads)
 
 
+class WakeTest(unittest.TestCase):
+    def test_nothing_is_refused_for_good_until_the_store_answers(self):
+        """A key may have been added while the instance stood still."""
+        world = RouteWorld()
+        known = world.request("book", key="new-key")
+        world.tell(WokeUp(4.0))
+        world.advance(0.3)
+        woken = world.request("book", key="new-key")
+        world.change(Topic.CONFIGURATION)
+        world.advance(0.3)
+        after = world.request("book", key="new-key")
+        reasons = [
+            world.of(effects, RouteRefused)[0].outcome.reason
+            for effects in (known, woken, after)
+        ]
+        self.assertEqual(
+            reasons,
+            [
+                RefusalReason.UNAUTHORIZED,
+                RefusalReason.NOT_READY,
+                RefusalReason.UNAUTHORIZED,
+            ],
+        )
+
+
 class StopTest(unittest.TestCase):
     """A balancer that knows no other instance sends on until the process ends."""
 
--- a/packages/briarrelay-bench/src/briarrelay_bench/control_cost.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/control_cost.py
@@ -16,8 +16,8 @@
 from briarrelay_bench.processes import Cluster, free_port
 from briarrelay_bench.procstat import cpu_seconds, resident_mb
 from briarrelay_bench.workload import make_configuration
-from briarrelay_core.configuration import hash_key
-from briarrelay_core.gossip import (
+from briarrelay_core.agreement.configuration import hash_key
+from briarrelay_core.membership.gossip import (
     FAR_PERIODS,
     FULL_PERIODS,
     MAX_DEMANDS,
--- a/packages/briarrelay-bench/src/briarrelay_bench/engine_model.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/engine_model.py
@@ -9,7 +9,7 @@
 
 from attrs import define, field
 
-from briarrelay_core.lengths import class_of
+from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.ports.engine import (
     CacheEvent,
     CacheEvents,
@@ -19,8 +19,8 @@
     Resident,
     SendRequest,
 )
-from briarrelay_core.prefix import BLOCK_TOKENS
-from briarrelay_core.rendezvous import unit_hash
+from briarrelay_core.routing.lengths import class_of
+from briarrelay_core.routing.prefix import BLOCK_TOKENS
 
 __all__ = ["EngineModel", "EngineSpec", "answer_text", "token_text"]
 
--- a/packages/briarrelay-bench/src/briarrelay_bench/experiment.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/experiment.py
@@ -7,17 +7,17 @@
 from briarrelay_bench.measures import Fate, Report, slowdown_p95, ttft_by_class
 from briarrelay_bench.virtual import EngineHost, InstanceHost, World
 from briarrelay_bench.workload import Workload, make_configuration, make_workload
+from briarrelay_core.agreement.fold import CONFIG_STREAM, ChangeKind, ChangeRecord
 from briarrelay_core.entry import EntryInstance
-from briarrelay_core.fold import CONFIG_STREAM, ChangeKind, ChangeRecord
 from briarrelay_core.identity import Identity
-from briarrelay_core.lengths import LengthClass, class_of
+from briarrelay_core.membership.rendezvous import unit_hash
+from briarrelay_core.memory.sweeper import GRACE_S
 from briarrelay_core.outcomes import Failed
 from briarrelay_core.ports.caller import ChatRequest, Finish
 from briarrelay_core.ports.engine import EngineLost
 from briarrelay_core.ports.platform import InstanceKind, LifeState, ListedInstance
 from briarrelay_core.reasons import FailureReason
-from briarrelay_core.rendezvous import unit_hash
-from briarrelay_core.sweeper import GRACE_S
+from briarrelay_core.routing.lengths import LengthClass, class_of
 
 __all__ = ["Experiment", "Settings", "run_experiment"]
 
--- a/packages/briarrelay-bench/src/briarrelay_bench/fakelog.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/fakelog.py
@@ -2,8 +2,8 @@
 
 from attrs import define, field
 
+from briarrelay_core.agreement.tails import NEWEST
 from briarrelay_core.ports.log import LogRead, LogRecord
-from briarrelay_core.tails import NEWEST
 
 __all__ = ["FakeLog"]
 
--- a/packages/briarrelay-bench/src/briarrelay_bench/measures.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/measures.py
@@ -5,8 +5,8 @@
 
 from briarrelay_bench.engine_model import answer_text
 from briarrelay_bench.workload import Arrival
-from briarrelay_core.lengths import LengthClass, class_of
 from briarrelay_core.outcomes import Outcome
+from briarrelay_core.routing.lengths import LengthClass, class_of
 
 __all__ = ["Fate", "Report", "percentile", "slowdown_p95", "ttft_by_class"]
 
--- a/packages/briarrelay-bench/src/briarrelay_bench/slopes.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/slopes.py
@@ -8,9 +8,9 @@
 from attrs import define
 
 from briarrelay_bench.control_cost import big_configuration, sample_digest
-from briarrelay_core.claims import ClaimFold, ClaimKind, ClaimRecord
+from briarrelay_core.agreement.claims import ClaimFold, ClaimKind, ClaimRecord
+from briarrelay_core.agreement.fold import ChangeKind, ChangeRecord, ConfigurationFold
 from briarrelay_core.entry import EntryInstance
-from briarrelay_core.fold import ChangeKind, ChangeRecord, ConfigurationFold
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.caller import CallerGone, ChatRequest
 from briarrelay_core.ports.engine import EngineReport
@@ -21,8 +21,8 @@
     LifeState,
     ListedInstance,
 )
-from briarrelay_core.prefix import PrefixIndex
-from briarrelay_core.record import Entry, Recorder
+from briarrelay_core.record.record import Entry, Recorder
+from briarrelay_core.routing.prefix import PrefixIndex
 from briarrelay_daemon import peer_pb2
 from briarrelay_daemon.peercodec import decode_message, encode_message
 
--- a/packages/briarrelay-bench/src/briarrelay_bench/workload.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/workload.py
@@ -5,8 +5,8 @@
 
 from attrs import frozen
 
-from briarrelay_core.configuration import hash_key
-from briarrelay_core.lengths import MEDIUM_LIMIT
+from briarrelay_core.agreement.configuration import hash_key
+from briarrelay_core.routing.lengths import MEDIUM_LIMIT
 
 __all__ = ["Arrival", "Workload", "make_configuration", "make_workload"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/calls.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/calls.py
@@ -4,9 +4,8 @@
 
 from attrs import define, field
 
-from briarrelay_core.admission import Admission
-from briarrelay_core.callstate import Call, CallPhase, settled
-from briarrelay_core.claims import (
+from briarrelay_core.agreement.callstate import Call, CallPhase, settled
+from briarrelay_core.agreement.claims import (
     CLAIM_STREAM,
     CLOCK_SLACK_S,
     ClaimFold,
@@ -15,7 +14,9 @@
     KeyPhase,
     key_time,
 )
+from briarrelay_core.agreement.tails import LogTail
 from briarrelay_core.context import Context
+from briarrelay_core.membership.rendezvous import ranked
 from briarrelay_core.outcomes import Done, NotRun, Outcome, Unknown
 from briarrelay_core.ports.caller import CallerGone, Finish, ServiceRequest
 from briarrelay_core.ports.log import LogRecord
@@ -23,8 +24,7 @@
 from briarrelay_core.ports.platform import InstanceKind
 from briarrelay_core.ports.service import CallService, ServiceAnswer, ServiceLost
 from briarrelay_core.reasons import RefusalReason, RetryReason
-from briarrelay_core.rendezvous import ranked
-from briarrelay_core.tails import LogTail
+from briarrelay_core.routing.admission import Admission
 
 __all__ = ["CallDesk"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/callstate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/callstate.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from briarrelay_core.claims import KeyPhase, KeyState
+from briarrelay_core.agreement.claims import KeyPhase, KeyState
 from briarrelay_core.outcomes import Done, NotRun, Outcome, Unknown
 from briarrelay_core.ports.caller import ServiceRequest
 from briarrelay_core.reasons import RefusalReason
--- a/packages/briarrelay-core/src/briarrelay_core/fold.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/fold.py
@@ -6,13 +6,13 @@
 
 from attrs import define, field, frozen
 
-from briarrelay_core.checked import CheckedError, from_mapping, to_mapping
-from briarrelay_core.configuration import (
+from briarrelay_core.agreement.configuration import (
     Configuration,
     merge_patch,
     patched,
     read_configuration,
 )
+from briarrelay_core.checked import CheckedError, from_mapping, to_mapping
 from briarrelay_core.ports.log import LogRecord
 
 __all__ = [
--- a/packages/briarrelay-core/src/briarrelay_core/orders.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/orders.py
@@ -4,9 +4,11 @@
 
 from attrs import define, field
 
-from briarrelay_core.configuration import Configuration, ModelSpec
+from briarrelay_core.agreement.configuration import Configuration, ModelSpec
+from briarrelay_core.agreement.leases import LEASE_STREAM, Lease, LeaseFold, LeaseRecord
+from briarrelay_core.agreement.tails import LogTail
 from briarrelay_core.context import Context
-from briarrelay_core.leases import LEASE_STREAM, Lease, LeaseFold, LeaseRecord
+from briarrelay_core.membership.rendezvous import ranked, unit_hash
 from briarrelay_core.ports.log import LogRecord
 from briarrelay_core.ports.observe import Count
 from briarrelay_core.ports.platform import (
@@ -17,8 +19,6 @@
     SendOrder,
     WeightsReady,
 )
-from briarrelay_core.rendezvous import ranked, unit_hash
-from briarrelay_core.tails import LogTail
 
 __all__ = ["OrderKeeper", "assign_models"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/revisions.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/revisions.py
@@ -2,9 +2,7 @@
 
 from attrs import define, field
 
-from briarrelay_core.checked import CheckedError
-from briarrelay_core.context import Context
-from briarrelay_core.fold import (
+from briarrelay_core.agreement.fold import (
     CONFIG_STREAM,
     SNAPSHOT_STREAM,
     ChangeKind,
@@ -12,11 +10,13 @@
     ConfigurationFold,
     Verdict,
 )
+from briarrelay_core.agreement.tails import NEWEST, LogTail
+from briarrelay_core.checked import CheckedError
+from briarrelay_core.context import Context
+from briarrelay_core.membership.rendezvous import ranked
 from briarrelay_core.ports.log import LogRead, LogRecord, ReadLog
 from briarrelay_core.ports.observe import Count, Note
 from briarrelay_core.ports.peer import FetchRevision, RevisionSnapshot, SendPeer
-from briarrelay_core.rendezvous import ranked
-from briarrelay_core.tails import NEWEST, LogTail
 
 __all__ = ["RevisionKeeper"]
 
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/chats/__init__.py
@@ -0,0 +1,1 @@
+"""A chat from its request to its one final answer."""
--- a/packages/briarrelay-core/src/briarrelay_core/answers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chats/answers.py
@@ -2,8 +2,8 @@
 
 from attrs import define
 
-from briarrelay_core.chatdesk import ChatDesk
-from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.chats.chatdesk import ChatDesk
+from briarrelay_core.chats.chatstate import Chat, Phase
 from briarrelay_core.outcomes import Done, Failed
 from briarrelay_core.ports.caller import AnswerText
 from briarrelay_core.ports.engine import (
--- a/packages/briarrelay-core/src/briarrelay_core/cancels.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chats/cancels.py
@@ -2,10 +2,10 @@
 
 from attrs import define, field
 
-from briarrelay_core.membership import Membership
+from briarrelay_core.membership.membership import Membership
+from briarrelay_core.memory.sweeper import GRACE_S
 from briarrelay_core.ports.engine import Cancelled, CancelRequest
 from briarrelay_core.ports.platform import LifeState
-from briarrelay_core.sweeper import GRACE_S
 from briarrelay_core.timers import TimerService
 
 __all__ = ["CancelKeeper"]
--- a/packages/briarrelay-core/src/briarrelay_core/chatdesk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chats/chatdesk.py
@@ -2,18 +2,18 @@
 
 from attrs import define
 
-from briarrelay_core.admission import Admission
-from briarrelay_core.cancels import CancelKeeper
-from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.chats.cancels import CancelKeeper
+from briarrelay_core.chats.chatstate import Chat, Phase
 from briarrelay_core.context import Context
-from briarrelay_core.dispatch import Dispatcher
+from briarrelay_core.memory.reservations import ReservationKeeper
 from briarrelay_core.outcomes import Done, Failed, NotRun, Outcome
 from briarrelay_core.ports.caller import CallerGone, ChatRequest, Finish
 from briarrelay_core.ports.observe import Count
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
-from briarrelay_core.reservations import ReservationKeeper
-from briarrelay_core.retries import retry_delay
-from briarrelay_core.spill import Spill
+from briarrelay_core.routing.admission import Admission
+from briarrelay_core.routing.dispatch import Dispatcher
+from briarrelay_core.routing.retries import retry_delay
+from briarrelay_core.routing.spill import Spill
 
 __all__ = ["ChatDesk"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/chatstate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chats/chatstate.py
@@ -4,10 +4,10 @@
 
 from attrs import define, field
 
-from briarrelay_core.allocator import GangPlan
-from briarrelay_core.fleet import Need
-from briarrelay_core.lengths import LengthClass, class_of
+from briarrelay_core.memory.allocator import GangPlan
 from briarrelay_core.ports.caller import ChatRequest
+from briarrelay_core.routing.fleet import Need
+from briarrelay_core.routing.lengths import LengthClass, class_of
 from briarrelay_core.timers import Timer
 
 __all__ = ["Chat", "Phase"]
--- a/packages/briarrelay-core/src/briarrelay_core/context.py
+++ b/packages/briarrelay-core/src/briarrelay_core/context.py
@@ -4,17 +4,17 @@
 
 from attrs import define, field
 
-from briarrelay_core.chatstate import Chat
-from briarrelay_core.configuration import Configuration, Preset
-from briarrelay_core.fleet import Fleet
+from briarrelay_core.agreement.configuration import Configuration, Preset
+from briarrelay_core.agreement.outbox import Outbox
+from briarrelay_core.chats.chatstate import Chat
 from briarrelay_core.identity import Identity
-from briarrelay_core.limits import DemandMeter, LimitShares
-from briarrelay_core.membership import Membership
-from briarrelay_core.outbox import Outbox
+from briarrelay_core.membership.membership import Membership
 from briarrelay_core.ports.observe import Count
 from briarrelay_core.ports.platform import InstanceKind
-from briarrelay_core.record import Entry, Recorder
-from briarrelay_core.retries import RetryBudget
+from briarrelay_core.record.record import Entry, Recorder
+from briarrelay_core.routing.fleet import Fleet
+from briarrelay_core.routing.limits import DemandMeter, LimitShares
+from briarrelay_core.routing.retries import RetryBudget
 from briarrelay_core.timers import TimerService
 
 __all__ = ["Context", "Explanation"]
--- a/packages/briarrelay-core/src/briarrelay_core/entry.py
+++ b/packages/briarrelay-core/src/briarrelay_core/entry.py
@@ -7,32 +7,32 @@
 
 from attrs import define, field
 
-from briarrelay_core.admission import Admission
-from briarrelay_core.answers import AnswerKeeper
-from briarrelay_core.calls import CallDesk
-from briarrelay_core.cancels import CancelKeeper
-from briarrelay_core.chatdesk import ChatDesk
+from briarrelay_core.agreement.calls import CallDesk
+from briarrelay_core.agreement.orders import OrderKeeper
+from briarrelay_core.agreement.outbox import Outbox
+from briarrelay_core.agreement.revisions import RevisionKeeper
+from briarrelay_core.chats.answers import AnswerKeeper
+from briarrelay_core.chats.cancels import CancelKeeper
+from briarrelay_core.chats.chatdesk import ChatDesk
+from briarrelay_core.chats.relays import RelayKeeper
 from briarrelay_core.context import Context
-from briarrelay_core.dispatch import Dispatcher
-from briarrelay_core.drain import Drain
 from briarrelay_core.entrymail import handle_message
-from briarrelay_core.fleet import Fleet
-from briarrelay_core.gossip import Gossip
 from briarrelay_core.identity import Identity
-from briarrelay_core.membership import Membership
-from briarrelay_core.orders import OrderKeeper
-from briarrelay_core.outbox import Outbox
-from briarrelay_core.peermail import PeerMail
-from briarrelay_core.polling import Poller
+from briarrelay_core.membership.drain import Drain
+from briarrelay_core.membership.gossip import Gossip
+from briarrelay_core.membership.membership import Membership
+from briarrelay_core.membership.peermail import PeerMail
+from briarrelay_core.memory.reservations import ReservationKeeper
 from briarrelay_core.ports.platform import (
     InstanceKind,
     LifeState,
 )
-from briarrelay_core.record import AUDIT_STREAM, Recorder
-from briarrelay_core.relays import RelayKeeper
-from briarrelay_core.reservations import ReservationKeeper
-from briarrelay_core.revisions import RevisionKeeper
-from briarrelay_core.spill import Spill
+from briarrelay_core.record.record import AUDIT_STREAM, Recorder
+from briarrelay_core.routing.admission import Admission
+from briarrelay_core.routing.dispatch import Dispatcher
+from briarrelay_core.routing.fleet import Fleet
+from briarrelay_core.routing.polling import Poller
+from briarrelay_core.routing.spill import Spill
 from briarrelay_core.timers import TimerService
 
 __all__ = ["EntryInstance"]
--- a/packages/briarrelay-core/src/briarrelay_core/entrymail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/entrymail.py
@@ -5,9 +5,9 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
-from briarrelay_core.claims import CLAIM_STREAM
-from briarrelay_core.fold import CONFIG_STREAM, SNAPSHOT_STREAM
-from briarrelay_core.leases import LEASE_STREAM
+from briarrelay_core.agreement.claims import CLAIM_STREAM
+from briarrelay_core.agreement.fold import CONFIG_STREAM, SNAPSHOT_STREAM
+from briarrelay_core.agreement.leases import LEASE_STREAM
 from briarrelay_core.ports.caller import CallerGone, ChatRequest, ServiceRequest
 from briarrelay_core.ports.control import DrainRequested
 from briarrelay_core.ports.engine import (
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who lives, who leaves, and what peers tell each other."""
--- a/packages/briarrelay-core/src/briarrelay_core/drain.py
+++ b/packages/briarrelay-core/src/briarrelay_core/membership/drain.py
@@ -2,15 +2,15 @@
 
 from attrs import define
 
-from briarrelay_core.calls import CallDesk
+from briarrelay_core.agreement.calls import CallDesk
 from briarrelay_core.context import Context
-from briarrelay_core.gossip import Gossip
+from briarrelay_core.membership.gossip import Gossip
+from briarrelay_core.membership.rendezvous import ranked
 from briarrelay_core.ports.control import Stopped
 from briarrelay_core.ports.observe import Note
 from briarrelay_core.ports.peer import HandOver, HandOverTaken, SendPeer
 from briarrelay_core.ports.platform import LifeState
-from briarrelay_core.record import AUDIT_STREAM
-from briarrelay_core.rendezvous import ranked
+from briarrelay_core.record.record import AUDIT_STREAM
 from briarrelay_core.timers import Timer
 
 __all__ = ["Drain"]
--- a/packages/briarrelay-core/src/briarrelay_core/gossip.py
+++ b/packages/briarrelay-core/src/briarrelay_core/membership/gossip.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from briarrelay_core.context import Context
+from briarrelay_core.membership.rendezvous import ranked
 from briarrelay_core.ports.engine import EngineReport
 from briarrelay_core.ports.peer import (
     Digest,
@@ -12,7 +13,6 @@
     WorkspaceDemand,
 )
 from briarrelay_core.ports.platform import LifeState
-from briarrelay_core.rendezvous import ranked
 
 __all__ = ["Gossip"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/peermail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/membership/peermail.py
@@ -7,7 +7,7 @@
 
 from attrs import define
 
-from briarrelay_core.chatstate import Phase
+from briarrelay_core.chats.chatstate import Phase
 from briarrelay_core.ports.peer import (
     Digest,
     FetchRevision,
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Engine memory set aside for long prompts, and given back."""
--- a/packages/briarrelay-core/src/briarrelay_core/reservations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/memory/reservations.py
@@ -4,9 +4,11 @@
 
 from attrs import define, field
 
-from briarrelay_core.allocator import Allocator, GangPlan, Reservation
-from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.chats.chatstate import Chat, Phase
 from briarrelay_core.context import Context
+from briarrelay_core.membership.rendezvous import owner_of
+from briarrelay_core.memory.allocator import Allocator, GangPlan, Reservation
+from briarrelay_core.memory.sweeper import GRACE_S
 from briarrelay_core.ports.observe import Count
 from briarrelay_core.ports.peer import (
     MemoryReply,
@@ -14,8 +16,6 @@
     ReserveMemory,
     SendPeer,
 )
-from briarrelay_core.rendezvous import owner_of
-from briarrelay_core.sweeper import GRACE_S
 
 __all__ = ["ReservationKeeper"]
 
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/record/__init__.py
@@ -0,0 +1,1 @@
+"""The record of what was done."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/choosing.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/choosing.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from briarrelay_core.rendezvous import unit_hash
+from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.routes.carried import Carried
 from briarrelay_core.routes.evidence import ServerEvidence
 from briarrelay_core.routes.load import LoadTable
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.observe import Count, Note
 from briarrelay_core.ports.route import (
@@ -15,8 +16,7 @@
     RouteRequest,
 )
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
-from briarrelay_core.record import Entry, Recorder
-from briarrelay_core.rendezvous import unit_hash
+from briarrelay_core.record.record import Entry, Recorder
 from briarrelay_core.routes.budget import RepeatBudget
 from briarrelay_core.routes.carried import Carried, Sending
 from briarrelay_core.routes.choosing import Chooser, is_too_large
--- a/packages/briarrelay-core/src/briarrelay_core/routes/evidence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/evidence.py
@@ -2,10 +2,10 @@
 
 from attrs import define, field
 
-from briarrelay_core.health import HealthTable
 from briarrelay_core.routes.pace import PaceTable
 from briarrelay_core.routes.reach import ReachTable
 from briarrelay_core.routes.servers import ServerTable
+from briarrelay_core.routing.health import HealthTable
 
 __all__ = ["ServerEvidence"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -8,8 +8,8 @@
 
 from attrs import define, field
 
+from briarrelay_core.agreement.outbox import Outbox
 from briarrelay_core.identity import Identity
-from briarrelay_core.outbox import Outbox
 from briarrelay_core.ports.control import DrainRequested, RouteLimitsChanged, WokeUp
 from briarrelay_core.ports.digest import DigestHeard, PeerAnswered
 from briarrelay_core.ports.directory import (
@@ -31,7 +31,7 @@
     SendHead,
     SendLost,
 )
-from briarrelay_core.record import AUDIT_STREAM, Recorder
+from briarrelay_core.record.record import AUDIT_STREAM, Recorder
 from briarrelay_core.routes.budget import RepeatBudget, RepeatLimits
 from briarrelay_core.routes.choosing import Chooser
 from briarrelay_core.routes.desk import RouteDesk
@@ -259,5 +259,6 @@
     @_take.register
     def _(self, message: WokeUp, now: float) -> list:
         fields = (("stood_s", f"{message.stood_s:.2f}"),)
-        self.desk.is_configuration_unsure = True
+        self.news.distrust()
+        self.news.refresh(now)
         return [Note("warning", "woke_up", fields=fields)]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/news.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -16,7 +16,7 @@
     TopicRead,
 )
 from briarrelay_core.ports.observe import Count, Note
-from briarrelay_core.record import Entry
+from briarrelay_core.record.record import Entry
 from briarrelay_core.routes.desk import RouteDesk
 from briarrelay_core.routes.follower import Follower
 from briarrelay_core.routes.model import RouteConfiguration
@@ -120,6 +120,11 @@
                     effects += self._apply_server(value, now)
         return effects
 
+    def distrust(self) -> None:
+        """Count what the store told as old, since time passed that was not counted."""
+        for follower in self.followers.values():
+            follower.heard_at = float("-inf")
+
     def refresh(self, now: float) -> None:
         """Note whether the configuration may be older than the newest."""
         follower = self.followers[Topic.CONFIGURATION]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
@@ -5,7 +5,7 @@
 from briarrelay_core.ports.control import CloseIdle, Stopped
 from briarrelay_core.ports.directory import PublishEntry
 from briarrelay_core.ports.observe import Note
-from briarrelay_core.record import AUDIT_STREAM
+from briarrelay_core.record.record import AUDIT_STREAM
 from briarrelay_core.routes.desk import RouteDesk
 from briarrelay_core.routes.peers import PeerKeeper
 
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Where prompts go, when, and who waits."""
--- a/packages/briarrelay-core/src/briarrelay_core/admission.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/admission.py
@@ -4,13 +4,13 @@
 
 from attrs import define, field, frozen
 
-from briarrelay_core.allocator import MAX_GANG
-from briarrelay_core.configuration import hash_key
+from briarrelay_core.agreement.configuration import hash_key
 from briarrelay_core.context import Context
-from briarrelay_core.lengths import LengthClass, class_of
+from briarrelay_core.memory.allocator import MAX_GANG
 from briarrelay_core.outcomes import NotRun
 from briarrelay_core.ports.caller import ChatRequest, ServiceRequest
 from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.routing.lengths import LengthClass, class_of
 
 __all__ = ["Admission", "Admitted", "fair_rates", "whole_seconds"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/dispatch.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/dispatch.py
@@ -2,17 +2,17 @@
 
 from attrs import define, evolve, field
 
-from briarrelay_core.admission import Admission, whole_seconds
-from briarrelay_core.allocator import GangPlan, plan_gang
-from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.chats.chatstate import Chat, Phase
 from briarrelay_core.context import Context
-from briarrelay_core.estimate import Estimate, priority_key
-from briarrelay_core.fairqueue import FairQueue, Waiting
-from briarrelay_core.lengths import LengthClass
+from briarrelay_core.memory.allocator import GangPlan, plan_gang
+from briarrelay_core.memory.reservations import ReservationKeeper
 from briarrelay_core.outcomes import NotRun
 from briarrelay_core.ports.engine import SendRequest
 from briarrelay_core.reasons import RefusalReason
-from briarrelay_core.reservations import ReservationKeeper
+from briarrelay_core.routing.admission import Admission, whole_seconds
+from briarrelay_core.routing.estimate import Estimate, priority_key
+from briarrelay_core.routing.fairqueue import FairQueue, Waiting
+from briarrelay_core.routing.lengths import LengthClass
 
 __all__ = ["Dispatcher"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/engineview.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/engineview.py
@@ -4,9 +4,9 @@
 
 from attrs import define, field
 
-from briarrelay_core.lengths import LengthClass
 from briarrelay_core.ports.engine import EngineReport
 from briarrelay_core.ports.peer import ReportEntry
+from briarrelay_core.routing.lengths import LengthClass
 
 __all__ = ["EngineView", "SentWork"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/estimate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/estimate.py
@@ -2,9 +2,9 @@
 
 from attrs import frozen
 
-from briarrelay_core.configuration import Objective
-from briarrelay_core.engineview import EngineView
-from briarrelay_core.lengths import LengthClass
+from briarrelay_core.agreement.configuration import Objective
+from briarrelay_core.routing.engineview import EngineView
+from briarrelay_core.routing.lengths import LengthClass
 
 __all__ = ["Estimate", "estimate_first_token", "priority_key"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/fleet.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/fleet.py
@@ -5,18 +5,18 @@
 
 from attrs import define, field
 
-from briarrelay_core.configuration import Preset
-from briarrelay_core.engineview import EngineView, SentWork
-from briarrelay_core.estimate import Estimate, estimate_first_token
-from briarrelay_core.health import HealthTable
+from briarrelay_core.agreement.configuration import Preset
 from briarrelay_core.identity import Identity
-from briarrelay_core.lengths import LengthClass
-from briarrelay_core.membership import Membership
+from briarrelay_core.membership.membership import Membership
+from briarrelay_core.membership.rendezvous import ranked, unit_hash
 from briarrelay_core.ports.engine import EngineReport
 from briarrelay_core.ports.peer import RecentSend, ReportEntry
 from briarrelay_core.ports.platform import InstanceKind
-from briarrelay_core.prefix import PrefixIndex
-from briarrelay_core.rendezvous import ranked, unit_hash
+from briarrelay_core.routing.engineview import EngineView, SentWork
+from briarrelay_core.routing.estimate import Estimate, estimate_first_token
+from briarrelay_core.routing.health import HealthTable
+from briarrelay_core.routing.lengths import LengthClass
+from briarrelay_core.routing.prefix import PrefixIndex
 
 __all__ = ["Fleet", "Need"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/health.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/health.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from briarrelay_core.rendezvous import unit_hash
+from briarrelay_core.membership.rendezvous import unit_hash
 
 __all__ = ["Health", "HealthTable"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/polling.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/polling.py
@@ -3,6 +3,8 @@
 from attrs import define, field
 
 from briarrelay_core.context import Context
+from briarrelay_core.membership.rendezvous import ranked
+from briarrelay_core.memory.sweeper import orphans
 from briarrelay_core.ports.engine import (
     CacheEvents,
     EngineReport,
@@ -13,8 +15,6 @@
 )
 from briarrelay_core.ports.observe import Count
 from briarrelay_core.ports.platform import ReadInstanceList
-from briarrelay_core.rendezvous import ranked
-from briarrelay_core.sweeper import orphans
 
 __all__ = ["Poller"]
 
--- a/packages/briarrelay-core/src/briarrelay_core/spill.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/spill.py
@@ -2,9 +2,10 @@
 
 from attrs import define, field
 
-from briarrelay_core.chatstate import Chat, Phase
+from briarrelay_core.chats.chatstate import Chat, Phase
 from briarrelay_core.context import Context
 from briarrelay_core.identity import Identity
+from briarrelay_core.membership.rendezvous import ranked
 from briarrelay_core.outcomes import NotRun
 from briarrelay_core.ports.caller import ChatRequest, Finish
 from briarrelay_core.ports.observe import Count
@@ -16,7 +17,6 @@
 )
 from briarrelay_core.ports.platform import InstanceKind
 from briarrelay_core.reasons import RefusalReason
-from briarrelay_core.rendezvous import ranked
 
 __all__ = ["Spill"]
 
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/audits.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/audits.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from briarrelay_core.record import (
+from briarrelay_core.record.record import (
     AUDIT_STREAM,
     ChainFault,
     parse_batch,
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/changes.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/changes.py
@@ -5,7 +5,7 @@
 from attrs import define
 from uuid6 import uuid7
 
-from briarrelay_core.fold import (
+from briarrelay_core.agreement.fold import (
     CONFIG_STREAM,
     SNAPSHOT_STREAM,
     ChangeKind,
@@ -13,7 +13,7 @@
     ConfigurationFold,
     Verdict,
 )
-from briarrelay_core.tails import NEWEST
+from briarrelay_core.agreement.tails import NEWEST
 from briarrelay_ctl.remote import LogClient, RemoteError
 
 __all__ = ["Changes", "UnsettledError"]
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/commands.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/commands.py
@@ -4,9 +4,9 @@
 
 from attrs import asdict, define, frozen
 
+from briarrelay_core.agreement.configuration import merge_patch, read_configuration
+from briarrelay_core.agreement.fold import ChangeKind, ConfigurationFold, Verdict
 from briarrelay_core.checked import CheckedError, to_mapping
-from briarrelay_core.configuration import merge_patch, read_configuration
-from briarrelay_core.fold import ChangeKind, ConfigurationFold, Verdict
 from briarrelay_ctl.audits import find
 from briarrelay_ctl.changes import Changes
 from briarrelay_ctl.remote import InstanceClient, RemoteError
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/chatapi.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/chatapi.py
@@ -8,8 +8,8 @@
 
 from briarrelay_core.outcomes import NotRun, Outcome
 from briarrelay_core.ports.caller import ChatRequest, ServiceRequest
-from briarrelay_core.prefix import BLOCK_TOKENS
 from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.routing.prefix import BLOCK_TOKENS
 from briarrelay_daemon.settings import Settings
 
 __all__ = [
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/status.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/status.py
@@ -6,7 +6,7 @@
 import orjson
 from attrs import asdict
 
-from briarrelay_core.configuration import hash_key
+from briarrelay_core.agreement.configuration import hash_key
 from briarrelay_core.ports.control import DrainRequested
 from briarrelay_core.ports.platform import InstanceKind
 from briarrelay_daemon.chatapi import bearer_key
