--- a/features/properties/test_route_edges.py
+++ b/features/properties/test_route_edges.py
@@ -218,6 +218,14 @@
         self.assertEqual((sink.status, sink.body, sink.end), (200, b"ab", "whole"))
         self.assertEqual(self.idle(), 1)
 
+    def test_idle_connection_is_closed_after_its_time(self):
+        self.call(
+            b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(self.idle(), 1)
+        self.client._sweep(self.wire.clock() + 1.5)
+        self.assertEqual(self.client._idle, {})
+
     def test_extra_answer_ends_the_connection(self):
         one = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
         sink = self.call(one + b"ab" + one + b"cd")
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -100,16 +100,22 @@
         for load in loads:
             load.is_reading = False
             if not load.stays:
-                self._by_server[load.server].remove(load)
+                self._drop(load)
         self._sends[send_id] = [load for load in loads if load.stays]
         self.is_changed = True
 
     def remove(self, send_id: int) -> None:
         """Note that a send is over."""
         for load in self._sends.pop(send_id, ()):
-            self._by_server[load.server].remove(load)
+            self._drop(load)
             self.is_changed = True
 
+    def _drop(self, load: SendLoad) -> None:
+        here = self._by_server[load.server]
+        here.remove(load)
+        if not here:
+            del self._by_server[load.server]
+
     def hear(self, digest: LoadDigest, now: float) -> None:
         """Take a peer's digest."""
         name = digest.sender.name
@@ -121,7 +127,10 @@
     def forget_peer(self, name: str) -> None:
         """Leave out a peer that stopped."""
         for server in self._told.pop(name, ()):
-            del self._peers[server][name]
+            told = self._peers[server]
+            del told[name]
+            if not told:
+                del self._peers[server]
 
     def reading_s(self, server: str, now: float) -> float:
         """Return seconds for which a server may be silent because it reads.
@@ -138,7 +147,6 @@
         return {
             server: self._own_of(loads, now)
             for server, loads in self._by_server.items()
-            if loads
         }
 
     def _own_of(self, loads: list[SendLoad], now: float) -> ServerLoad:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -20,6 +20,9 @@
 IDLE_S = 4.0
 """Seconds that a connection is kept when the server names no time; most keep 5."""
 
+SWEEP_S = 2.0
+"""Seconds between looks for idle connections whose time is over."""
+
 IDLE_MARGIN_S = 1.0
 """Seconds before the server's own time at which a connection is not used again."""
 
@@ -287,6 +290,7 @@
     def __init__(self, wire: Wire):
         self.wire = wire
         self._idle: dict[Address, list[_Connection]] = {}
+        wire.timers.every(SWEEP_S, self._sweep, wire.clock() + SWEEP_S)
 
     def call(
         self,
@@ -323,6 +327,19 @@
         call.begin(self._connection(address, fresh), message, timeout)
         return call
 
+    def _sweep(self, now: float) -> list:
+        """Close idle connections whose time is over, and forget their addresses."""
+        for address, idle in list(self._idle.items()):
+            kept = [c for c in idle if now < c.usable_until]
+            for connection in idle:
+                if connection not in kept:
+                    connection.sock.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+        return []
+
     def _encode(self, address, method: str, target: str, body: bytes, headers) -> bytes:
         head = [f"{method} {target} HTTP/1.1", f"Host: {address}"]
         head += [f"{name}: {value}" for name, value in headers]
