End a stream only by a stream; do not repeat what a resuming caller has

Cause, found by reading: a second run that answered 200 without events, as a server with a spoiled answer may, ended a begun stream as complete; a stream answer without events lost its body; the id that a resuming caller gave did not count for repeated events. Change: the head says whether the body is a stream. Three tests fail before, pass after.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -8,7 +8,11 @@
 from briarrelay_core.ports.memory import Reserve, ReserveAnswered
 from briarrelay_core.ports.route import (
     AbortSend,
+    CutAnswer,
     HeadKind,
+    RelayEnd,
+    RelayEvent,
+    RelayWhole,
     RouteRefused,
     SendDone,
     SendEvent,
@@ -22,7 +26,8 @@
 
 def begin(world: RouteWorld, send_id: int) -> None:
     """Let a send's first event come."""
-    world.tell(SendHead(send_id=send_id, kind=HeadKind.SUCCESS, status=200))
+    head = SendHead(send_id=send_id, kind=HeadKind.SUCCESS, status=200, is_stream=True)
+    world.tell(head)
     world.tell(SendEvent(send_id, "1", b"1"))
 
 
@@ -57,6 +62,36 @@
         self.assertEqual(world.tell(SendEvent(first.send_id, "1", b"1")), [])
 
 
+class StreamTest(unittest.TestCase):
+    def test_answer_that_is_no_stream_does_not_end_one(self):
+        world = RouteWorld()
+        first = world.forwards(world.request("chat"))[0]
+        begin(world, first.send_id)
+        lost = world.tell(SendLost(first.send_id, True))
+        second = world.forwards(lost)[0]
+        world.tell(SendHead(send_id=second.send_id, kind=HeadKind.SUCCESS, status=200))
+        effects = world.tell(SendDone(second.send_id))
+        self.assertEqual(world.of(effects, RelayEnd), [])
+        self.assertEqual(len(world.of(effects, CutAnswer)), 1)
+
+    def test_stream_without_an_event_is_passed_on_whole(self):
+        world = RouteWorld()
+        first = world.forwards(world.request("chat"))[0]
+        world.tell(SendHead(send_id=first.send_id, kind=HeadKind.SUCCESS, status=200))
+        effects = world.tell(SendDone(first.send_id))
+        self.assertEqual(len(world.of(effects, RelayWhole)), 1)
+
+    def test_events_that_the_caller_has_are_not_repeated(self):
+        world = RouteWorld()
+        first = world.forwards(world.request("chat", resume_after="4"))[0]
+        self.assertEqual(first.resume_after, "4")
+        ids = []
+        for number in (3, 4, 5):
+            event = SendEvent(first.send_id, str(number), b"%d" % number)
+            ids += [int(e.data) for e in world.of(world.tell(event), RelayEvent)]
+        self.assertEqual(ids, [5])
+
+
 class CutTest(unittest.TestCase):
     def make_world(self) -> RouteWorld:
         world = RouteWorld(engines=0)
--- a/features/properties/test_route_machine.py
+++ b/features/properties/test_route_machine.py
@@ -48,6 +48,7 @@
         self.world = RouteWorld()
         self.told: dict[int, _Told] = {}
         self.open: dict[int, Forward] = {}
+        self.open_route: dict[int, int] = {}
         self.next_event: dict[int, int] = {}
         self.reserves: list[Reserve] = []
         self.leaving: set[str] = set()
@@ -74,6 +75,7 @@
         told.sends.append(effect.send_id)
         told.may_have_run.add(effect.send_id)
         self.open[effect.send_id] = effect
+        self.open_route[effect.send_id] = effect.request_id
         self.next_event[effect.send_id] = int(effect.resume_after or 0) + 1
 
     def on_final(self, effect) -> None:
@@ -115,7 +117,11 @@
         if kind in (HeadKind.NOT_RUN, HeadKind.OTHER_SERVER):
             self.close(send_id, has_not_run=True)
         status = {HeadKind.SUCCESS: 200, HeadKind.FAILURE: 500}.get(kind, 503)
-        message = SendHead(send_id=send_id, kind=kind, status=status)
+        route = self.told[self.open_route[send_id]].route
+        is_stream = route in ("chat", "file", "once")
+        message = SendHead(
+            send_id=send_id, kind=kind, status=status, is_stream=is_stream
+        )
         self.take(self.world.tell(message))
         if kind is HeadKind.UNPROVEN:
             self.open.pop(send_id, None)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -113,12 +113,14 @@
     """The head of an answer.
 
     :param at_fault: address of the engine that caused a refusal, if told.
+    :param is_stream: the body is a series of events.
     """
 
     send_id: int
     kind: HeadKind
     status: int
     at_fault: str = ""
+    is_stream: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
@@ -28,6 +28,7 @@
     placement: Placement | None = None
     kind: HeadKind | None = None
     status: int = 0
+    is_stream: bool = False
     events: int = 0
 
 
@@ -64,6 +65,11 @@
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
 
+    @property
+    def resume_after(self) -> str:
+        """Id of the last event that the caller has, from this answer or before it."""
+        return self.last_event or self.request.resume_after
+
     @property
     def is_prompt(self) -> bool:
         """Whether an engine reads a prompt for it."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -207,7 +207,7 @@
                 )
                 for name in placement.helpers
             ),
-            resume_after=carried.last_event or carried.request.resume_after,
+            resume_after=carried.resume_after,
             is_fresh=not carried.route.is_repeatable,
         )
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
@@ -56,6 +56,7 @@
         self.desk.evidence.note_word(sending.server, now)
         sending.kind = message.kind
         sending.status = message.status
+        sending.is_stream = message.is_stream
         sending.progress_at = now
         if message.kind is HeadKind.NOT_RUN:
             return self._on_refused(carried, message, now)
@@ -125,7 +126,7 @@
             carried.is_begun = True
             carried.first_event_at = now
             effects.append(RelayHead(carried.request.request_id, sending.send_id))
-        if not _is_newer(message.event_id, carried.last_event):
+        if not _is_newer(message.event_id, carried.resume_after):
             return [*effects, Count("route.event_repeated")]
         carried.last_event = message.event_id
         effects.append(RelayEvent(carried.request.request_id, message.data))
@@ -147,15 +148,15 @@
         sending = carried.sending
         if sending.kind is HeadKind.FAILURE:
             return self._on_failure(carried, now)
+        if carried.is_begun and not sending.is_stream:
+            return self._on_broken(carried, "not a stream", now)
         desk.evidence.health.note_success(sending.server)
         request_id = carried.request.request_id
-        if carried.route.kind is not RouteKind.STREAM:
-            carried.first_event_at = now
-            relay = [RelayWhole(request_id, sending.send_id)]
-        elif carried.is_begun:
+        if carried.is_begun:
             relay = [RelayEnd(request_id)]
         else:
-            relay = [RelayHead(request_id, sending.send_id), RelayEnd(request_id)]
+            carried.first_event_at = now
+            relay = [RelayWhole(request_id, sending.send_id)]
         desk.load.remove(sending.send_id)
         effects = [
             effect
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -112,8 +112,7 @@
     def on_head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
         head = self._port.dialect.read_head(status, headers, self._forward.send_id)
-        is_events = headers.get("content-type", "").startswith("text/event-stream")
-        if head.kind is HeadKind.SUCCESS and is_events:
+        if head.kind is HeadKind.SUCCESS and head.is_stream:
             self._splitter = EventSplitter()
         self._tell(head)
 
