Release what is granted after a release; put improper requests on record

Requests refused before they were read had no entry in the record. Tests fail before and pass after.

--- a/features/properties/test_platform_path.py
+++ b/features/properties/test_platform_path.py
@@ -84,6 +84,8 @@
             answer = call(self.entry, "/chat/x", "h1", tokens="1,1", more=headers)
             self.assertEqual(answer.status, 400, headers)
         self.assertEqual(self.ran("h1"), [])
+        refused = [e for e in self.entry.lines() if e["event"] == "refused"]
+        self.assertIn("h1", {e.get("request_id") for e in refused})
 
     def test_configuration_is_in_force_everywhere(self):
         self.fleet.put("keyed.op", "config", configuration(5, routes=("new",)))
--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -5,7 +5,12 @@
 from briarrelay_core.ports.control import DrainRequested, Stopped, WokeUp
 from briarrelay_core.ports.digest import DigestHeard, LoadDigest, SendDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress, Topic
-from briarrelay_core.ports.memory import Reserve, ReserveAnswered
+from briarrelay_core.ports.memory import (
+    Release,
+    ReleaseAnswered,
+    Reserve,
+    ReserveAnswered,
+)
 from briarrelay_core.ports.route import (
     AbortSend,
     CutAnswer,
@@ -192,6 +197,30 @@
         self.assertGreater(refused[0].outcome.retry_after, 0)
 
 
+class ReservationTest(unittest.TestCase):
+    def test_grant_after_release_is_released_again(self):
+        """A reserve order may be carried out after the release that left later."""
+        world = RouteWorld(engines=4)
+        effects = world.request("file", prompt_tokens=1_300_000, patience_s=15.0)
+        first, second = world.of(effects, Reserve)[:2]
+        world.tell(ReserveAnswered(first.reservation_id, False))
+        world.tell(ReleaseAnswered(first.reservation_id, True))
+        world.tell(ReleaseAnswered(second.reservation_id, True))
+        effects = world.tell(ReserveAnswered(second.reservation_id, True))
+        released = [e.reservation_id for e in world.of(effects, Release)]
+        self.assertEqual(released, [second.reservation_id])
+
+    def test_engine_that_denies_is_avoided(self):
+        world = RouteWorld(engines=6)
+        effects = world.request("file", prompt_tokens=700_000, patience_s=15.0)
+        first = world.of(effects, Reserve)[0]
+        effects = world.tell(ReserveAnswered(first.reservation_id, False))
+        effects += world.advance(0.2)
+        hosts = {reserve.host for reserve in world.of(effects, Reserve)}
+        self.assertTrue(hosts)
+        self.assertNotIn(first.host, hosts)
+
+
 class HelperTest(unittest.TestCase):
     def test_busy_helper_is_avoided_and_stays_in_use(self):
         """An engine that helps others to its limit still serves chats."""
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -17,6 +17,7 @@
     "RelayEvent",
     "RelayHead",
     "RelayWhole",
+    "RequestImproper",
     "RouteRequest",
     "RouteRefused",
     "SendDone",
@@ -49,6 +50,18 @@
     resume_after: str = ""
 
 
+@frozen(slots=True, kw_only=True)
+class RequestImproper:
+    """Something of a caller was refused before it was a request.
+
+    :param caller_id: the id that the caller gave, empty if none was read.
+    """
+
+    reason: str
+    problem: str
+    caller_id: str = ""
+
+
 @frozen(slots=True)
 class CallerLeft:
     """The caller closed its connection before the answer was whole."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -12,6 +12,7 @@
     Forward,
     HelperAddress,
     RelayWhole,
+    RequestImproper,
     RouteRefused,
     RouteRequest,
 )
@@ -177,12 +178,13 @@
         carried.sending.sent_at = carried.sending.progress_at = now
         names = (placement.lead, *placement.helpers)
         if not all(self.servers.is_usable(name, now) for name in names):
-            return self.on_denied(send_id, now)
+            return self.on_denied(send_id, "", now)
         return [self._forward(carried, placement, now)]
 
-    def on_denied(self, send_id: int, now: float) -> list:
-        """Place a request anew whose memory was not to be had."""
+    def on_denied(self, send_id: int, engine: str, now: float) -> list:
+        """Place a request anew whose memory was not to be had on an engine."""
         carried = self.sends[send_id]
+        carried.avoided.add(engine)
         self.end_send(carried, now)
         carried.tried.pop()
         carried.sends -= 1
@@ -333,6 +335,21 @@
         effects.append(RouteRefused(carried.request.request_id, refusal))
         return effects
 
+    def refuse_improper(self, message: RequestImproper, now: float) -> list:
+        """Put on record what was refused before it was a request."""
+        entry = Entry(
+            at=round(now, 3),
+            kind="refusal",
+            subject=message.caller_id,
+            why=message.reason,
+        )
+        self.recorder.add(entry)
+        fields = (("reason", message.reason), ("problem", message.problem))
+        return [
+            Note("info", "refused", message.caller_id, fields),
+            Count(f"refused.{message.reason}"),
+        ]
+
     def refuse(self, request: RouteRequest, refusal: NotRun, now: float) -> list:
         """Refuse a request that was not admitted."""
         reason = refusal.reason.value
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -25,6 +25,7 @@
 from briarrelay_core.ports.observe import Note
 from briarrelay_core.ports.route import (
     CallerLeft,
+    RequestImproper,
     RouteRequest,
     SendDone,
     SendEvent,
@@ -178,6 +179,10 @@
     def _(self, message: RouteRequest, now: float) -> list:
         return self.desk.on_request(message, now)
 
+    @_take.register
+    def _(self, message: RequestImproper, now: float) -> list:
+        return self.desk.refuse_improper(message, now)
+
     @_take.register
     def _(self, message: CallerLeft, now: float) -> list:
         return self.desk.on_caller_left(message, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/reserving.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/reserving.py
@@ -37,6 +37,8 @@
 class _Reservation:
     """Memory of one engine.
 
+    :param open_orders: reserve orders whose answer is still to come; they may be
+        carried out after a release that left later.
     :param unanswered_at: time of the last order that got no answer.
     """
 
@@ -47,6 +49,7 @@
     is_granted: bool = False
     is_released: bool = False
     released_at: float = 0.0
+    open_orders: int = 0
     unanswered_at: float = float("-inf")
 
 
@@ -57,14 +60,15 @@
     :param prefix: makes ids unique among instances and incarnations.
     :param hold_s: seconds that a reservation lasts without being renewed.
     :param on_granted: called with a send's id and the time once all is granted.
-    :param on_denied: called with a send's id and the time if something is not.
+    :param on_denied: called with a send's id, the engine that did not grant its part
+        and the time.
     """
 
     prefix: str
     hold_s: float
     timers: TimerService
     on_granted: Callable[[int, float], list] | None = None
-    on_denied: Callable[[int, float], list] | None = None
+    on_denied: Callable[[int, str, float], list] | None = None
     _known: dict[str, _Reservation] = field(factory=dict)
     _by_send: dict[int, list[_Reservation]] = field(factory=dict)
     _effects: list = field(factory=list)
@@ -90,6 +94,7 @@
         return [self._reserve(reservation) for reservation in reservations]
 
     def _reserve(self, reservation: _Reservation) -> Reserve:
+        reservation.open_orders += 1
         return Reserve(
             reservation_id=reservation.reservation_id,
             host=reservation.server.host,
@@ -112,10 +117,11 @@
         reservation = self._known.get(message.reservation_id)
         if reservation is None:
             return []
+        reservation.open_orders -= 1
         if message.is_granted is None:
             reservation.unanswered_at = now
         if reservation.is_released:
-            return []
+            return [_release(reservation)] if message.is_granted else []
         if reservation.is_granted:
             return self._on_renewed(reservation, message)
         if not message.is_granted:
@@ -151,7 +157,7 @@
         return [
             note,
             Count("reservation.denied"),
-            *self.on_denied(send_id, now),
+            *self.on_denied(send_id, reservation.server.name, now),
         ]
 
     def release(self, send_id: int, now: float) -> None:
@@ -168,7 +174,8 @@
             return []
         late_until = reservation.unanswered_at + LATE_ORDER_S
         give_up_at = max(late_until, reservation.released_at + 2 * self.hold_s)
-        if now >= give_up_at or (message.is_done and now >= late_until):
+        is_settled = message.is_done and not reservation.open_orders
+        if now >= give_up_at or (is_settled and now >= late_until):
             del self._known[message.reservation_id]
             return []
         pause = LATE_RELEASE_S if message.is_done else RELEASE_AGAIN_S
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -16,6 +16,7 @@
     RelayEvent,
     RelayHead,
     RelayWhole,
+    RequestImproper,
     RouteRefused,
     RouteRequest,
     SendDone,
@@ -70,6 +71,10 @@
     ) -> RouteRequest | NotRun:
         """Return the typed request of an exchange, or why there is none."""
 
+    @abstractmethod
+    def read_id(self, exchange: RawExchange) -> str:
+        """Return the id that a caller gave its request, empty if there is none."""
+
     @abstractmethod
     def write_request(self, exchange: RawExchange, forward: Forward) -> bytes:
         """Return the request that a backend server gets."""
@@ -190,8 +195,12 @@
         self.host.counters.add("route.requests")
         request = self.dialect.read_request(exchange, request_id)
         if isinstance(request, NotRun):
-            self.host.counters.add(f"refused.{request.reason.value}")
-            self.host.logger.info("refused", reason=request.message)
+            improper = RequestImproper(
+                reason=request.reason.value,
+                problem=request.message,
+                caller_id=self.dialect.read_id(exchange),
+            )
+            self.host.tell(improper)
             exchange.reply(*self.dialect.write_refusal(request, exchange))
             return
         self._carried[request_id] = _Carried(exchange, perf_counter())
@@ -205,8 +214,8 @@
             self.host.tell(CallerLeft(request_id))
 
     def _on_improper(self, status: int, text: bytes) -> None:
-        self.host.counters.add(f"improper.{status}")
-        self.host.logger.info("improper", status=status, problem=text.decode())
+        reason = f"improper_{status}"
+        self.host.tell(RequestImproper(reason=reason, problem=text.decode()))
 
     def _drop(self, request_id: int) -> _Carried | None:
         carried = self._carried.pop(request_id, None)
