Name the parts of the route desk by what they are; give every peer its turn

RoutedRequest (routed.py) and ReplyKeeper (replies.py) were Carried and SendMail. Fault: beyond 24 peers of a data centre the same ones got every digest and the others none; the test with 120 peers fails before, passes after. On deployments of up to 25 instances nothing changes.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -138,7 +138,7 @@
         reach.note_unreached("b", "engine-4", world.now)
         reach.note_unreached("b", "engine-5", world.now)
         self.assertTrue(reach.is_suspect("b", world.now))
-        world.core.desk.evidence.note_word("engine-6", world.now)
+        world.core.desk.evidence.note_heard("engine-6", world.now)
         self.assertFalse(reach.is_suspect("b", world.now))
 
     def test_it_is_tried_again(self):
@@ -278,6 +278,27 @@
         )
 
 
+class ManyPeersTest(unittest.TestCase):
+    def test_every_peer_gets_digests_and_none_gets_many(self):
+        world = RouteWorld()
+        peers = [
+            PeerAddress(
+                name=f"entry-{n}",
+                host=f"10.8.0.{n}",
+                question_port=1,
+                digest_port=2,
+                data_centre="a" if n % 2 else "b",
+            )
+            for n in range(1, 121)
+        ]
+        for peer in peers:
+            world.core.peers.add(peer)
+        sent = world.of(world.advance(10.0), SendDigest)
+        reached = {peer.host for digest in sent for peer in digest.peers}
+        self.assertEqual(len(reached), 120)
+        self.assertLessEqual(max(len(digest.peers) for digest in sent), 48)
+
+
 class StopTest(unittest.TestCase):
     """A balancer that knows no other instance sends on until the process ends."""
 
--- a/features/properties/test_route_machine.py
+++ b/features/properties/test_route_machine.py
@@ -201,7 +201,7 @@
         for number, told in self.told.items():
             assert told.has_left or told.finals, f"request {number} has no answer"
         desk = self.world.core.desk
-        assert not desk.carried and not desk.sends
+        assert not desk.requests and not desk.sends
         assert not desk.load.own(self.world.now), "load of nobody"
         assert not self.world.reserved, "memory set aside for nobody"
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/choosing.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/choosing.py
@@ -3,7 +3,6 @@
 from attrs import define
 
 from briarrelay_core.membership.rendezvous import unit_hash
-from briarrelay_core.routes.carried import Carried
 from briarrelay_core.routes.evidence import ServerEvidence
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.placement import (
@@ -14,6 +13,7 @@
     place_prompt,
     whole_memory,
 )
+from briarrelay_core.routes.routed import RoutedRequest
 from briarrelay_core.routes.servers import KnownServer, ServerTable
 
 __all__ = ["Chooser", "is_too_large"]
@@ -39,12 +39,12 @@
     load: LoadTable
     evidence: ServerEvidence
 
-    def candidates(self, carried: Carried, now: float) -> list[KnownServer]:
+    def candidates(self, routed: RoutedRequest, now: float) -> list[KnownServer]:
         """Return servers that may take a request, without those that fail."""
-        usable = self.servers.of_service(carried.service, now)
-        left_out = carried.avoided.union(carried.tried)
+        usable = self.servers.of_service(routed.service, now)
+        left_out = routed.avoided.union(routed.tried)
         fresh = [s for s in usable if s.entry.name not in left_out]
-        request_id = str(carried.request.request_id)
+        request_id = str(routed.request.request_id)
         sound = [
             server
             for server in fresh
@@ -60,10 +60,10 @@
         return fresh if left_out or len(fresh) == len(usable) else usable
 
     def choose(
-        self, carried: Carried, known: list[KnownServer], now: float
+        self, routed: RoutedRequest, known: list[KnownServer], now: float
     ) -> Placement | None:
         """Return where a request goes among candidates, None if none has a place."""
-        is_prompt = carried.is_prompt
+        is_prompt = routed.is_prompt
         factor = 1 if is_prompt else QUEUE_FACTOR
         candidates = [
             Candidate(
@@ -78,25 +78,25 @@
         ]
         if not is_prompt:
             return place_call(candidates)
-        return place_prompt(carried.profile, candidates, _make_prompt(carried, now))
+        return place_prompt(routed.profile, candidates, _make_prompt(routed, now))
 
 
-def is_too_large(carried: Carried, engines: int) -> bool:
+def is_too_large(routed: RoutedRequest, engines: int) -> bool:
     """Return whether a number of engines could not hold a prompt if all were idle."""
-    if not carried.is_prompt:
+    if not routed.is_prompt:
         return False
-    request = carried.request
+    request = routed.request
     need = request.prompt_tokens + request.output_tokens
-    return need > whole_memory(carried.profile, engines)
+    return need > whole_memory(routed.profile, engines)
 
 
-def _make_prompt(carried: Carried, now: float) -> Prompt:
-    request = carried.request
-    left_s = carried.route.target_latency_s - (now - carried.arrived_at)
+def _make_prompt(routed: RoutedRequest, now: float) -> Prompt:
+    request = routed.request
+    left_s = routed.route.target_latency_s - (now - routed.arrived_at)
     return Prompt(
         tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         aim_s=max(SHORTEST_AIM_S, left_s),
-        limit_s=carried.route.gap_limit_s or 0.0,
-        weight=carried.weight,
+        limit_s=routed.route.gap_limit_s or 0.0,
+        weight=routed.weight,
     )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -19,13 +19,13 @@
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
 from briarrelay_core.record.record import Entry, Recorder
 from briarrelay_core.routes.budget import RepeatBudget
-from briarrelay_core.routes.carried import Carried, Sending
 from briarrelay_core.routes.choosing import Chooser, is_too_large
 from briarrelay_core.routes.evidence import ServerEvidence
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.reserving import Reservations
+from briarrelay_core.routes.routed import RoutedRequest, Sending
 from briarrelay_core.routes.servers import ServerTable
 
 __all__ = ["RouteDesk"]
@@ -73,9 +73,9 @@
     configuration: RouteConfiguration | None = None
     is_configuration_unsure: bool = False
     is_closing: bool = False
-    carried: dict[int, Carried] = field(factory=dict)
-    sends: dict[int, Carried] = field(factory=dict)
-    _waiting: dict[int, Carried] = field(factory=dict)
+    requests: dict[int, RoutedRequest] = field(factory=dict)
+    sends: dict[int, RoutedRequest] = field(factory=dict)
+    _waiting: dict[int, RoutedRequest] = field(factory=dict)
     _send_count: int = 0
 
     # Arrival
@@ -92,7 +92,7 @@
         if request.patience_s is not None:
             patience = min(patience, request.patience_s)
         known = configuration.services.get(service)
-        carried = Carried(
+        routed = RoutedRequest(
             request=request,
             route=route,
             service=service,
@@ -101,9 +101,9 @@
             arrived_at=now,
             due=now + patience,
         )
-        self.carried[request.request_id] = carried
+        self.requests[request.request_id] = routed
         self.budget.note_request(service, now)
-        return self.place(carried, now)
+        return self.place(routed, now)
 
     def _find_refusal(self, request: RouteRequest) -> NotRun | None:
         configuration = self.configuration
@@ -128,30 +128,30 @@
 
     # Placing
 
-    def place(self, carried: Carried, now: float) -> list:
+    def place(self, routed: RoutedRequest, now: float) -> list:
         """Send a request to the best server, or let it wait for one."""
-        if carried.due - now < SHORTEST_SEND_S:
-            return self.give_up(carried, now)
-        known = self.chooser.candidates(carried, now)
-        if known and is_too_large(carried, len(known)):
-            return self.give_up(carried, now, RefusalReason.SERVERS_FULL)
-        placement = self.chooser.choose(carried, known, now) if known else None
+        if routed.due - now < SHORTEST_SEND_S:
+            return self.give_up(routed, now)
+        known = self.chooser.candidates(routed, now)
+        if known and is_too_large(routed, len(known)):
+            return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
+        placement = self.chooser.choose(routed, known, now) if known else None
         if placement is not None:
-            self._waiting.pop(carried.request.request_id, None)
-            return self._send(carried, placement, now)
+            self._waiting.pop(routed.request.request_id, None)
+            return self._send(routed, placement, now)
         if not known:
-            return self.give_up(carried, now, RefusalReason.NO_ENGINE)
-        if carried.request.request_id in self._waiting:
+            return self.give_up(routed, now, RefusalReason.NO_ENGINE)
+        if routed.request.request_id in self._waiting:
             return []
-        self._waiting[carried.request.request_id] = carried
+        self._waiting[routed.request.request_id] = routed
         return [Count("route.waited")]
 
-    def _send(self, carried: Carried, placement: Placement, now: float) -> list:
+    def _send(self, routed: RoutedRequest, placement: Placement, now: float) -> list:
         self._send_count += 1
         send_id = self._send_count
-        carried.sends += 1
-        carried.tried.append(placement.lead)
-        carried.sending = Sending(
+        routed.sends += 1
+        routed.tried.append(placement.lead)
+        routed.sending = Sending(
             send_id=send_id,
             server=placement.lead,
             helpers=placement.helpers,
@@ -159,11 +159,11 @@
             expected_s=placement.expected_s,
             progress_at=now,
         )
-        self.sends[send_id] = carried
-        self._add_load(carried, placement, send_id, now)
+        self.sends[send_id] = routed
+        self._add_load(routed, placement, send_id, now)
         if not placement.holdings:
-            return [self._forward(carried, placement, now)]
-        carried.sending.placement = placement
+            return [self._forward(routed, placement, now)]
+        routed.sending.placement = placement
         holdings = [
             (self.servers.get(name).entry, tokens)
             for name, tokens in placement.holdings
@@ -172,61 +172,63 @@
 
     def on_granted(self, send_id: int, now: float) -> list:
         """Send a request whose memory is set aside."""
-        carried = self.sends[send_id]
-        placement = carried.sending.placement
-        carried.sending.placement = None
-        carried.sending.sent_at = carried.sending.progress_at = now
+        routed = self.sends[send_id]
+        placement = routed.sending.placement
+        routed.sending.placement = None
+        routed.sending.sent_at = routed.sending.progress_at = now
         names = (placement.lead, *placement.helpers)
         if not all(self.servers.is_usable(name, now) for name in names):
             return self.on_denied(send_id, "", now)
-        return [self._forward(carried, placement, now)]
+        return [self._forward(routed, placement, now)]
 
     def on_denied(self, send_id: int, engine: str, now: float) -> list:
         """Place a request anew whose memory was not to be had on an engine."""
-        carried = self.sends[send_id]
-        carried.avoided.add(engine)
-        self.end_send(carried, now)
-        carried.tried.pop()
-        carried.sends -= 1
-        self._waiting[carried.request.request_id] = carried
+        routed = self.sends[send_id]
+        routed.avoided.add(engine)
+        self.end_send(routed, now)
+        routed.tried.pop()
+        routed.sends -= 1
+        self._waiting[routed.request.request_id] = routed
         return []
 
-    def _forward(self, carried: Carried, placement: Placement, now: float) -> Forward:
-        send_id = carried.sending.send_id
+    def _forward(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> Forward:
+        send_id = routed.sending.send_id
         reserved = self.reservations.ids_of(send_id)
         entry = self.servers.get(placement.lead).entry
         return Forward(
-            request_id=carried.request.request_id,
+            request_id=routed.request.request_id,
             send_id=send_id,
             server=entry.name,
             host=entry.host,
             port=entry.port,
-            patience_s=carried.due - now,
-            workspace=carried.workspace,
+            patience_s=routed.due - now,
+            workspace=routed.workspace,
             helpers=tuple(
                 HelperAddress(
                     self.servers.get(name).entry.address, reserved.get(name, "")
                 )
                 for name in placement.helpers
             ),
-            resume_after=carried.resume_after,
-            is_fresh=not carried.route.is_repeatable,
+            resume_after=routed.resume_after,
+            is_fresh=not routed.route.is_repeatable,
         )
 
     def _add_load(
-        self, carried: Carried, placement: Placement, send_id: int, now: float
+        self, routed: RoutedRequest, placement: Placement, send_id: int, now: float
     ) -> None:
-        request = carried.request
+        request = routed.request
         held = dict(placement.holdings)
         tokens = request.prompt_tokens + request.output_tokens - sum(held.values())
         self.load.add(
             send_id,
             placement.lead,
             now,
-            tokens=tokens if carried.is_prompt else 0,
+            tokens=tokens if routed.is_prompt else 0,
             read_s=placement.read_s,
-            limit_s=carried.route.gap_limit_s or 0.0,
-            weight=carried.weight,
+            limit_s=routed.route.gap_limit_s or 0.0,
+            weight=routed.weight,
         )
         for helper in placement.helpers:
             self.load.add(send_id, helper, now, read_s=placement.read_s, is_lead=False)
@@ -238,15 +240,15 @@
             self._waiting.values(),
             key=lambda c: c.arrived_at + c.route.target_latency_s,
         )
-        for carried in order:
-            effects += self.place(carried, now)
+        for routed in order:
+            effects += self.place(routed, now)
         return effects
 
     # Repeating
 
     def repeat_or_give_up(
         self,
-        carried: Carried,
+        routed: RoutedRequest,
         reason: RetryReason,
         now: float,
         has_arrived: bool = True,
@@ -256,37 +258,37 @@
         :param has_arrived: the last send reached its server, so that a further one
             draws on the budget.
         """
-        if not self._may_repeat(carried, has_arrived, now):
-            return self.give_up(carried, now)
+        if not self._may_repeat(routed, has_arrived, now):
+            return self.give_up(routed, now)
         fields = (
             ("reason", reason.value),
-            ("server", carried.tried[-1]),
-            ("runs", str(carried.runs)),
-            ("last_event", carried.last_event),
-            ("left_s", f"{carried.due - now:.2f}"),
+            ("server", routed.tried[-1]),
+            ("runs", str(routed.runs)),
+            ("last_event", routed.last_event),
+            ("left_s", f"{routed.due - now:.2f}"),
         )
-        note = Note("info", "retry", carried.request.caller_id, fields)
-        self._record(carried, "retry", reason.value, now)
+        note = Note("info", "retry", routed.request.caller_id, fields)
+        self._record(routed, "retry", reason.value, now)
         counts = [note, Count(f"retried.{reason.value}")]
-        return counts + self.place(carried, now)
+        return counts + self.place(routed, now)
 
-    def _may_repeat(self, carried: Carried, has_arrived: bool, now: float) -> bool:
-        if carried.runs and not carried.route.is_repeatable:
+    def _may_repeat(self, routed: RoutedRequest, has_arrived: bool, now: float) -> bool:
+        if routed.runs and not routed.route.is_repeatable:
             return False
-        if carried.runs >= carried.route.attempts:
+        if routed.runs >= routed.route.attempts:
             return False
-        if carried.unsent > UNSENT_SENDS:
+        if routed.unsent > UNSENT_SENDS:
             return False
-        if carried.sends - carried.unsent >= carried.route.attempts + NOT_RUN_SENDS:
+        if routed.sends - routed.unsent >= routed.route.attempts + NOT_RUN_SENDS:
             return False
-        if carried.due - now < SHORTEST_SEND_S:
+        if routed.due - now < SHORTEST_SEND_S:
             return False
-        return not has_arrived or self.budget.spend(carried.service, now)
+        return not has_arrived or self.budget.spend(routed.service, now)
 
-    def end_send(self, carried: Carried, now: float) -> Sending:
+    def end_send(self, routed: RoutedRequest, now: float) -> Sending:
         """Take a send that is over off the load."""
-        sending = carried.sending
-        carried.sending = None
+        sending = routed.sending
+        routed.sending = None
         del self.sends[sending.send_id]
         self.load.remove(sending.send_id)
         self.reservations.release(sending.send_id, now)
@@ -296,43 +298,43 @@
 
     def give_up(
         self,
-        carried: Carried,
+        routed: RoutedRequest,
         now: float,
         reason: RefusalReason = RefusalReason.SERVERS_REFUSED,
     ) -> list:
         """Answer a request that will not be sent again."""
-        if carried.is_begun:
-            return self.close(carried, "cut", now) + [
-                CutAnswer(carried.request.request_id)
+        if routed.is_begun:
+            return self.close(routed, "cut", now) + [
+                CutAnswer(routed.request.request_id)
             ]
-        if carried.failure:
-            effects = self.close(carried, "passed_failure", now)
-            relay = RelayWhole(carried.request.request_id, carried.failure)
+        if routed.failure:
+            effects = self.close(routed, "passed_failure", now)
+            relay = RelayWhole(routed.request.request_id, routed.failure)
             return [*effects, relay]
-        if carried.runs:
-            late = carried.due - now < SHORTEST_SEND_S
+        if routed.runs:
+            late = routed.due - now < SHORTEST_SEND_S
             cause = FailureReason.DEADLINE if late else FailureReason.SERVER_LOST
-            return self._fail(carried, Failed(cause), now)
-        wait = self._retry_after(carried, reason)
-        return self._refuse(carried, NotRun(reason, retry_after=wait), now)
+            return self._fail(routed, Failed(cause), now)
+        wait = self._retry_after(routed, reason)
+        return self._refuse(routed, NotRun(reason, retry_after=wait), now)
 
-    def _retry_after(self, carried: Carried, reason: RefusalReason) -> float:
+    def _retry_after(self, routed: RoutedRequest, reason: RefusalReason) -> float:
         """Return seconds to wait, spread so that callers do not return together."""
-        spread = 1.0 + unit_hash(carried.request.caller_id, "spread")
+        spread = 1.0 + unit_hash(routed.request.caller_id, "spread")
         if reason is RefusalReason.NO_ENGINE:
             return NO_SERVER_S * spread
-        return max(RETRY_AFTER_S, carried.route.target_latency_s / 2) * spread
+        return max(RETRY_AFTER_S, routed.route.target_latency_s / 2) * spread
 
-    def _fail(self, carried: Carried, outcome: Failed, now: float) -> list:
-        effects = self.close(carried, outcome.reason.value, now)
+    def _fail(self, routed: RoutedRequest, outcome: Failed, now: float) -> list:
+        effects = self.close(routed, outcome.reason.value, now)
         effects.append(Count(f"failed.{outcome.reason.value}"))
-        effects.append(RouteRefused(carried.request.request_id, outcome))
+        effects.append(RouteRefused(routed.request.request_id, outcome))
         return effects
 
-    def _refuse(self, carried: Carried, refusal: NotRun, now: float) -> list:
-        effects = self.close(carried, refusal.reason.value, now)
+    def _refuse(self, routed: RoutedRequest, refusal: NotRun, now: float) -> list:
+        effects = self.close(routed, refusal.reason.value, now)
         effects.append(Count(f"refused.{refusal.reason.value}"))
-        effects.append(RouteRefused(carried.request.request_id, refusal))
+        effects.append(RouteRefused(routed.request.request_id, refusal))
         return effects
 
     def refuse_improper(self, message: RequestImproper, now: float) -> list:
@@ -371,70 +373,72 @@
             RouteRefused(request.request_id, refusal),
         ]
 
-    def close(self, carried: Carried, outcome: str, now: float) -> list:
+    def close(self, routed: RoutedRequest, outcome: str, now: float) -> list:
         """Forget a request; a send that is still open is aborted."""
-        request = carried.request
+        request = routed.request
         effects = []
-        sending = carried.sending
+        sending = routed.sending
         if sending is not None:
-            self.end_send(carried, now)
+            self.end_send(routed, now)
             effects.append(AbortSend(sending.send_id))
-        self.carried.pop(request.request_id, None)
+        self.requests.pop(request.request_id, None)
         self._waiting.pop(request.request_id, None)
-        self._record(carried, "request", outcome, now)
-        first = carried.first_event_at
+        self._record(routed, "request", outcome, now)
+        first = routed.first_event_at
         fields = (
             ("outcome", outcome),
-            ("route", carried.route.name),
-            ("workspace", carried.workspace),
+            ("route", routed.route.name),
+            ("workspace", routed.workspace),
             ("version", str(self.configuration.version)),
-            ("servers", ",".join(carried.tried)),
+            ("servers", ",".join(routed.tried)),
             ("helpers", str(len(sending.helpers)) if sending else "0"),
             ("expected_ms", f"{1000 * sending.expected_s:.0f}" if sending else ""),
-            ("first_ms", f"{1000 * (first - carried.arrived_at):.0f}" if first else ""),
-            ("whole_ms", f"{1000 * (now - carried.arrived_at):.0f}"),
-            ("gap_ms", f"{1000 * carried.longest_gap_s:.0f}"),
-            ("last_event", carried.last_event),
+            ("first_ms", f"{1000 * (first - routed.arrived_at):.0f}" if first else ""),
+            ("whole_ms", f"{1000 * (now - routed.arrived_at):.0f}"),
+            ("gap_ms", f"{1000 * routed.longest_gap_s:.0f}"),
+            ("last_event", routed.last_event),
             ("tokens", str(request.prompt_tokens)),
         )
         effects.append(Note("info", "request", request.caller_id, fields))
         return effects
 
-    def _record(self, carried: Carried, kind: str, outcome: str, now: float) -> None:
+    def _record(
+        self, routed: RoutedRequest, kind: str, outcome: str, now: float
+    ) -> None:
         entry = Entry(
             at=round(now, 3),
             kind=kind,
-            subject=carried.request.caller_id,
-            workspace=carried.workspace,
+            subject=routed.request.caller_id,
+            workspace=routed.workspace,
             outcome=outcome,
-            why=",".join(carried.tried),
+            why=",".join(routed.tried),
         )
         self.recorder.add(entry)
 
     def on_caller_left(self, message: CallerLeft, now: float) -> list:
         """Abort what a caller no longer waits for."""
-        carried = self.carried.get(message.request_id)
-        if carried is None:
+        routed = self.requests.get(message.request_id)
+        if routed is None:
             return []
-        effects = self.close(carried, "caller_gone", now)
+        effects = self.close(routed, "caller_gone", now)
         return [*effects, Count("route.caller_gone"), *self.serve_waiting(now)]
 
     def expire(self, now: float) -> list:
         """Answer the requests whose time is over or that waited long enough."""
         effects = []
-        for carried in list(self.carried.values()):
-            if now >= carried.due + LATE_ANSWER_S:
-                effects += self._on_due(carried, now)
-            elif carried.sending is None and self._has_waited(carried, now):
-                effects += self.give_up(carried, now, RefusalReason.SERVERS_FULL)
+        for routed in list(self.requests.values()):
+            if now >= routed.due + LATE_ANSWER_S:
+                effects += self._on_due(routed, now)
+            elif routed.sending is None and self._has_waited(routed, now):
+                effects += self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         return effects
 
-    def _has_waited(self, carried: Carried, now: float) -> bool:
-        whole = carried.due - carried.arrived_at
-        patience = max(carried.route.target_latency_s, WAIT_PART * whole)
-        return now - carried.arrived_at > min(patience, whole)
+    def _has_waited(self, routed: RoutedRequest, now: float) -> bool:
+        whole = routed.due - routed.arrived_at
+        patience = max(routed.route.target_latency_s, WAIT_PART * whole)
+        return now - routed.arrived_at > min(patience, whole)
 
-    def _on_due(self, carried: Carried, now: float) -> list:
-        if carried.sending is not None:
-            carried.runs += 1
-        return self.give_up(carried, now, RefusalReason.CANNOT_FINISH)
+    def _on_due(self, routed: RoutedRequest, now: float) -> list:
+        if routed.sending is not None:
+            routed.runs += 1
+        return self.give_up(routed, now, RefusalReason.CANNOT_FINISH)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/evidence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/evidence.py
@@ -23,12 +23,12 @@
     reach: ReachTable = field(factory=ReachTable)
     heard_at: dict[str, float] = field(factory=dict)
 
-    def note_word(self, server: str, now: float) -> None:
+    def note_heard(self, server: str, now: float) -> None:
         """Note that a server said something."""
         self.heard_at[server] = now
         known = self.servers.get(server)
         if known is not None:
-            self.reach.note_word(known.entry.data_centre)
+            self.reach.note_heard(known.entry.data_centre)
 
     def note_unreached(self, server: str, now: float) -> None:
         """Note that no connection to a server came about."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -40,8 +40,8 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.news import NewsKeeper
 from briarrelay_core.routes.peers import PeerKeeper
+from briarrelay_core.routes.replies import ReplyKeeper
 from briarrelay_core.routes.reserving import Reservations
-from briarrelay_core.routes.sendmail import SendMail
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.stopping import Stopping
 from briarrelay_core.timers import TimerService
@@ -80,7 +80,7 @@
     outbox: Outbox = field(init=False)
     reservations: Reservations = field(init=False)
     desk: RouteDesk = field(init=False)
-    mail: SendMail = field(init=False)
+    replies: ReplyKeeper = field(init=False)
     peers: PeerKeeper = field(init=False)
     news: NewsKeeper = field(init=False)
     stopping: Stopping = field(init=False)
@@ -108,7 +108,7 @@
         )
         self.reservations.on_granted = self.desk.on_granted
         self.reservations.on_denied = self.desk.on_denied
-        self.mail = SendMail(self.desk)
+        self.replies = ReplyKeeper(self.desk)
         self.peers = PeerKeeper(
             self.address, identity.incarnation, self.timers, load, servers
         )
@@ -159,7 +159,7 @@
     def _check(self, now: float) -> list:
         self.news.refresh(now)
         self.desk.budget.instances = self.peers.instances
-        effects = self.mail.check_silence(now) + self.desk.expire(now)
+        effects = self.replies.check_silence(now) + self.desk.expire(now)
         for name in self.desk.servers.drop_lapsed(now):
             self.desk.evidence.forget(name)
         effects += self.desk.serve_waiting(now)
@@ -189,19 +189,19 @@
 
     @_take.register
     def _(self, message: SendHead, now: float) -> list:
-        return self.mail.on_head(message, now)
+        return self.replies.on_head(message, now)
 
     @_take.register
     def _(self, message: SendEvent, now: float) -> list:
-        return self.mail.on_event(message, now)
+        return self.replies.on_event(message, now)
 
     @_take.register
     def _(self, message: SendDone, now: float) -> list:
-        return self.mail.on_done(message, now)
+        return self.replies.on_done(message, now)
 
     @_take.register
     def _(self, message: SendLost, now: float) -> list:
-        return self.mail.on_lost(message, now)
+        return self.replies.on_lost(message, now)
 
     @_take.register
     def _(self, message: ReserveAnswered, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -144,7 +144,8 @@
         if self._is_due:
             return []
         self._is_due = True
-        spacing = max(LEAST_SPACING_S, LOCAL_SPACING_S * len(self._local()))
+        local = min(len(self._local()), MAX_PEERS)
+        spacing = max(LEAST_SPACING_S, LOCAL_SPACING_S * local)
         self.timers.at(max(now, self._sent_at + spacing), self._send_due)
         return []
 
@@ -156,14 +157,20 @@
         """Return the peers that get a digest now, those elsewhere less often."""
         local = self._local()
         remote = [p for p in self._peers.values() if p not in local]
-        remote.sort(key=lambda peer: peer.heard_at is None)
-        remote = remote[:MAX_PEERS]
+        remote = self._window(remote)
         if now - self._sent_remote_at < REMOTE_SPACING_S * len(remote) - 1e-6:
             self._is_remote_late = bool(remote)
-            return local[:MAX_PEERS]
+            return self._window(local)
         self._sent_remote_at = now
         self._is_remote_late = False
-        return local[:MAX_PEERS] + remote
+        return self._window(local) + remote
+
+    def _window(self, peers: list[_Peer]) -> list[_Peer]:
+        """Return the peers whose turn it is, if they are too many for one digest."""
+        if len(peers) <= MAX_PEERS:
+            return peers
+        start = self._number * MAX_PEERS % len(peers)
+        return [*peers[start:], *peers[:start]][:MAX_PEERS]
 
     def _beat(self, now: float) -> list:
         notes = []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/reach.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/reach.py
@@ -29,7 +29,7 @@
 
     _silences: dict[str, _Silence] = field(factory=dict)
 
-    def note_word(self, data_centre: str) -> None:
+    def note_heard(self, data_centre: str) -> None:
         """Note that a server of a data centre answered."""
         self._silences.pop(data_centre, None)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/sendmail.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/replies.py
@@ -16,11 +16,11 @@
     SendLost,
 )
 from briarrelay_core.reasons import RetryReason
-from briarrelay_core.routes.carried import Carried, Sending
 from briarrelay_core.routes.desk import RouteDesk
 from briarrelay_core.routes.model import RouteKind
+from briarrelay_core.routes.routed import RoutedRequest, Sending
 
-__all__ = ["SendMail"]
+__all__ = ["ReplyKeeper"]
 
 FIRST_EVENT_S = 0.35
 """Seconds beyond the expectation after which a first event counts as missing."""
@@ -42,45 +42,45 @@
 
 
 @define(slots=True, eq=False)
-class SendMail:
+class ReplyKeeper:
     """Applies what backend servers say to the requests of a desk."""
 
     desk: RouteDesk
 
     def on_head(self, message: SendHead, now: float) -> list:
         """Take the head of an answer."""
-        carried = self.desk.sends.get(message.send_id)
-        if carried is None:
+        routed = self.desk.sends.get(message.send_id)
+        if routed is None:
             return []
-        sending = carried.sending
-        self.desk.evidence.note_word(sending.server, now)
+        sending = routed.sending
+        self.desk.evidence.note_heard(sending.server, now)
         sending.kind = message.kind
         sending.status = message.status
         sending.is_stream = message.is_stream
         sending.progress_at = now
         if message.kind is HeadKind.NOT_RUN:
-            return self._on_refused(carried, message, now)
+            return self._on_refused(routed, message, now)
         if message.kind is HeadKind.OTHER_SERVER:
-            return self._on_replaced(carried, now)
+            return self._on_replaced(routed, now)
         if message.kind is HeadKind.UNPROVEN:
-            return self._on_broken(carried, "unproven answer", now)
+            return self._on_broken(routed, "unproven answer", now)
         return []
 
-    def _on_refused(self, carried: Carried, message: SendHead, now: float) -> list:
-        sending = self.desk.end_send(carried, now)
+    def _on_refused(self, routed: RoutedRequest, message: SendHead, now: float) -> list:
+        sending = self.desk.end_send(routed, now)
         blamed = self._server_at(message.at_fault, sending) or sending.server
         fields = (
             ("server", sending.server),
             ("blamed", blamed),
             ("status", str(message.status)),
         )
-        note = Note("info", "not_run", carried.request.caller_id, fields)
+        note = Note("info", "not_run", routed.request.caller_id, fields)
         if blamed != sending.server:
-            carried.avoided.add(blamed)
+            routed.avoided.add(blamed)
             self.desk.evidence.health.note_failure(blamed, now)
         effects = [note, AbortSend(sending.send_id)]
         return effects + self.desk.repeat_or_give_up(
-            carried, RetryReason.SERVER_REFUSED, now
+            routed, RetryReason.SERVER_REFUSED, now
         )
 
     def _server_at(self, address: str, sending: Sending) -> str:
@@ -93,47 +93,45 @@
                 return name
         return ""
 
-    def _on_replaced(self, carried: Carried, now: float) -> list:
-        sending = self.desk.end_send(carried, now)
+    def _on_replaced(self, routed: RoutedRequest, now: float) -> list:
+        sending = self.desk.end_send(routed, now)
         known = self.desk.servers.get(sending.server)
         if known is not None:
             known.is_misdirected = True
         fields = (("server", sending.server),)
-        note = Note("warning", "server_replaced", carried.request.caller_id, fields)
+        note = Note("warning", "server_replaced", routed.request.caller_id, fields)
         effects = [note, AbortSend(sending.send_id)]
         return effects + self.desk.repeat_or_give_up(
-            carried, RetryReason.SERVER_REPLACED, now
+            routed, RetryReason.SERVER_REPLACED, now
         )
 
     def on_event(self, message: SendEvent, now: float) -> list:
         """Pass an event on unless the caller has it already."""
-        carried = self.desk.sends.get(message.send_id)
-        if carried is None:
+        routed = self.desk.sends.get(message.send_id)
+        if routed is None:
             return []
-        sending = carried.sending
-        if carried.is_begun:
-            carried.longest_gap_s = max(
-                carried.longest_gap_s, now - carried.last_event_at
-            )
-        carried.last_event_at = now
+        sending = routed.sending
+        if routed.is_begun:
+            routed.longest_gap_s = max(routed.longest_gap_s, now - routed.last_event_at)
+        routed.last_event_at = now
         sending.progress_at = now
-        self.desk.evidence.note_word(sending.server, now)
+        self.desk.evidence.note_heard(sending.server, now)
         sending.events += 1
         effects = []
         if sending.events == 1:
-            self._on_first_event(carried, now)
-        if not carried.is_begun:
-            carried.is_begun = True
-            carried.first_event_at = now
-            effects.append(RelayHead(carried.request.request_id, sending.send_id))
-        if not _is_newer(message.event_id, carried.resume_after):
+            self._on_first_event(routed, now)
+        if not routed.is_begun:
+            routed.is_begun = True
+            routed.first_event_at = now
+            effects.append(RelayHead(routed.request.request_id, sending.send_id))
+        if not _is_newer(message.event_id, routed.resume_after):
             return [*effects, Count("route.event_repeated")]
-        carried.last_event = message.event_id
-        effects.append(RelayEvent(carried.request.request_id, message.data))
+        routed.last_event = message.event_id
+        effects.append(RelayEvent(routed.request.request_id, message.data))
         return effects
 
-    def _on_first_event(self, carried: Carried, now: float) -> None:
-        sending = carried.sending
+    def _on_first_event(self, routed: RoutedRequest, now: float) -> None:
+        sending = routed.sending
         self.desk.load.note_read(sending.send_id)
         taken = now - sending.sent_at
         self.desk.evidence.pace.observe(sending.server, sending.expected_s, taken, now)
@@ -142,97 +140,97 @@
     def on_done(self, message: SendDone, now: float) -> list:
         """Take word that an answer is whole."""
         desk = self.desk
-        carried = desk.sends.get(message.send_id)
-        if carried is None:
+        routed = desk.sends.get(message.send_id)
+        if routed is None:
             return []
-        sending = carried.sending
+        sending = routed.sending
         if sending.kind is HeadKind.FAILURE:
-            return self._on_failure(carried, now)
-        if carried.is_begun and not sending.is_stream:
-            return self._on_broken(carried, "not a stream", now)
+            return self._on_failure(routed, now)
+        if routed.is_begun and not sending.is_stream:
+            return self._on_broken(routed, "not a stream", now)
         desk.evidence.health.note_success(sending.server)
-        request_id = carried.request.request_id
-        if carried.is_begun:
+        request_id = routed.request.request_id
+        if routed.is_begun:
             relay = [RelayEnd(request_id)]
         else:
-            carried.first_event_at = now
+            routed.first_event_at = now
             relay = [RelayWhole(request_id, sending.send_id)]
         desk.load.remove(sending.send_id)
         effects = [
             effect
-            for effect in desk.close(carried, "done", now)
+            for effect in desk.close(routed, "done", now)
             if not isinstance(effect, AbortSend)
         ]
         return effects + relay + desk.serve_waiting(now)
 
-    def _on_failure(self, carried: Carried, now: float) -> list:
+    def _on_failure(self, routed: RoutedRequest, now: float) -> list:
         desk = self.desk
-        sending = desk.end_send(carried, now)
-        carried.runs += 1
-        carried.failure = sending.send_id
+        sending = desk.end_send(routed, now)
+        routed.runs += 1
+        routed.failure = sending.send_id
         if sending.status < 500:
-            return desk.give_up(carried, now) + desk.serve_waiting(now)
+            return desk.give_up(routed, now) + desk.serve_waiting(now)
         desk.evidence.health.note_failure(sending.server, now)
         fields = (("server", sending.server), ("status", str(sending.status)))
-        note = Note("info", "server_failed", carried.request.caller_id, fields)
+        note = Note("info", "server_failed", routed.request.caller_id, fields)
         return [
             note,
-            *desk.repeat_or_give_up(carried, RetryReason.SERVER_FAILED, now),
+            *desk.repeat_or_give_up(routed, RetryReason.SERVER_FAILED, now),
             *desk.serve_waiting(now),
         ]
 
     def on_lost(self, message: SendLost, now: float) -> list:
         """Take word that there will be no whole answer."""
-        carried = self.desk.sends.get(message.send_id)
-        if carried is None:
+        routed = self.desk.sends.get(message.send_id)
+        if routed is None:
             return []
         if message.is_sent:
-            return self._on_broken(carried, message.problem, now)
-        sending = self.desk.end_send(carried, now)
+            return self._on_broken(routed, message.problem, now)
+        sending = self.desk.end_send(routed, now)
         self.desk.evidence.health.note_failure(sending.server, now, certain=True)
         self.desk.evidence.note_unreached(sending.server, now)
-        carried.unsent += 1
+        routed.unsent += 1
         return [
-            self._note_lost(carried, sending, message.problem),
+            self._note_lost(routed, sending, message.problem),
             *self.desk.repeat_or_give_up(
-                carried, RetryReason.SERVER_LOST, now, has_arrived=False
+                routed, RetryReason.SERVER_LOST, now, has_arrived=False
             ),
             *self.desk.serve_waiting(now),
         ]
 
-    def _on_broken(self, carried: Carried, problem: str, now: float) -> list:
+    def _on_broken(self, routed: RoutedRequest, problem: str, now: float) -> list:
         """Deal with a send after which the request may have run."""
-        sending = self.desk.end_send(carried, now)
-        carried.runs += 1
+        sending = self.desk.end_send(routed, now)
+        routed.runs += 1
         self.desk.evidence.health.note_failure(sending.server, now)
         return [
-            self._note_lost(carried, sending, problem),
+            self._note_lost(routed, sending, problem),
             AbortSend(sending.send_id),
-            *self.desk.repeat_or_give_up(carried, RetryReason.SERVER_LOST, now),
+            *self.desk.repeat_or_give_up(routed, RetryReason.SERVER_LOST, now),
             *self.desk.serve_waiting(now),
         ]
 
-    def _note_lost(self, carried: Carried, sending: Sending, problem: str) -> Note:
+    def _note_lost(self, routed: RoutedRequest, sending: Sending, problem: str) -> Note:
         fields = (
             ("server", sending.server),
             ("problem", problem),
             ("events", str(sending.events)),
         )
-        return Note("info", "send_lost", carried.request.caller_id, fields)
+        return Note("info", "send_lost", routed.request.caller_id, fields)
 
     def check_silence(self, now: float) -> list:
         """Move requests that may be repeated off servers that went silent."""
         effects = []
-        for carried in list(self.desk.carried.values()):
-            sending = carried.sending
+        for routed in list(self.desk.requests.values()):
+            sending = routed.sending
             if sending is None or sending.placement is not None:
                 continue
-            if not carried.route.is_repeatable:
+            if not routed.route.is_repeatable:
                 continue
-            patience = _patience_s(carried, sending)
+            patience = _patience_s(routed, sending)
             patience += READING_FACTOR * self._reading_s(sending, now)
             if now - sending.progress_at > patience:
-                effects += self._on_silent(carried, now)
+                effects += self._on_silent(routed, now)
         return effects
 
     def _reading_s(self, sending: Sending, now: float) -> float:
@@ -241,16 +239,16 @@
         names = (sending.server, *(() if sending.events else sending.helpers))
         return max(load.reading_s(name, now) for name in names)
 
-    def _on_silent(self, carried: Carried, now: float) -> list:
+    def _on_silent(self, routed: RoutedRequest, now: float) -> list:
         desk = self.desk
-        sending = carried.sending
+        sending = routed.sending
         is_mute = desk.evidence.heard_at.get(sending.server, 0.0) <= sending.progress_at
         desk.evidence.health.note_failure(sending.server, now, certain=is_mute)
-        if carried.runs + 1 >= carried.route.attempts:
+        if routed.runs + 1 >= routed.route.attempts:
             sending.progress_at = now
             return []
-        desk.end_send(carried, now)
-        carried.runs += 1
+        desk.end_send(routed, now)
+        routed.runs += 1
         fields = (
             ("server", sending.server),
             ("silent_s", f"{now - sending.progress_at:.2f}"),
@@ -258,19 +256,19 @@
             ("events", str(sending.events)),
         )
         return [
-            Note("info", "server_silent", carried.request.caller_id, fields),
+            Note("info", "server_silent", routed.request.caller_id, fields),
             AbortSend(sending.send_id),
-            *desk.repeat_or_give_up(carried, RetryReason.SERVER_SILENT, now),
+            *desk.repeat_or_give_up(routed, RetryReason.SERVER_SILENT, now),
         ]
 
 
-def _patience_s(carried: Carried, sending: Sending) -> float:
+def _patience_s(routed: RoutedRequest, sending: Sending) -> float:
     """Return seconds of silence after which a server counts as lost."""
-    if carried.route.kind is not RouteKind.STREAM:
-        return SAFE_FACTOR * carried.route.target_latency_s
+    if routed.route.kind is not RouteKind.STREAM:
+        return SAFE_FACTOR * routed.route.target_latency_s
     if not sending.events:
         return FIRST_EVENT_S + FIRST_EVENT_FACTOR * sending.expected_s
-    return max(GAP_S, GAP_FACTOR * (carried.route.gap_limit_s or 0.0))
+    return max(GAP_S, GAP_FACTOR * (routed.route.gap_limit_s or 0.0))
 
 
 def _is_newer(event_id: str, last: str) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/carried.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/routed.py
@@ -6,7 +6,7 @@
 from briarrelay_core.routes.model import EngineProfile, Route
 from briarrelay_core.routes.placement import Placement
 
-__all__ = ["Carried", "Sending"]
+__all__ = ["RoutedRequest", "Sending"]
 
 
 @define(slots=True, eq=False)
@@ -33,7 +33,7 @@
 
 
 @define(slots=True, eq=False)
-class Carried:
+class RoutedRequest:
     """A request in progress.
 
     :param due: time of the final answer at the latest.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
@@ -45,7 +45,7 @@
         if self.is_begun:
             return []
         self.began_at = now
-        fields = (("in_progress", str(len(self.desk.carried))),)
+        fields = (("in_progress", str(len(self.desk.requests))),)
         return [Note("info", "stopping", fields=fields)]
 
     def check(self, now: float) -> list:
@@ -57,13 +57,13 @@
         if elapsed >= BALANCER_S and not self.desk.is_closing:
             self.desk.is_closing = True
             effects.append(CloseIdle())
-        idle = self.desk.is_closing and not self.desk.carried
+        idle = self.desk.is_closing and not self.desk.requests
         if not idle and elapsed < self.grace_s - MARGIN_S:
             return effects
         self._is_over = True
         fields = (
             ("after_s", f"{elapsed:.2f}"),
-            ("in_progress", str(len(self.desk.carried))),
+            ("in_progress", str(len(self.desk.requests))),
             ("record_waiting", str(self.outbox.waiting(AUDIT_STREAM))),
         )
         effects += self.cut_record(now) + self.outbox.flush(now)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -150,7 +150,7 @@
 
 
 @define(slots=True, eq=False)
-class _Carried:
+class _Pending:
     """An exchange and the sends that were made for it."""
 
     exchange: RawExchange
@@ -168,7 +168,7 @@
         self.host = host
         self.dialect = dialect
         self._client = client
-        self._carried: dict[int, _Carried] = {}
+        self._pending: dict[int, _Pending] = {}
         self._request_ids: dict[RawExchange, int] = {}
         self._sends: dict[int, _Send] = {}
         self._count = 0
@@ -203,7 +203,7 @@
             self.host.tell(improper)
             exchange.reply(*self.dialect.write_refusal(request, exchange))
             return
-        self._carried[request_id] = _Carried(exchange, perf_counter())
+        self._pending[request_id] = _Pending(exchange, perf_counter())
         self._request_ids[exchange] = request_id
         self.host.tell(request)
 
@@ -217,14 +217,14 @@
         reason = f"improper_{status}"
         self.host.tell(RequestImproper(reason=reason, problem=text.decode()))
 
-    def _drop(self, request_id: int) -> _Carried | None:
-        carried = self._carried.pop(request_id, None)
-        if carried is None:
+    def _drop(self, request_id: int) -> _Pending | None:
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
             return None
-        self._request_ids.pop(carried.exchange, None)
-        for send_id in carried.sends:
+        self._request_ids.pop(pending.exchange, None)
+        for send_id in pending.sends:
             self._drop_send(send_id)
-        return carried
+        return pending
 
     def _drop_send(self, send_id: int) -> None:
         send = self._sends.pop(send_id, None)
@@ -237,13 +237,13 @@
     # Backend servers
 
     def _forward(self, effect: Forward) -> None:
-        carried = self._carried.get(effect.request_id)
-        if carried is None:
+        pending = self._pending.get(effect.request_id)
+        if pending is None:
             return
-        exchange = carried.exchange
+        exchange = pending.exchange
         send = _Send(self, effect, exchange)
         self._sends[effect.send_id] = send
-        carried.sends.append(effect.send_id)
+        pending.sends.append(effect.send_id)
         send.call = self._client.send(
             Address(effect.host, effect.port),
             self.dialect.write_request(exchange, effect),
@@ -261,42 +261,42 @@
     # Answers
 
     def _relay_head(self, effect: RelayHead) -> None:
-        carried = self._carried.get(effect.request_id)
+        pending = self._pending.get(effect.request_id)
         send = self._sends.get(effect.send_id)
-        if carried is None or send is None:
+        if pending is None or send is None:
             return
-        seconds = perf_counter() - carried.begun_at
+        seconds = perf_counter() - pending.begun_at
         self.host.counters.observe("first_event", seconds)
-        carried.exchange.begin(send.status, send.headers)
+        pending.exchange.begin(send.status, send.headers)
 
     def _relay_event(self, effect: RelayEvent) -> None:
-        carried = self._carried.get(effect.request_id)
-        if carried is not None:
-            carried.exchange.send(effect.data)
+        pending = self._pending.get(effect.request_id)
+        if pending is not None:
+            pending.exchange.send(effect.data)
 
     def _relay_end(self, effect: RelayEnd) -> None:
-        carried = self._drop(effect.request_id)
-        if carried is not None:
-            self._observe_whole(carried)
-            carried.exchange.end()
+        pending = self._drop(effect.request_id)
+        if pending is not None:
+            self._observe_whole(pending)
+            pending.exchange.end()
 
     def _relay_whole(self, effect: RelayWhole) -> None:
         send = self._sends.get(effect.send_id)
-        carried = self._drop(effect.request_id)
-        if carried is not None and send is not None:
-            self._observe_whole(carried)
-            carried.exchange.reply(send.status, send.headers, bytes(send.body))
+        pending = self._drop(effect.request_id)
+        if pending is not None and send is not None:
+            self._observe_whole(pending)
+            pending.exchange.reply(send.status, send.headers, bytes(send.body))
 
-    def _observe_whole(self, carried: _Carried) -> None:
-        self.host.counters.observe("whole", perf_counter() - carried.begun_at)
+    def _observe_whole(self, pending: _Pending) -> None:
+        self.host.counters.observe("whole", perf_counter() - pending.begun_at)
 
     def _cut(self, effect: CutAnswer) -> None:
-        carried = self._drop(effect.request_id)
-        if carried is not None:
-            carried.exchange.cut()
+        pending = self._drop(effect.request_id)
+        if pending is not None:
+            pending.exchange.cut()
 
     def _refuse(self, effect: RouteRefused) -> None:
-        carried = self._drop(effect.request_id)
-        if carried is not None:
-            exchange = carried.exchange
+        pending = self._drop(effect.request_id)
+        if pending is not None:
+            exchange = pending.exchange
             exchange.reply(*self.dialect.write_refusal(effect.outcome, exchange))
