Export, verify and explain the record from the platform's store

Cause: the record was written to the store but nothing read it there. Tested on the record of real processes: whole, explained, and altered.

--- a/features/properties/test_platform_path.py
+++ b/features/properties/test_platform_path.py
@@ -2,11 +2,14 @@
 
 import signal
 import socket
+import subprocess
+import sys
 import threading
 import time
 import unittest
+from pathlib import Path
 
-from standins.fleet import HOST, Fleet, call, configuration, event_ids, post
+from standins.fleet import HOST, ROOT, Fleet, call, configuration, event_ids, post
 
 
 class PathTest(unittest.TestCase):
@@ -164,6 +167,46 @@
         self.assertIn('briarrelay_total{name="refused.unknown_route"}', text)
 
 
+class RecordTest(unittest.TestCase):
+    def ctl(self, *words: str) -> tuple[int, str]:
+        done = subprocess.run(
+            [sys.executable, str(ROOT / "platform" / "ctl.py"), *words],
+            capture_output=True,
+            text=True,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def test_record_is_exported_verified_and_explained(self):
+        with Fleet(engines=1, desks=1, entries=2, base="1.5") as fleet:
+            store = "{}:{}".format(*fleet.store)
+            for number in range(6):
+                entry = fleet.instances[number % 2]
+                call(entry, "/book/x", f"v{number}")
+            call(fleet.instances[0], "/none/x", "v-refused")
+            for entry in fleet.instances:
+                entry.process.send_signal(signal.SIGTERM)
+            for entry in fleet.instances:
+                entry.process.wait(10)
+            path = str(fleet.folder / "day.jsonl")
+            code, text = self.ctl(f"--store={store}", "audit", "export", path)
+            self.assertEqual((code, text.split()[0]), (0, "added"))
+            code, text = self.ctl("audit", "verify", path)
+            self.assertEqual(code, 0, text)
+            code, text = self.ctl(f"--store={store}", "explain", "v3")
+            self.assertIn("request owners done desk-0", text)
+            code, text = self.ctl(f"--store={store}", "explain", "v-refused")
+            self.assertIn("refusal", text)
+            code, _ = self.ctl(f"--store={store}", "explain", "nobody")
+            self.assertEqual(code, 8)
+            lines = Path(path).read_text().splitlines()
+            Path(path).write_text("\n".join(lines[1:]).replace("v3", "v4") + "\n")
+            code, text = self.ctl("audit", "verify", path)
+            self.assertEqual(code, 7, text)
+        code, text = self.ctl(f"--store={store}", "explain", "v3")
+        self.assertEqual(code, 6)
+        self.assertIn("does not answer", text)
+
+
 class StopTest(unittest.TestCase):
     def test_planned_stop_cuts_nothing(self):
         with Fleet(engines=2, desks=1, entries=2, base="1.2") as fleet:
