End what a soak started when it is told to end

Ruled out: the instance itself, which started at once on a free address. Change: SIGTERM unwinds the run, which ends its processes. No check is changed.

--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -261,6 +261,7 @@
 def main() -> int:
     """Play the seeds; return 1 if a promise was broken."""
     options = docopt(__doc__)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed = 0
     for seed in read_seeds(options["--seeds"]):
         soak = Soak(seed, float(options["--seconds"]), int(options["--entries"]))
