--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -30,6 +30,9 @@
 CALM_S = 3.0
 """Seconds without faults after which requests must be served again."""
 
+STOP_S = 12.0
+"""Seconds for a planned stop, whose grace is 8, once nothing holds it up."""
+
 RECOVERED = 0.7
 """Part of the requests sent in calm that must succeed; error rates are zero then."""
 
@@ -46,6 +49,7 @@
     faults: list[str] = field(factory=list)
     paused: list[Entry] = field(factory=list)
     pauses: list[Pause] = field(factory=list)
+    stopping: set[str] = field(factory=set)
     version: int = 1
     calm_from: float = 0.0
     asked: int = 0
@@ -111,8 +115,11 @@
             self.fleet.order("trouble", name, trouble={})
             self.fleet.order("silent", name, is_silent=False)
         for entry in self.fleet.instances:
+            if entry.name in self.stopping:
+                entry.process.wait(STOP_S)
             if entry.process.poll() is not None:
                 self.fleet.start(entry)
+        self.fleet.wait(lambda: all(e.is_ready() for e in self.fleet.instances))
 
     def _check_recovery(self, callers: Callers) -> list[str]:
         late = [s for s in callers.sent if s.begun_at > self.calm_from]
@@ -142,6 +149,7 @@
     entry.process.kill()
     entry.process.wait()
     soak.fleet.start(entry)
+    soak.stopping.discard(entry.name)
 
 
 def stop(soak: Soak, chance: random.Random) -> None:
@@ -149,8 +157,10 @@
     entry = chance.choice(soak.fleet.instances)
     if entry.process.poll() is None:
         entry.process.send_signal(signal.SIGTERM)
+        soak.stopping.add(entry.name)
     else:
         soak.fleet.start(entry)
+        soak.stopping.discard(entry.name)
 
 
 def reload(soak: Soak, chance: random.Random) -> None:
