Reset a dropped connection whose request was not confirmed

The request had been sent into a data centre that was cut off, was dropped after 0.46 s and served elsewhere; the system went on sending its bytes after the close and delivered them when the cut healed, 6 s later, to an engine that had begun to leave. Ruled out: news of the server (in force on the instance), the placement (nothing was sent to it after the news). Change: a connection that is dropped with unconfirmed bytes is reset, so that they are lost; one whose request has arrived is closed properly, so that the server learns it. The test drops a call whose body is not read: it fails before and passes after.

--- a/features/properties/test_route_edges.py
+++ b/features/properties/test_route_edges.py
@@ -263,6 +263,45 @@
         self.assertEqual(sink.status, 503)
         self.assertEqual(self.idle(), 0)
 
+    def start_long_call(self):
+        """Begin a call whose body the server does not read."""
+        sink = _Sink()
+        call = self.client.call(
+            self.address,
+            "POST",
+            "/",
+            sink,
+            body=b"a" * 30_000_000,
+            timeout=5.0,
+            fresh=True,
+        )
+        sock, _ = self.listener.accept()
+        self.addCleanup(sock.close)
+        sock.settimeout(2.0)
+        turn(self.wire, lambda: False, 0.1)
+        return call, sock
+
+    def test_what_was_not_confirmed_does_not_arrive_after_a_drop(self):
+        """A cut held a request back; it reached a server that had left meanwhile."""
+        call, sock = self.start_long_call()
+        call.drop()
+        with self.assertRaises(ConnectionResetError):
+            while sock.recv(1_000_000):
+                pass
+
+    def test_what_was_confirmed_is_closed_properly(self):
+        sink = _Sink()
+        call = self.client.call(self.address, "GET", "/", sink, timeout=5.0, fresh=True)
+        sock, _ = self.listener.accept()
+        self.addCleanup(sock.close)
+        turn(self.wire, lambda: False, 0.1)
+        call.drop()
+        sock.settimeout(2.0)
+        got = b""
+        while part := sock.recv(1_000):
+            got += part
+        self.assertTrue(got.startswith(b"GET / "))
+
     def test_refused_connection_is_not_sent(self):
         self.listener.close()
         sink = _Sink()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -2,6 +2,9 @@
 
 import errno
 import socket
+from fcntl import ioctl
+from struct import pack, unpack
+from termios import TIOCOUTQ
 
 from attrs import define, field
 from httptools import HttpParserError, HttpResponseParser
@@ -33,6 +36,9 @@
 KEEP_ALIVE_S = 1
 """Seconds of silence before, and between, TCP keep-alive probes."""
 
+RESET_ON_CLOSE = pack("ii", 1, 0)
+"""Socket option under which closing a connection resets it."""
+
 KEEP_ALIVE_PROBES = 2
 """Unanswered probes after which a connection is lost."""
 
@@ -281,7 +287,7 @@
     def _close(self) -> None:
         self._end()
         self._client.wire.unwatch(self._connection.sock)
-        self._connection.sock.close()
+        _discard(self._connection.sock)
 
 
 class HttpClient:
@@ -381,6 +387,26 @@
             connection.sock.close()
 
 
+def _discard(sock: socket.socket) -> None:
+    """Close a connection so that nothing of a request arrives later.
+
+    What was sent and not confirmed yet would be sent again after the close until the
+    way is open, and reach a server that was meanwhile told to leave. A reset drops it.
+    A request that has arrived gets a proper close, which is sent until it arrives.
+    """
+    if _unconfirmed_bytes(sock):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
+
+
+def _unconfirmed_bytes(sock: socket.socket) -> int:
+    """Return the bytes that the other side has not confirmed."""
+    try:
+        return unpack("i", ioctl(sock.fileno(), TIOCOUTQ, bytes(4)))[0]
+    except OSError:
+        return 1  # not told, or no connection any more: nothing may arrive later
+
+
 def _watch_for_silence(sock: socket.socket) -> None:
     """Let the system find out that the other side is gone without a word."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
