--- a/features/properties/test_route_edges.py
+++ b/features/properties/test_route_edges.py
@@ -289,6 +289,12 @@
             while sock.recv(1_000_000):
                 pass
 
+    def test_unconfirmed_bytes_end_a_connection(self):
+        self.start_long_call()
+        connection = next(iter(self.wire._callbacks.values())).__self__._connection
+        limit = connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        self.assertEqual(limit, 1_000)
+
     def test_what_was_confirmed_is_closed_properly(self):
         sink = _Sink()
         call = self.client.call(self.address, "GET", "/", sink, timeout=5.0, fresh=True)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -39,6 +39,10 @@
 RESET_ON_CLOSE = pack("ii", 1, 0)
 """Socket option under which closing a connection resets it."""
 
+UNCONFIRMED_MS = 1_000
+"""Milliseconds that sent bytes may stay unconfirmed before the connection is lost; a
+server must not get them once it has told that it leaves, which is known in 2 s."""
+
 KEEP_ALIVE_PROBES = 2
 """Unanswered probes after which a connection is lost."""
 
@@ -409,6 +413,7 @@
 
 def _watch_for_silence(sock: socket.socket) -> None:
     """Let the system find out that the other side is gone without a word."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
