Count few missing servers as gone at once

The instance had been cut off from the store; when it reached it again it took the missing entry for one that had lapsed because the store was away, and used the engine for 2.3 s more. Ruled out: requests held up by the cut (this one was sent and arrived within 3 ms). Change: missing servers may come back only if a service would lose most of its servers, as when the store itself was away. The test fails before and passes after.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -4,7 +4,12 @@
 
 from briarrelay_core.ports.control import DrainRequested, Stopped, WokeUp
 from briarrelay_core.ports.digest import DigestHeard, LoadDigest, SendDigest, ServerLoad
-from briarrelay_core.ports.directory import PeerAddress, Topic
+from briarrelay_core.ports.directory import (
+    PeerAddress,
+    Topic,
+    TopicChange,
+    TopicFailed,
+)
 from briarrelay_core.ports.memory import (
     Release,
     ReleaseAnswered,
@@ -253,6 +258,34 @@
         self.assertTrue(digests[0].digest.loads)
 
 
+class LapseTest(unittest.TestCase):
+    """Entries that are gone once the store is reached again."""
+
+    def make_world(self) -> RouteWorld:
+        world = RouteWorld(engines=9)
+        world.tell(TopicFailed(Topic.SERVERS, "no answer"))
+        world.advance(3.0)
+        return world
+
+    def usable(self, world: RouteWorld) -> int:
+        return len(world.core.desk.servers.of_service("llm", world.now))
+
+    def test_few_are_gone_at_once(self):
+        """The instance was cut off, not the store: the server had left meanwhile."""
+        world = self.make_world()
+        world.change(Topic.SERVERS, TopicChange("engine-1", None))
+        self.assertEqual(self.usable(world), 8)
+
+    def test_most_may_come_back(self):
+        """The store was away, and live servers could not renew their entries."""
+        world = self.make_world()
+        names = [f"engine-{n}" for n in range(1, 10)]
+        world.change(Topic.SERVERS, *[TopicChange(name, None) for name in names])
+        self.assertGreaterEqual(self.usable(world), 4)
+        world.advance(2.5)
+        self.assertEqual(self.usable(world), 0)
+
+
 class WakeTest(unittest.TestCase):
     def test_nothing_is_refused_for_good_until_the_store_answers(self):
         """A key may have been added while the instance stood still."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -10,6 +10,10 @@
 RETURN_S = 2.3
 """Seconds after an outage in which lapsed entries of live servers come back."""
 
+SCARCE_PART = 0.5
+"""Part of a service's servers that must be left for missing ones to count as gone at
+once; a cut data centre costs a third or less."""
+
 LEAVING_NEWS_S = 8.0
 """Seconds for which peers are told that a server leaves."""
 
@@ -107,12 +111,24 @@
         known = self._servers.get(name)
         if known is None or known.lapses_at is not None:
             return []
-        if now < returns_until:
+        if now < returns_until and self._is_scarce(known.entry.service, now):
             known.lapses_at = returns_until
             return [_note("server_lapsed", known.entry)]
         known.lapses_at = now
         return [_note("server_gone", known.entry)]
 
+    def _is_scarce(self, service: str, now: float) -> bool:
+        """Return whether a service would lose most of its servers with one more.
+
+        Then the store was away, and live servers could not renew their entries. If few
+        are missing, it was this instance that did not reach the store: they have left.
+        """
+        known = self._by_service.get(service, {})
+        registered = sum(
+            s.lapses_at is None and s.is_usable(now) for s in known.values()
+        )
+        return registered - 1 < SCARCE_PART * len(known)
+
     def drop_lapsed(self, now: float) -> list[str]:
         """Forget servers whose entries lapsed; return their names."""
         names = [
