--- a/features/properties/test_parts.py
+++ b/features/properties/test_parts.py
@@ -124,6 +124,21 @@
             served[queue.pop(lambda i, t: True).workspace] += 1
         self.assertAlmostEqual(served["b"] / served["a"], 3.0, delta=0.6)
 
+    def test_idle_workspace_keeps_its_whole_credit(self):
+        queue = FairQueue()
+        queue.push(Waiting("early", "idle", 1, 0.0), 1.0)
+        queue.pop(lambda i, t: True)
+        for number in range(40):
+            cost = int(BURST_TOKENS / 10)
+            queue.push(Waiting(f"busy{number}", "busy", cost, 1.0), 1.0)
+            queue.pop(lambda i, t: True)
+            self.assertIsNone(queue.pop(lambda i, t: True))
+        for number in range(9):
+            cost = int(BURST_TOKENS / 10)
+            queue.push(Waiting(f"idle{number}", "idle", cost, 2.0), 1.0)
+            queue.pop(lambda i, t: True)
+            self.assertFalse(queue.is_excess("idle"))
+
     def test_nothing_goes_ahead_when_nobody_waits(self):
         queue = FairQueue()
         queue.push(Waiting("long", "a", int(2 * BURST_TOKENS), 0.0), 1.0)
--- a/packages/briarrelay-core/src/briarrelay_core/routing/fairqueue.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/fairqueue.py
@@ -66,13 +66,14 @@
 
     A workspace that asked for less than its share keeps a credit, up to a burst. Those
     in credit go first, in the order of arrival; those beyond it share what is left.
+    Flows of idle workspaces are kept, since they hold the credit; the configuration
+    bounds their number.
     """
 
     _flows: dict[str, _Flow] = field(factory=dict)
     _items: dict[str, Waiting] = field(factory=dict)
     _virtual: float = 0.0
     _busy: set[str] = field(factory=set)
-    _idle_checks: int = 0
 
     def __len__(self) -> int:
         return len(self._items)
@@ -143,7 +144,6 @@
                     self._take(flow, item)
                     return item
             is_turn = False
-        self._drop_idle()
         return None
 
     def _in_order(self) -> list[tuple[_Flow, list[Waiting]]]:
@@ -166,21 +166,3 @@
         self.remove(item.request_id)
         self._virtual = max(self._virtual, start)
         flow.start = start + item.cost / flow.weight
-
-    def _drop_idle(self) -> None:
-        """Forget workspaces that have nothing waiting and their whole credit.
-
-        All are looked at, so it is done once for as many calls as there are.
-        """
-        self._idle_checks += 1
-        if self._idle_checks < len(self._flows):
-            return
-        self._idle_checks = 0
-        idle = [
-            name
-            for name, flow in self._flows.items()
-            if not any(flow.queued.values())
-            and flow.start <= self._virtual - BURST_TOKENS / flow.weight
-        ]
-        for name in idle:
-            del self._flows[name]
