--- a/features/properties/test_route_machine.py
+++ b/features/properties/test_route_machine.py
@@ -188,7 +188,7 @@
 
     @invariant()
     def version_never_falls(self):
-        assert self.world.core.desk.configuration.version == self.version
+        assert self.world.core.desk.admission.configuration.version == self.version
 
     @invariant()
     def events_are_whole(self):
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -38,6 +38,7 @@
 
     :param number: rises with each digest of an incarnation.
     :param version: version of the configuration in force there.
+    :param presets: revision of the presets there.
     :param leaving: backend servers known to leave or to be gone.
     :param peers: entry instances heard of late.
     """
@@ -49,6 +50,7 @@
     loads: dict[str, ServerLoad] = field(factory=dict)
     leaving: tuple[str, ...] = ()
     peers: tuple[PeerAddress, ...] = ()
+    presets: int = 0
 
 
 @frozen(slots=True)
@@ -77,7 +79,8 @@
 class PeerAnswered:
     """A peer's answer to AskPeer.
 
-    :param changes: the configuration and the servers it knows, as topic changes.
+    :param changes: the configuration, the presets and the servers it knows, as topic
+        changes.
     """
 
     peer: PeerAddress
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -5,6 +5,7 @@
 from attrs import field, frozen
 
 from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_core.routes.presets import PresetBook
 
 __all__ = [
     "EntryPublished",
@@ -29,6 +30,7 @@
     CONFIGURATION = "configuration"
     SERVERS = "servers"
     ENTRIES = "entries"
+    PRESETS = "presets"
 
 
 class ServerState(StrEnum):
@@ -84,7 +86,7 @@
     """
 
     key: str
-    value: ServerEntry | PeerAddress | RouteConfiguration | None
+    value: ServerEntry | PeerAddress | RouteConfiguration | PresetBook | None
     problem: str = ""
 
 
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
@@ -0,0 +1,91 @@
+"""Whether a request is let in, and what the configuration says of it."""
+
+from attrs import define, field, frozen
+
+from briarrelay_core.membership.rendezvous import unit_hash
+from briarrelay_core.outcomes import NotRun
+from briarrelay_core.ports.route import RouteRequest
+from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.routes.model import EngineProfile, Route, RouteConfiguration
+from briarrelay_core.routes.presets import PresetBook
+from briarrelay_core.routing.lengths import LengthClass, class_of
+
+__all__ = ["Admission", "Admitted", "ELSEWHERE_S", "NO_SERVER_S"]
+
+ELSEWHERE_S = 0.02
+"""Retry-After where another instance can take the request at once."""
+
+NO_SERVER_S = 1.0
+"""Retry-After while no server is registered; entries come back within two seconds."""
+
+MAINTENANCE_S = 60.0
+"""Retry-After of what a preset refuses; operators change presets by hand."""
+
+
+@frozen(slots=True)
+class Admitted:
+    """What the configuration says of a request that is let in.
+
+    :param profile: None for plain services.
+    :param workspace: empty for callers without a key.
+    """
+
+    route: Route
+    service: str
+    profile: EngineProfile | None
+    workspace: str
+
+
+@define(slots=True, eq=False)
+class Admission:
+    """Checks requests against the configuration and the preset in force.
+
+    :param is_unsure: a newer configuration may be in force elsewhere.
+    :param is_closing: new requests are refused, since the process is about to end.
+    """
+
+    configuration: RouteConfiguration | None = None
+    book: PresetBook = field(factory=PresetBook)
+    is_unsure: bool = False
+    is_closing: bool = False
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force, 0 before the first."""
+        return self.configuration.version if self.configuration else 0
+
+    def check(self, request: RouteRequest) -> Admitted | NotRun:
+        """Return what is known of a request that is let in, else the refusal."""
+        configuration = self.configuration
+        if configuration is None:
+            return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
+        if self.is_closing:
+            return NotRun(RefusalReason.DRAINING, retry_after=ELSEWHERE_S)
+        route = configuration.match(request.host, request.path)
+        if route is None:
+            return self._unknown(RefusalReason.UNKNOWN_ROUTE)
+        workspace = configuration.workspace_of(request.key)
+        if workspace is None and configuration.holders and not route.is_anonymous:
+            return self._unknown(RefusalReason.UNAUTHORIZED)
+        service = route.service_for(unit_hash(request.caller_id, "share"))
+        known = configuration.services.get(service)
+        admitted = Admitted(
+            route, service, known.profile if known else None, workspace or ""
+        )
+        if self._is_shut(request, admitted):
+            return NotRun(RefusalReason.MAINTENANCE, retry_after=MAINTENANCE_S)
+        return admitted
+
+    def _unknown(self, reason: RefusalReason) -> NotRun:
+        """Refuse for good only if the configuration is known to be the newest."""
+        if self.is_unsure:
+            return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
+        return NotRun(reason)
+
+    def _is_shut(self, request: RouteRequest, admitted: Admitted) -> bool:
+        """Return whether the preset in force refuses this kind of request."""
+        preset = self.book.in_force
+        if admitted.profile is None:
+            return not preset.accept_calls
+        is_long = class_of(request.prompt_tokens) is LengthClass.LONG
+        return is_long and not preset.accept_long
--- a/packages/briarrelay-core/src/briarrelay_core/routes/budget.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/budget.py
@@ -41,10 +41,12 @@
     """This instance's part of the allowance.
 
     :param instances: entry instances that share it.
+    :param preset_ratio: repeats for each request that the preset in force allows.
     """
 
     limits: RepeatLimits
     instances: int = 1
+    preset_ratio: float = 1.0
     _requests: dict[str, _Window] = field(factory=dict)
     _repeats: dict[str, _Window] = field(factory=dict)
 
@@ -58,7 +60,8 @@
         limits = self.limits
         requests = self._requests.setdefault(service, _Window())
         repeats = self._repeats.setdefault(service, _Window())
-        allowed = limits.ratio * requests.count(now, limits.window_s)
+        ratio = min(limits.ratio, self.preset_ratio)
+        allowed = ratio * requests.count(now, limits.window_s)
         allowed += limits.slack / max(1, self.instances)
         if repeats.count(now, limits.window_s) + 1 > SAFETY * allowed:
             return False
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from briarrelay_core.agreement.configuration import Objective
 from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.observe import Count, Note
@@ -18,11 +19,11 @@
 )
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
 from briarrelay_core.record.record import Entry, Recorder
+from briarrelay_core.routes.admission import NO_SERVER_S, Admission
 from briarrelay_core.routes.budget import RepeatBudget
 from briarrelay_core.routes.choosing import Chooser, is_too_large
 from briarrelay_core.routes.evidence import ServerEvidence
 from briarrelay_core.routes.load import LoadTable
-from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.reserving import Reservations
 from briarrelay_core.routes.routed import RoutedRequest, Sending
@@ -48,20 +49,10 @@
 RETRY_AFTER_S = 0.3
 """Shortest Retry-After; places become free about as fast as short answers end."""
 
-ELSEWHERE_S = 0.02
-"""Retry-After where another instance can take the request at once."""
-
-NO_SERVER_S = 1.0
-"""Retry-After while no server is registered; entries come back within two seconds."""
-
 
 @define(slots=True, eq=False)
 class RouteDesk:
-    """Requests in progress and what becomes of them.
-
-    :param is_configuration_unsure: a newer configuration may be in force elsewhere.
-    :param is_closing: new requests are refused, since the process is about to end.
-    """
+    """Requests in progress and what becomes of them."""
 
     servers: ServerTable
     load: LoadTable
@@ -70,9 +61,7 @@
     reservations: Reservations
     evidence: ServerEvidence
     chooser: Chooser
-    configuration: RouteConfiguration | None = None
-    is_configuration_unsure: bool = False
-    is_closing: bool = False
+    admission: Admission = field(factory=Admission)
     requests: dict[int, RoutedRequest] = field(factory=dict)
     sends: dict[int, RoutedRequest] = field(factory=dict)
     _waiting: dict[int, RoutedRequest] = field(factory=dict)
@@ -82,50 +71,25 @@
 
     def on_request(self, request: RouteRequest, now: float) -> list:
         """Take a request from a caller."""
-        refusal = self._find_refusal(request)
-        if refusal is not None:
-            return self.refuse(request, refusal, now)
-        configuration = self.configuration
-        route = configuration.match(request.host, request.path)
-        service = route.service_for(unit_hash(request.caller_id, "share"))
-        patience = route.timeout_s
+        admitted = self.admission.check(request)
+        if isinstance(admitted, NotRun):
+            return self.refuse(request, admitted, now)
+        patience = admitted.route.timeout_s
         if request.patience_s is not None:
             patience = min(patience, request.patience_s)
-        known = configuration.services.get(service)
         routed = RoutedRequest(
             request=request,
-            route=route,
-            service=service,
-            profile=known.profile if known else None,
-            workspace=configuration.workspace_of(request.key) or "",
+            route=admitted.route,
+            service=admitted.service,
+            profile=admitted.profile,
+            workspace=admitted.workspace,
             arrived_at=now,
             due=now + patience,
         )
         self.requests[request.request_id] = routed
-        self.budget.note_request(service, now)
+        self.budget.note_request(admitted.service, now)
         return self.place(routed, now)
 
-    def _find_refusal(self, request: RouteRequest) -> NotRun | None:
-        configuration = self.configuration
-        if configuration is None:
-            return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
-        if self.is_closing:
-            return NotRun(RefusalReason.DRAINING, retry_after=ELSEWHERE_S)
-        route = configuration.match(request.host, request.path)
-        if route is None:
-            return self._unknown(RefusalReason.UNKNOWN_ROUTE)
-        if route.is_anonymous or not configuration.holders:
-            return None
-        if configuration.workspace_of(request.key) is None:
-            return self._unknown(RefusalReason.UNAUTHORIZED)
-        return None
-
-    def _unknown(self, reason: RefusalReason) -> NotRun:
-        """Refuse for good only if the configuration is known to be the newest."""
-        if self.is_configuration_unsure:
-            return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
-        return NotRun(reason)
-
     # Placing
 
     def place(self, routed: RoutedRequest, now: float) -> list:
@@ -236,14 +200,16 @@
     def serve_waiting(self, now: float) -> list:
         """Place the requests that wait, the most urgent first."""
         effects = []
-        order = sorted(
-            self._waiting.values(),
-            key=lambda c: c.arrived_at + c.route.target_latency_s,
-        )
-        for routed in order:
+        for routed in sorted(self._waiting.values(), key=self._urgency):
             effects += self.place(routed, now)
         return effects
 
+    def _urgency(self, routed: RoutedRequest) -> float:
+        """Return a number that is lower for requests that go first."""
+        if self.admission.book.in_force.objective is Objective.TTFT:
+            return routed.arrived_at
+        return routed.arrived_at + routed.route.target_latency_s
+
     # Repeating
 
     def repeat_or_give_up(
@@ -355,12 +321,12 @@
     def refuse(self, request: RouteRequest, refusal: NotRun, now: float) -> list:
         """Refuse a request that was not admitted."""
         reason = refusal.reason.value
-        version = self.configuration.version if self.configuration else 0
         fields = (
             ("reason", reason),
             ("host", request.host),
             ("path", request.path),
-            ("version", str(version)),
+            ("version", str(self.admission.version)),
+            ("preset", self.admission.book.active),
         )
         self.recorder.add(
             Entry(
@@ -389,7 +355,7 @@
             ("outcome", outcome),
             ("route", routed.route.name),
             ("workspace", routed.workspace),
-            ("version", str(self.configuration.version)),
+            ("version", str(self.admission.version)),
             ("servers", ",".join(routed.tried)),
             ("helpers", str(len(sending.helpers)) if sending else "0"),
             ("expected_ms", f"{1000 * sending.expected_s:.0f}" if sending else ""),
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -123,7 +123,7 @@
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         return (
-            self.desk.configuration is not None
+            self.desk.admission.configuration is not None
             and len(self.desk.servers) > 0
             and not self.stopping.is_begun
         )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/news.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -17,10 +17,12 @@
 )
 from briarrelay_core.ports.observe import Count, Note
 from briarrelay_core.record.record import Entry
+from briarrelay_core.routes.admission import Admission
 from briarrelay_core.routes.desk import RouteDesk
 from briarrelay_core.routes.follower import Follower
 from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.peers import PeerKeeper
+from briarrelay_core.routes.presets import PresetBook
 from briarrelay_core.routes.servers import RETURN_S
 from briarrelay_core.timers import TimerService
 
@@ -36,6 +38,10 @@
 ENTRIES_PAUSE_S = 30.0
 """Seconds between reads of the entry instances; digests tell of new ones sooner."""
 
+PRESETS_WAIT_S = 25.0
+"""Seconds that a read of the presets waits, below the store's bound of 30; changes are
+answered at once, and peers tell of newer presets meanwhile."""
+
 UNSURE_S = 2.0
 """Seconds without an answer beyond its wait after which news may have been missed."""
 
@@ -50,6 +56,7 @@
         ),
         Topic.SERVERS: Follower(Topic.SERVERS, timers, NEWS_PART * news_s, 0.0),
         Topic.ENTRIES: Follower(Topic.ENTRIES, timers, ENTRIES_PAUSE_S, 0.0),
+        Topic.PRESETS: Follower(Topic.PRESETS, timers, 0.0, PRESETS_WAIT_S),
     }
 
 
@@ -70,6 +77,11 @@
     def __attrs_post_init__(self):
         self.followers = _make_followers(self.timers, self.news_s)
 
+    @property
+    def admission(self) -> Admission:
+        """What requests are checked against."""
+        return self.desk.admission
+
     def start(self, now: float) -> list:
         """Begin to follow, and register this instance."""
         effects = []
@@ -94,7 +106,7 @@
     def on_failed(self, message: TopicFailed, now: float) -> list:
         """Try again, and ask a peer while nothing is known."""
         effects = self.followers[message.topic].on_failed(message.problem, now)
-        if not self.desk.configuration or not len(self.desk.servers):
+        if not self.admission.configuration or not len(self.desk.servers):
             self._asked += 1
             effects += self.peers.ask_any(self._asked)
         return effects
@@ -115,6 +127,8 @@
             value = change.value
             if isinstance(value, RouteConfiguration):
                 effects += self.apply_configuration(value, "peer", now)
+            elif isinstance(value, PresetBook):
+                effects += self.apply_presets(value, "peer", now)
             elif isinstance(value, ServerEntry):
                 if not self.followers[Topic.SERVERS].is_listed:
                     effects += self._apply_server(value, now)
@@ -128,7 +142,7 @@
     def refresh(self, now: float) -> None:
         """Note whether the configuration may be older than the newest."""
         follower = self.followers[Topic.CONFIGURATION]
-        self.desk.is_configuration_unsure = follower.is_unsure(now, UNSURE_S)
+        self.admission.is_unsure = follower.is_unsure(now, UNSURE_S)
 
     def _apply(
         self, topic: Topic, changes: list[TopicChange], source: str, now: float
@@ -149,6 +163,8 @@
                 effects += self._apply_server_change(change, now)
             elif topic is Topic.CONFIGURATION and change.value is not None:
                 effects += self.apply_configuration(change.value, source, now)
+            elif topic is Topic.PRESETS and change.value is not None:
+                effects += self.apply_presets(change.value, source, now)
             elif topic is Topic.ENTRIES:
                 self._apply_entry(change)
         return effects
@@ -176,10 +192,10 @@
         self, configuration: RouteConfiguration, source: str, now: float
     ) -> list:
         """Put a configuration in force if it is newer than the one that is."""
-        old = self.desk.configuration
+        old = self.admission.configuration
         if old is not None and configuration.version <= old.version:
             return []
-        self.desk.configuration = configuration
+        self.admission.configuration = configuration
         self.peers.version = configuration.version
         fields = (
             ("version", str(configuration.version)),
@@ -188,14 +204,36 @@
             ("routes", str(len(configuration.routes))),
             ("workspaces", str(len(configuration.holders))),
         )
-        self.desk.recorder.add(
-            Entry(
-                at=round(now, 3),
-                kind="change",
-                subject=f"configuration-{configuration.version}",
-                outcome="in_force",
-                why=source,
-            )
-        )
+        self._record_change(f"configuration-{configuration.version}", source, now)
         effects = [Note("info", "configuration_in_force", fields=fields)]
         return effects + self.peers.on_changed(now)
+
+    def apply_presets(self, book: PresetBook, source: str, now: float) -> list:
+        """Put presets in force if they are newer than those that are."""
+        old = self.admission.book
+        if book.revision <= old.revision:
+            return []
+        self.admission.book = book
+        self.desk.budget.preset_ratio = book.in_force.retry_ratio
+        self.peers.presets = book.revision
+        fields = (
+            ("preset", book.active),
+            ("before", old.active),
+            ("revision", str(book.revision)),
+            ("author", book.author),
+            ("source", source),
+        )
+        why = f"{book.active or 'built-in'} by {book.author}, {source}"
+        self._record_change(f"presets-{book.revision}", why, now)
+        effects = [Note("info", "preset_in_force", fields=fields)]
+        return effects + self.peers.on_changed(now)
+
+    def _record_change(self, subject: str, why: str, now: float) -> None:
+        entry = Entry(
+            at=round(now, 3),
+            kind="change",
+            subject=subject,
+            outcome="in_force",
+            why=why,
+        )
+        self.desk.recorder.add(entry)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -55,6 +55,7 @@
     incarnation: int = 0
     number: int = -1
     version: int = 0
+    presets: int = 0
 
 
 @define(slots=True)
@@ -63,6 +64,7 @@
 
     :param address: where this instance is reached.
     :param version: version of the configuration in force.
+    :param presets: revision of the presets.
     """
 
     address: PeerAddress
@@ -71,6 +73,7 @@
     load: LoadTable
     servers: ServerTable
     version: int = 0
+    presets: int = 0
     _peers: dict[str, _Peer] = field(factory=dict)
     _number: int = 0
     _sent_at: float = float("-inf")
@@ -125,7 +128,7 @@
         peer.address = digest.sender
         peer.heard_at = now
         peer.incarnation, peer.number = digest.incarnation, digest.number
-        peer.version = digest.version
+        peer.version, peer.presets = digest.version, digest.presets
         self.load.hear(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -198,6 +201,7 @@
             incarnation=self.incarnation,
             number=self._number,
             version=self.version,
+            presets=self.presets,
             loads=self.load.own(now),
             leaving=self.servers.leaving_news(now),
             peers=tuple(
@@ -210,12 +214,12 @@
         return [SendDigest(digest, peers)]
 
     def _ask_if_behind(self, now: float) -> list:
-        """Ask the peer with the newest configuration if the store does not tell."""
-        heard = [p for p in self._peers.values() if p.heard_at is not None]
-        newest = max(heard, key=lambda peer: peer.version, default=None)
-        if newest is None or newest.version <= self.version:
+        """Ask the peer with the newest knowledge if the store does not tell."""
+        ahead = [p for p in self._peers.values() if self._is_ahead(p)]
+        if not ahead:
             self._behind_since = None
             return []
+        newest = max(ahead, key=lambda peer: (peer.version, peer.presets))
         if self._behind_since is None:
             self._behind_since = now
             self.timers.at(now + ASK_AFTER_S, self._ask_if_behind)
@@ -224,6 +228,12 @@
         self._behind_since = None
         return [AskPeer(newest.address)]
 
+    def _is_ahead(self, peer: _Peer) -> bool:
+        """Return whether a peer has a newer configuration or newer presets."""
+        if peer.heard_at is None:
+            return False
+        return peer.version > self.version or peer.presets > self.presets
+
     def on_answer(self, answer: PeerAnswered) -> list:
         """Note a question that a peer did not answer."""
         if not answer.problem:
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/presets.py
@@ -0,0 +1,92 @@
+"""Presets of the routes: policies for kinds of days, exactly one of them in force.
+
+All presets and the name of the one in force are one value, which is replaced as a whole
+and only by a later revision; so there is no moment with two presets in force or none.
+"""
+
+import json
+
+from attrs import evolve, field, frozen, validators
+
+from briarrelay_core.agreement.configuration import Preset
+from briarrelay_core.checked import CheckedError, from_mapping, to_mapping
+
+__all__ = ["BUILT_IN", "PresetBook", "read_book"]
+
+BUILT_IN = Preset(retry_ratio=1.0)
+"""In force until operators publish presets: everything is accepted, and repeats are
+bounded by the settings alone."""
+
+
+@frozen(slots=True, kw_only=True)
+class PresetBook:
+    """All presets and the one in force.
+
+    :param revision: rises by one with each change.
+    :param change_id: unique for each change, by which its author finds it again.
+    :param at: Unix seconds of the change.
+    :param active: name of the preset in force, empty for the built-in one.
+    """
+
+    revision: int = field(default=0, validator=validators.ge(0))
+    change_id: str = ""
+    author: str = ""
+    at: float = 0.0
+    presets: dict[str, Preset] = field(factory=dict)
+    active: str = ""
+
+    def __attrs_post_init__(self):
+        if self.active and self.active not in self.presets:
+            known = ", ".join(sorted(self.presets)) or "none"
+            raise ValueError(
+                f"active: given {self.active!r}, which 'presets' does not define; "
+                f"name one of: {known}"
+            )
+
+    @property
+    def in_force(self) -> Preset:
+        """The preset in force."""
+        return self.presets[self.active] if self.active else BUILT_IN
+
+    def with_preset(self, name: str, preset: Preset) -> "PresetBook":
+        """Return the next revision with a preset added or replaced."""
+        presets = {**self.presets, name: preset}
+        return evolve(self, revision=self.revision + 1, presets=presets)
+
+    def without(self, name: str) -> "PresetBook":
+        """Return the next revision without a preset, which must not be in force."""
+        if name == self.active:
+            raise ValueError(f"preset {name!r} is in force; activate another one first")
+        self._require(name)
+        presets = {key: value for key, value in self.presets.items() if key != name}
+        return evolve(self, revision=self.revision + 1, presets=presets)
+
+    def with_active(self, name: str) -> "PresetBook":
+        """Return the next revision with another preset in force."""
+        self._require(name)
+        return evolve(self, revision=self.revision + 1, active=name)
+
+    def signed(self, change_id: str, author: str, at: float) -> "PresetBook":
+        """Return the same revision with who changed it, and when."""
+        return evolve(self, change_id=change_id, author=author, at=at)
+
+    def to_json(self) -> str:
+        """Return the text that is kept."""
+        return json.dumps(to_mapping(self), separators=(",", ":"))
+
+    def _require(self, name: str) -> None:
+        if name not in self.presets:
+            known = ", ".join(sorted(self.presets)) or "none"
+            raise ValueError(f"preset {name!r} is not defined; name one of: {known}")
+
+
+def read_book(text: str | bytes, source: str) -> PresetBook:
+    """Return the presets that a text holds.
+
+    :raises CheckedError: naming what does not fit.
+    """
+    try:
+        mapping = json.loads(text)
+    except ValueError as error:
+        raise CheckedError(source, "$", f"not JSON ({error})") from error
+    return from_mapping(PresetBook, mapping, source)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/stopping.py
@@ -54,10 +54,10 @@
             return []
         elapsed = now - self.began_at
         effects = []
-        if elapsed >= BALANCER_S and not self.desk.is_closing:
-            self.desk.is_closing = True
+        if elapsed >= BALANCER_S and not self.desk.admission.is_closing:
+            self.desk.admission.is_closing = True
             effects.append(CloseIdle())
-        idle = self.desk.is_closing and not self.desk.requests
+        idle = self.desk.admission.is_closing and not self.desk.requests
         if not idle and elapsed < self.grace_s - MARGIN_S:
             return effects
         self._is_over = True
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/commands.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/commands.py
@@ -2,7 +2,7 @@
 
 from time import monotonic, sleep
 
-from attrs import asdict, define, frozen
+from attrs import asdict, define
 
 from briarrelay_core.agreement.configuration import merge_patch, read_configuration
 from briarrelay_core.agreement.fold import ChangeKind, ConfigurationFold, Verdict
@@ -10,15 +10,17 @@
 from briarrelay_ctl.audits import find
 from briarrelay_ctl.changes import Changes
 from briarrelay_ctl.remote import InstanceClient, RemoteError
+from briarrelay_ctl.results import (
+    EXIT_INVALID,
+    EXIT_NO_ANSWER,
+    EXIT_NOTHING,
+    EXIT_RACE,
+    Result,
+)
 from briarrelay_ctl.settings import CtlSettings, Place
 from briarrelay_ctl.tables import format_table
 
-__all__ = ["Commands", "Result"]
-
-EXIT_RACE = 3
-EXIT_INVALID = 4
-EXIT_NO_ANSWER = 6
-EXIT_NOTHING = 8
+__all__ = ["Commands"]
 
 WAIT_S = 30.0
 """Longest time to wait for a change to be in force everywhere."""
@@ -27,15 +29,6 @@
 """Seconds between looks at the instances."""
 
 
-@frozen(slots=True)
-class Result:
-    """Exit code, value for programs and text for people."""
-
-    code: int
-    value: object
-    text: str
-
-
 @define(slots=True)
 class Commands:
     """The operators' commands."""
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/main.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/main.py
@@ -36,17 +36,19 @@
 
 from briarrelay_ctl.audits import export, verify
 from briarrelay_ctl.changes import Changes, UnsettledError
-from briarrelay_ctl.commands import Commands, Result
+from briarrelay_ctl.commands import Commands
 from briarrelay_ctl.remote import InstanceClient, LogClient, RemoteError
+from briarrelay_ctl.results import (
+    EXIT_FAULTS,
+    EXIT_NO_ANSWER,
+    EXIT_UNSETTLED,
+    EXIT_USAGE,
+    Result,
+)
 from briarrelay_ctl.settings import SettingsError, read_json, read_settings
 
 __all__ = ["main"]
 
-EXIT_USAGE = 2
-EXIT_UNSETTLED = 5
-EXIT_NO_ANSWER = 6
-EXIT_FAULTS = 7
-
 
 def _audit(options: dict, commands: Commands) -> Result:
     if options["export"]:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -32,6 +32,7 @@
             },
             digest.leaving,
             [_address(peer) for peer in digest.peers],
+            digest.presets,
         ]
     )
 
@@ -42,7 +43,10 @@
     :raises DigestError: if it is none.
     """
     try:
-        sender, incarnation, number, version, loads, leaving, peers = orjson.loads(data)
+        # an instance of an earlier release tells no revision of presets
+        sender, incarnation, number, version, loads, leaving, peers, *more = (
+            orjson.loads(data)
+        )
         return LoadDigest(
             sender=_read_address(sender),
             incarnation=int(incarnation),
@@ -51,6 +55,7 @@
             loads={str(name): _read_load(row) for name, row in loads.items()},
             leaving=tuple(str(news) for news in leaving),
             peers=tuple(_read_address(row) for row in peers),
+            presets=int(more[0]) if more else 0,
         )
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise DigestError(f"not a digest: {error}") from error
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -14,6 +14,7 @@
 from briarrelay_core.ports.directory import ServerEntry, TopicChange
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_core.routes.presets import PresetBook
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.httpcall import HttpClient
@@ -98,9 +99,11 @@
 
     def _answer(self) -> tuple[int, bytes]:
         core: RouteInstance = self._host.core
-        configuration = core.desk.configuration
+        admission = core.desk.admission
+        configuration = admission.configuration
         body = {
             "configuration": to_mapping(configuration) if configuration else None,
+            "presets": to_mapping(admission.book),
             "servers": [to_mapping(entry) for entry in core.desk.servers.entries()],
         }
         return 200, orjson.dumps(body)
@@ -114,6 +117,9 @@
                 RouteConfiguration, value["configuration"], "peer"
             )
             changes.append(TopicChange("configuration", configuration))
+        if "presets" in value:  # not told by an earlier release
+            book = from_mapping(PresetBook, value["presets"], "peer")
+            changes.append(TopicChange("presets", book))
         for mapping in value["servers"]:
             entry = from_mapping(ServerEntry, mapping, "peer")
             changes.append(TopicChange(entry.name, entry))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
@@ -5,8 +5,8 @@
 
 from logbook import Logger
 
-from briarrelay_core.entry import EntryInstance
 from briarrelay_core.ports.observe import Count, Note
+from briarrelay_core.ports.seam import Instance
 from briarrelay_daemon.observe import Counters, write_note
 from briarrelay_daemon.wire import Wire
 
@@ -29,9 +29,7 @@
     Each adapter registers the effects that it performs.
     """
 
-    def __init__(
-        self, core: EntryInstance, wire: Wire, counters: Counters, logger: Logger
-    ):
+    def __init__(self, core: Instance, wire: Wire, counters: Counters, logger: Logger):
         self.core = core
         self.wire = wire
         self.counters = counters
