--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -8,12 +8,17 @@
     "AskPeer",
     "DigestHeard",
     "LoadDigest",
+    "NEVER_S",
     "PeerAnswered",
     "SendDigest",
     "ServerLoad",
 ]
 
 
+NEVER_S = 1e6
+"""Seconds told for a reading that never was."""
+
+
 @frozen(slots=True)
 class ServerLoad:
     """What one entry instance has in progress on a backend server.
@@ -39,6 +44,9 @@
     :param number: rises with each digest of an incarnation.
     :param version: version of the configuration in force there.
     :param presets: revision of the presets there.
+    :param directory: offset behind the newest change of a server that it read.
+    :param directory_age_s: seconds since it read the servers from the platform.
+    :param gone: backend servers whose entries went without a word of leaving.
     :param leaving: backend servers known to leave or to be gone.
     :param peers: entry instances heard of late.
     """
@@ -51,6 +59,9 @@
     leaving: tuple[str, ...] = ()
     peers: tuple[PeerAddress, ...] = ()
     presets: int = 0
+    directory: int = 0
+    directory_age_s: float = NEVER_S
+    gone: tuple[str, ...] = ()
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -83,11 +83,13 @@
 
     :param value: None if the key was dropped or the value is of no use.
     :param problem: why the value is of no use, empty if it is.
+    :param position: offset behind the record, 0 if it is not known.
     """
 
     key: str
     value: ServerEntry | PeerAddress | RouteConfiguration | PresetBook | None
     problem: str = ""
+    position: int = 0
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -1,5 +1,7 @@
 """Follows a topic of the platform: lists it once, then reads what changes."""
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from briarrelay_core.ports.directory import (
@@ -22,18 +24,31 @@
 """Longest pause between tries, so that news are seen within a second of recovery."""
 
 
+LOOK_S = 0.2
+"""Seconds between looks at whether peers still tell of a topic."""
+
+RELIST_S = 5.0
+"""Seconds without a read after which listing a topic is less than reading all of it."""
+
+SKIP_S = 15.0
+"""Longest time without a read of its own; below the time that records are kept."""
+
+
 @define(slots=True)
 class Follower:
     """Keeps one question to the platform in flight for one topic.
 
     :param pause_s: seconds between reads; 0 if the platform waits for news.
     :param wait_s: seconds that the platform may wait for news.
+    :param told_s: called with the offset of the next record and the time; returns the
+        seconds for which peers make a read needless.
     """
 
     topic: Topic
     timers: TimerService
     pause_s: float
     wait_s: float
+    told_s: Callable[[int, float], float] | None = None
     is_listed: bool = False
     heard_at: float = float("-inf")
     failing_since: float | None = None
@@ -100,9 +115,21 @@
     def _read_later(self, now: float) -> list:
         if not self.pause_s:
             return self._ask(now)
-        self.timers.at(now + self.pause_s, self._ask)
+        self.timers.at(now + self.pause_s, self._ask_unless_told)
         return []
 
+    def _ask_unless_told(self, now: float) -> list:
+        """Read, unless peers that read it of late know of nothing new."""
+        if self.told_s is None:
+            return self._ask(now)
+        needless_s = self.told_s(self._next, now)
+        if needless_s > 0 and now - self.heard_at < SKIP_S:
+            self.timers.at(now + min(needless_s, LOOK_S), self._ask_unless_told)
+            return []
+        if now - self.heard_at > RELIST_S:
+            self._next = None
+        return self._ask(now)
+
     def _ask(self, now: float) -> list:
         if self._next is None or not self.is_listed:
             self._next = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/news.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -76,12 +76,16 @@
 
     def __attrs_post_init__(self):
         self.followers = _make_followers(self.timers, self.news_s)
+        self.followers[Topic.SERVERS].told_s = self._directory_told_s
 
     @property
     def admission(self) -> Admission:
         """What requests are checked against."""
         return self.desk.admission
 
+    def _directory_told_s(self, position: int, now: float) -> float:
+        return self.peers.directory_told_s(position, NEWS_PART * self.news_s, now)
+
     def start(self, now: float) -> list:
         """Begin to follow, and register this instance."""
         effects = []
@@ -91,13 +95,27 @@
 
     def on_listed(self, message: TopicListed, now: float) -> list:
         """Take a page of a topic."""
-        changes, effects = self.followers[message.topic].on_listed(message, now)
-        return self._apply(message.topic, changes, "store", now) + effects
+        follower = self.followers[message.topic]
+        is_first = not follower.is_listed
+        changes, effects = follower.on_listed(message, now)
+        effects += self._apply(message.topic, changes, "store", now)
+        if is_first:
+            # the offsets are those of the newest records, not of the changes
+            self.peers.directory = 0
+        return effects + self._note_directory(message.topic, now)
 
     def on_read(self, message: TopicRead, now: float) -> list:
         """Take changes of a topic."""
         changes, effects = self.followers[message.topic].on_read(message, now)
-        return self._apply(message.topic, changes, "store", now) + effects
+        effects += self._apply(message.topic, changes, "store", now)
+        return effects + self._note_directory(message.topic, now)
+
+    def _note_directory(self, topic: Topic, now: float) -> list:
+        """Tell peers that the servers were read, so that they need not."""
+        if topic is not Topic.SERVERS:
+            return []
+        self.peers.directory_at = now
+        return self.peers.on_changed(now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
         """List a topic whose records were dropped."""
@@ -160,6 +178,8 @@
                     Count("store.entry_bad"),
                 ]
             elif topic is Topic.SERVERS:
+                if self.desk.servers.is_news(change):
+                    self.peers.directory = max(self.peers.directory, change.position)
                 effects += self._apply_server_change(change, now)
             elif topic is Topic.CONFIGURATION and change.value is not None:
                 effects += self.apply_configuration(change.value, source, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from briarrelay_core.ports.digest import (
+    NEVER_S,
     AskPeer,
     DigestHeard,
     LoadDigest,
@@ -36,6 +37,15 @@
 SILENT_S = 4.0
 """Seconds after which a peer counts as gone."""
 
+FRESH_S = 1.0
+"""Seconds for which a peer's last word on its reading of the servers counts."""
+
+RANK_S = 0.05
+"""Seconds by which one instance after the other takes up reading the servers."""
+
+MAX_RANK = 6
+"""Most ranks that are waited for; it is unlikely that more stop at one time."""
+
 ASK_AFTER_S = 0.3
 """Seconds by which the store may be behind a peer before the peer is asked."""
 
@@ -56,6 +66,8 @@
     number: int = -1
     version: int = 0
     presets: int = 0
+    directory: int = 0
+    directory_at: float = float("-inf")
 
 
 @define(slots=True)
@@ -65,6 +77,8 @@
     :param address: where this instance is reached.
     :param version: version of the configuration in force.
     :param presets: revision of the presets.
+    :param directory: offset behind the newest change of a server that was read.
+    :param directory_at: time of the last own read of the servers.
     """
 
     address: PeerAddress
@@ -74,6 +88,8 @@
     servers: ServerTable
     version: int = 0
     presets: int = 0
+    directory: int = 0
+    directory_at: float = float("-inf")
     _peers: dict[str, _Peer] = field(factory=dict)
     _number: int = 0
     _sent_at: float = float("-inf")
@@ -129,13 +145,37 @@
         peer.heard_at = now
         peer.incarnation, peer.number = digest.incarnation, digest.number
         peer.version, peer.presets = digest.version, digest.presets
+        peer.directory = digest.directory
+        peer.directory_at = now - digest.directory_age_s
         self.load.hear(digest, now)
         for address in digest.peers:
             self.add(address)
         for news in digest.leaving:
             notes += self.servers.hear_leaving(news, now)
+        for news in digest.gone:
+            notes += self.servers.hear_gone(news, now)
         return notes + self._ask_if_behind(now)
 
+    def directory_told_s(self, position: int, patience_s: float, now: float) -> float:
+        """Return seconds for which peers make a read of the servers needless.
+
+        The first in the order of names reads when its patience ends, the others tell
+        by its digests that they need not; one by one they take its place if it stops.
+
+        :param position: offset up to which this instance has read.
+        :param patience_s: seconds that the newest reading by anybody may be old.
+        """
+        fresh = [
+            peer
+            for peer in self._peers.values()
+            if peer.heard_at is not None and now - peer.heard_at <= FRESH_S
+        ]
+        if any(peer.directory > position for peer in fresh):
+            return 0.0
+        newest = max((peer.directory_at for peer in fresh), default=float("-inf"))
+        rank = sum(peer.address.name < self.address.name for peer in fresh)
+        return newest + patience_s + RANK_S * min(rank, MAX_RANK) - now
+
     def on_changed(self, now: float, is_urgent: bool = False) -> list:
         """Tell peers soon that the load changed.
 
@@ -202,6 +242,9 @@
             number=self._number,
             version=self.version,
             presets=self.presets,
+            directory=self.directory,
+            directory_age_s=min(now - self.directory_at, NEVER_S),
+            gone=self.servers.gone_news(now),
             loads=self.load.own(now),
             leaving=self.servers.leaving_news(now),
             peers=tuple(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from briarrelay_core.ports.directory import ServerEntry, ServerState
+from briarrelay_core.ports.directory import ServerEntry, ServerState, TopicChange
 from briarrelay_core.ports.observe import Note
 
 __all__ = ["KnownServer", "ServerTable"]
@@ -14,6 +14,10 @@
 """Part of a service's servers that must be left for missing ones to count as gone at
 once; a cut data centre costs a third or less."""
 
+GONE_HOLD_S = 2.5
+"""Seconds for which a peer's word that an entry is gone holds; by then the own reading
+has shown it, or shown that the server is back."""
+
 LEAVING_NEWS_S = 8.0
 """Seconds for which peers are told that a server leaves."""
 
@@ -24,6 +28,7 @@
 
     :param lapses_at: time from which it gets no work, None while it is registered.
     :param is_misdirected: another server answered at its address since its last entry.
+    :param held_until: time until which it gets no work, since a peer saw its entry go.
     """
 
     entry: ServerEntry
@@ -31,10 +36,11 @@
     lapses_at: float | None = None
     is_leaving: bool = False
     is_misdirected: bool = False
+    held_until: float = float("-inf")
 
     def is_usable(self, now: float) -> bool:
         """Return whether it may get new work."""
-        if self.is_leaving or self.is_misdirected:
+        if self.is_leaving or self.is_misdirected or now < self.held_until:
             return False
         return self.lapses_at is None or now < self.lapses_at
 
@@ -46,6 +52,7 @@
     _servers: dict[str, KnownServer] = field(factory=dict)
     _by_service: dict[str, dict[str, KnownServer]] = field(factory=dict)
     _left: dict[str, tuple[float, float]] = field(factory=dict)
+    _gone: dict[str, tuple[float, float]] = field(factory=dict)
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -79,6 +86,22 @@
             if now - at < LEAVING_NEWS_S
         )
 
+    def gone_news(self, now: float) -> tuple[str, ...]:
+        """Return ``name@born`` of servers whose entries went of late."""
+        self._gone = {
+            name: seen
+            for name, seen in self._gone.items()
+            if now - seen[1] < GONE_HOLD_S
+        }
+        return tuple(f"{name}@{born}" for name, (born, _) in self._gone.items())
+
+    def is_news(self, change: TopicChange) -> bool:
+        """Return whether a change of an entry is more than a sign of life."""
+        known = self._servers.get(change.key)
+        if known is None or known.lapses_at is not None:
+            return change.value is not None
+        return known.entry != change.value
+
     def apply(self, entry: ServerEntry, now: float) -> tuple[bool, list]:
         """Take a server's entry.
 
@@ -93,6 +116,7 @@
         server.is_leaving = entry.state is ServerState.DRAINING or (
             left is not None and left[0] == entry.born
         )
+        self._gone.pop(entry.name, None)
         self._servers[entry.name] = server
         self._by_service.setdefault(entry.service, {})[entry.name] = server
         was_leaving = known is not None and known.is_leaving and not is_new
@@ -115,6 +139,7 @@
             known.lapses_at = returns_until
             return [_note("server_lapsed", known.entry)]
         known.lapses_at = now
+        self._gone[name] = (known.entry.born, now)
         return [_note("server_gone", known.entry)]
 
     def _is_scarce(self, service: str, now: float) -> bool:
@@ -143,13 +168,28 @@
 
     def hear_leaving(self, news: str, now: float) -> list:
         """Take a peer's word, ``name@born``, that a server leaves."""
-        name, _, text = news.rpartition("@")
-        known = self._servers.get(name)
-        if known is None or known.is_leaving or str(known.entry.born) != text:
+        known = self._find(news)
+        if known is None or known.is_leaving:
             return []
         known.is_leaving = True
         return self._note_leaving(known.entry, "peer", now)
 
+    def hear_gone(self, news: str, now: float) -> list:
+        """Take a peer's word, ``name@born``, that a server's entry went."""
+        known = self._find(news)
+        if known is None or now < known.held_until:
+            return []
+        known.held_until = now + GONE_HOLD_S
+        return [_note("server_gone", known.entry, "peer")]
+
+    def _find(self, news: str) -> KnownServer | None:
+        """Return the registered server that news, ``name@born``, are about."""
+        name, _, text = news.rpartition("@")
+        known = self._servers.get(name)
+        if known is None or known.lapses_at is not None:
+            return None
+        return known if str(known.entry.born) == text else None
+
     def _note_leaving(self, entry: ServerEntry, source: str, now: float) -> list:
         self._left[entry.name] = (entry.born, now)
         return [_note("server_leaving", entry, source)]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from briarrelay_core.ports.digest import LoadDigest, ServerLoad
+from briarrelay_core.ports.digest import NEVER_S, LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
@@ -33,6 +33,9 @@
             digest.leaving,
             [_address(peer) for peer in digest.peers],
             digest.presets,
+            digest.directory,
+            round(digest.directory_age_s, 3),
+            digest.gone,
         ]
     )
 
@@ -43,7 +46,7 @@
     :raises DigestError: if it is none.
     """
     try:
-        # an instance of an earlier release tells no revision of presets
+        # an instance of an earlier release ends here
         sender, incarnation, number, version, loads, leaving, peers, *more = (
             orjson.loads(data)
         )
@@ -55,12 +58,23 @@
             loads={str(name): _read_load(row) for name, row in loads.items()},
             leaving=tuple(str(news) for news in leaving),
             peers=tuple(_read_address(row) for row in peers),
-            presets=int(more[0]) if more else 0,
+            **_read_more(*more),
         )
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise DigestError(f"not a digest: {error}") from error
 
 
+def _read_more(
+    presets: int = 0, directory: int = 0, age_s: float = NEVER_S, gone: tuple = ()
+) -> dict:
+    return {
+        "presets": int(presets),
+        "directory": int(directory),
+        "directory_age_s": float(age_s),
+        "gone": tuple(str(news) for news in gone),
+    }
+
+
 def _address(address: PeerAddress) -> list:
     return [
         address.name,
