--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from briarrelay_core.ports.control import DrainRequested, Stopped, WokeUp
 from briarrelay_core.ports.digest import DigestHeard, LoadDigest, SendDigest, ServerLoad
 from briarrelay_core.ports.directory import (
@@ -24,6 +27,7 @@
     RelayEvent,
     RelayWhole,
     RouteRefused,
+    RouteRequest,
     SendDone,
     SendEvent,
     SendHead,
@@ -31,7 +35,11 @@
 )
 from briarrelay_core.reasons import RefusalReason
 from briarrelay_core.routes.budget import RepeatLimits
-from properties.routeworld import PROFILE, RouteWorld, make_entry
+from briarrelay_core.routes.holding import DEFER_PART, is_better_later
+from briarrelay_core.routes.model import RouteKind
+from briarrelay_core.routes.placement import Placement
+from briarrelay_core.routes.routed import RoutedRequest
+from properties.routeworld import PROFILE, RouteWorld, make_entry, make_route
 
 
 def begin(world: RouteWorld, send_id: int) -> None:
@@ -41,6 +49,47 @@
     world.tell(SendEvent(send_id, "1", b"1"))
 
 
+class HoldTest(unittest.TestCase):
+    """Whether a long prompt waits though there is a place for it."""
+
+    def make(self, waited_s: float, **placed) -> tuple:
+        route = make_route("file", RouteKind.STREAM, "llm", target_latency_s=3.0)
+        request = RouteRequest(
+            request_id=1, caller_id="a", host="h", path="/", prompt_tokens=300_000
+        )
+        routed = RoutedRequest(
+            request=request,
+            route=route,
+            service="llm",
+            profile=PROFILE,
+            workspace="",
+            arrived_at=100.0,
+            due=115.0,
+        )
+        given = {"read_s": 0.5, "expected_s": 0.6, "cost": 0.0, "harm": 0.0}
+        placement = Placement("engine-1", (), **{**given, **placed})
+        return routed, placement, 100.0 + waited_s
+
+    def test_one_that_harms_nobody_goes(self):
+        self.assertFalse(is_better_later(*self.make(0.0)))
+
+    def test_one_that_pauses_streams_waits_while_it_has_time(self):
+        self.assertTrue(is_better_later(*self.make(0.0, harm=3.0)))
+        self.assertFalse(is_better_later(*self.make(1.5, harm=3.0)))
+
+    def test_one_that_is_late_anyway_lets_others_go(self):
+        self.assertTrue(is_better_later(*self.make(0.0, expected_s=5.0)))
+        self.assertFalse(is_better_later(*self.make(0.0, expected_s=5.0, read_s=4.8)))
+
+    @given(st.floats(0, 20), st.floats(0, 20), st.floats(0, 20), st.floats(0, 100))
+    def test_nobody_waits_beyond_its_callers_patience(self, waited, read, more, harm):
+        routed, placement, now = self.make(
+            waited, read_s=read, expected_s=read + more, harm=harm
+        )
+        if waited >= DEFER_PART * routed.route.target_latency_s:
+            self.assertFalse(is_better_later(routed, placement, now))
+
+
 class SilenceTest(unittest.TestCase):
     def test_reading_is_no_silence(self):
         """Chats wait while a prompt of 500 k tokens is read on their engines."""
@@ -57,6 +106,20 @@
         effects = world.advance(part_s)
         self.assertEqual(world.of(effects, AbortSend), [])
 
+    def test_a_chat_moves_before_its_caller_leaves(self):
+        """Its engine reads for 8 s, another one is idle."""
+        world = RouteWorld(engines=2)
+        first = world.forwards(world.request("chat", patience_s=10.0))[0]
+        begin(world, first.send_id)
+        world.core.desk.load.add(900, first.server, world.now, read_s=8.0)
+        moved = world.forwards(world.advance(1.6))
+        self.assertEqual(len(moved), 1)
+        self.assertNotEqual(moved[0].server, first.server)
+        self.assertEqual(moved[0].resume_after, "1")
+        self.assertFalse(
+            world.core.desk.evidence.health.is_ejected(first.server, world.now)
+        )
+
     def test_mute_server_is_left(self):
         world = RouteWorld()
         first = world.forwards(world.request("chat"))[0]
--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -3,6 +3,9 @@
 Usage:
   briarrelay_bench experiment [--scenario NAME] [--policy NAME] [--objective NAME]
                    [--seed N] [--load F] [--duration S] [--prefix-share F] [--json]
+  briarrelay_bench routes [--site NAME] [--day NAME] [--policies LIST]
+                   [--seeds LIST] [--plot FILE] [--json]
+  briarrelay_bench settle
   briarrelay_bench relay-cost [--json]
   briarrelay_bench propagate [--json]
   briarrelay_bench control-cost [--instances N] [--engines N] [--json]
@@ -20,6 +23,12 @@
   --load F          offered work over what the fleet can serve [default: 0.7]
   --duration S      seconds for which requests arrive [default: 300]
   --prefix-share F  part of the prompts that begin like an earlier one [default: 0]
+  --site NAME       himali-salons, tfx-kochi or one of them with -grown
+                    [default: himali-salons]
+  --day NAME        even, quiet-1, peak or calls [default: quiet-1]
+  --policies LIST   briarrelay, one-mind, fewest, fewest-helpers, round-robin
+                    [default: briarrelay,one-mind,fewest-helpers,fewest,round-robin]
+  --plot FILE       draw earned and lost worth, as SVG
   --seeds LIST      seeds after commas [default: 1,2,3]
   --instances N     entry instances of the daemon's data centre [default: 56]
   --engines N       engines of the daemon's data centre [default: 157]
@@ -29,6 +38,7 @@
 
 import json
 import sys
+from pathlib import Path
 
 from attrs import asdict
 from docopt import docopt
@@ -40,6 +50,15 @@
 from briarrelay_bench.policytable import format_policies
 from briarrelay_bench.propagate import measure_propagation
 from briarrelay_bench.relay_cost import measure_relay_cost
+from briarrelay_bench.routeexperiment import (
+    ROUTE_DAYS,
+    ROUTE_POLICIES,
+    ROUTE_SITES,
+    format_report,
+    play,
+)
+from briarrelay_bench.routeplots import draw_losses
+from briarrelay_bench.settle import format_settled
 
 
 def _choice(name: str, given: str, known: tuple[str, ...]) -> str:
@@ -62,6 +81,27 @@
     return asdict(report)
 
 
+def _routes(options: dict) -> int:
+    """Play a day of a deployment on emulated engines, under some policies."""
+    site = _choice("--site", options["--site"], ROUTE_SITES)
+    day = _choice("--day", options["--day"], ROUTE_DAYS)
+    policies = options["--policies"].split(",")
+    for policy in policies:
+        _choice("--policies", policy, tuple(ROUTE_POLICIES))
+    reports = [
+        play(site, day, policy, int(seed))[0]
+        for policy in policies
+        for seed in options["--seeds"].split(",")
+    ]
+    if options["--json"]:
+        print(json.dumps([asdict(report) for report in reports]))
+    else:
+        print("\n".join(map(format_report, reports)))
+    if options["--plot"]:
+        draw_losses(reports, Path(options["--plot"]))
+    return 0
+
+
 def _control_cost(options: dict) -> dict:
     sizes = int(options["--instances"]), int(options["--engines"])
     runs, slopes = measure_slopes(*sizes)
@@ -91,6 +131,11 @@
     options = docopt(__doc__, argv)
     if options["goals"]:
         return _goals(options)
+    if options["routes"]:
+        return _routes(options)
+    if options["settle"]:
+        print(format_settled())
+        return 0
     if options["capacity"]:
         print(format_capacity(Size()))
         return 0
--- /dev/null
+++ b/packages/briarrelay-bench/src/briarrelay_bench/sheets.py
@@ -0,0 +1,234 @@
+"""What the users' sheets say of their deployments: kinds of requests, sizes, rates."""
+
+from math import exp, log
+from random import Random
+
+from attrs import evolve, frozen
+
+from briarrelay_core.routes.model import EngineProfile
+
+__all__ = ["DAYS", "SITES", "Arrival", "Burst", "Kind", "Site", "draw_arrivals"]
+
+PROFILE = EngineProfile(
+    memory_tokens=450_000,
+    step_s=0.000925,
+    step_per_stream_s=0.00000483,
+    step_per_token_s=2.54e-9,
+    read_tokens_per_s=256_000.0,
+    pair_s=0.0917e-9,
+    stride=46,
+    hop_s=0.0001,
+)
+
+
+@frozen(slots=True, kw_only=True)
+class Kind:
+    """A kind of request.
+
+    :param per_s: requests a second over all callers.
+    :param tokens: mean, spread and most of the prompt tokens, None for calls.
+    :param events: mean, spread and most of the events of an answer.
+    :param work_s: seconds that a call takes.
+    :param aim_s: seconds until the first event of an answer that is on time.
+    :param gap_s: longest pause of an answer that is on time, 0 for none.
+    :param worth: what an answer on time earns, and a late one.
+    """
+
+    name: str
+    route: str
+    per_s: float
+    aim_s: float
+    deadline_s: float
+    worth: tuple[float, float]
+    tokens: tuple[float, float, float] | None = None
+    events: tuple[float, float, float] = (1.0, 0.0, 1.0)
+    gap_s: float = 0.0
+    work_s: float = 0.0
+
+
+@frozen(slots=True, kw_only=True)
+class Site:
+    """A deployment."""
+
+    name: str
+    instances: int
+    centres: int
+    engines: int
+    slots: int
+    desks: int
+    kinds: tuple[Kind, ...]
+    profile: EngineProfile = PROFILE
+    hop_s: float = 0.0015
+    caller_s: float = 0.003
+
+
+@frozen(slots=True)
+class Burst:
+    """Times the usual traffic of a kind between two seconds of a day."""
+
+    start: float
+    end: float
+    factors: dict[str, float]
+
+
+@frozen(slots=True, kw_only=True)
+class Arrival:
+    """One request that a caller makes."""
+
+    at: float
+    number: int
+    kind: Kind
+    tokens: int = 0
+    events: int = 1
+    work_s: float = 0.0
+    zone: int = 0
+
+
+def _make_site(name: str, scale: dict, **sizes) -> Site:
+    def prompt(route: str, per_s, aim_s, deadline_s, worth, tokens, events, gap_s):
+        return Kind(
+            name=scale["names"][route],
+            route=route,
+            per_s=per_s,
+            aim_s=aim_s,
+            deadline_s=deadline_s,
+            worth=worth,
+            tokens=tokens,
+            events=events,
+            gap_s=gap_s,
+        )
+
+    per_s = scale["per_s"]
+    worth = scale["worth"]
+    long_mean, long_aim = scale["long"]
+    kinds = (
+        prompt(
+            "chat", per_s[0], 0.3, 10.0, worth[0], (4_960, 0.9, 23_800),
+            (34.9, 0.7, 87.2), 0.2,
+        ),
+        prompt(
+            "history", per_s[1], 1.5, 10.0, worth[1], (45_000, 0.5, 110_000),
+            (20.9, 0.6, 52.3), 0.5,
+        ),
+        prompt(
+            "file", per_s[2], long_aim, 15.0, worth[2], (long_mean, 0.55, 1_000_000),
+            (17.4, 0.5, 43.6), 0.8,
+        ),
+        Kind(
+            name=scale["names"]["book"], route="book", per_s=per_s[3], **scale["call"],
+        ),
+        Kind(
+            name=scale["names"]["look"], route="look", per_s=per_s[4], **scale["call"],
+        ),
+    )  # fmt: skip
+    return Site(name=name, kinds=kinds, **sizes)
+
+
+_HIMALI = {
+    "chat": "owner-chat", "history": "coat-history", "file": "breed-file",
+    "book": "slot-book", "look": "slot-look",
+}  # fmt: skip
+_KOCHI = {
+    "chat": "quote-draft", "history": "history-readback", "file": "season-review",
+    "book": "order-book", "look": "stock-check",
+}  # fmt: skip
+_HIMALI_CALL = {
+    "aim_s": 0.2, "deadline_s": 2.5, "worth": (1.0, 0.5), "work_s": 0.045,
+}  # fmt: skip
+_KOCHI_CALL = {
+    "aim_s": 0.4, "deadline_s": 3.0, "worth": (1.0, 0.1), "work_s": 0.09,
+}  # fmt: skip
+_KOCHI_GROWN_CALL = {
+    "aim_s": 0.153, "deadline_s": 1.1, "worth": (1.0, 0.1), "work_s": 0.0225,
+}  # fmt: skip
+_SMALL = {"worth": ((1.3, 0.33), (3.1, 0.79), (22.0, 5.4)), "long": (210_000, 3.0)}
+_GROWN = {"worth": ((1.4, 0.34), (2.6, 0.66), (30.0, 7.5)), "long": (300_000, 4.0)}
+
+SITES = {
+    site.name: site
+    for site in (
+        _make_site(
+            "himali-salons",
+            {**_SMALL, "names": _HIMALI, "per_s": (25.2, 1.83, 0.759, 2.38, 1.5),
+             "call": _HIMALI_CALL},
+            instances=4, centres=3, engines=23, slots=8, desks=3,
+        ),
+        _make_site(
+            "tfx-kochi",
+            {**_SMALL, "names": _KOCHI, "per_s": (23.0, 1.67, 0.689, 2.18, 1.5),
+             "call": _KOCHI_CALL},
+            instances=5, centres=3, engines=21, slots=8, desks=3,
+        ),
+        _make_site(
+            "himali-salons-grown",
+            {**_GROWN, "names": _HIMALI, "per_s": (66.5, 6.1, 1.38, 6.35, 2.54),
+             "call": _HIMALI_CALL},
+            instances=25, centres=3, engines=78, slots=6, desks=3,
+        ),
+        _make_site(
+            "tfx-kochi-grown",
+            {**_GROWN, "names": _KOCHI, "per_s": (59.0, 5.4, 1.23, 5.6, 2.25),
+             "call": _KOCHI_GROWN_CALL},
+            instances=25, centres=4, engines=69, slots=6, desks=4,
+        ),
+    )
+}  # fmt: skip
+"""The users' deployments by name."""
+
+_FILES = {"chat": 0.36, "history": 1.3, "file": 2.7}
+_CHATS = {"chat": 2.5, "history": 0.5, "file": 0.05}
+
+DAYS = {
+    "even": (),
+    "quiet-1": (
+        Burst(2.4, 11.9, _FILES),
+        Burst(12.0, 21.5, _CHATS),
+        Burst(23.0, 32.5, _FILES),
+    ),
+    "peak": (Burst(0.0, 40.0, {"chat": 1.6, "history": 1.6, "file": 1.6}),),
+    "calls": (Burst(5.0, 25.0, {"book": 8.0, "look": 8.0}),),
+}
+"""Bursts as the standard days have them, and a day at 1.6 times the traffic."""
+
+
+def _draw(random: Random, mean: float, spread: float, most: float) -> float:
+    drawn = random.lognormvariate(log(mean) - spread * spread / 2, spread)
+    return min(most, drawn) if spread else mean
+
+
+def draw_arrivals(site: Site, day: str, seconds: float, seed: int) -> list[Arrival]:
+    """Draw the requests of a day, those that fall into bursts included."""
+    random = Random(seed)
+    bursts = DAYS[day]
+    arrivals = []
+    for kind in site.kinds:
+        at, most = 0.0, max([1.0, *(b.factors.get(kind.route, 1.0) for b in bursts)])
+        while (at := at + random.expovariate(kind.per_s * most)) < seconds:
+            factor = next(
+                (
+                    b.factors.get(kind.route, 1.0)
+                    for b in bursts
+                    if b.start <= at < b.end
+                ),
+                1.0,
+            )
+            if random.random() * most > factor:
+                continue
+            arrivals.append(_make(random, site, kind, at))
+    arrivals.sort(key=lambda arrival: arrival.at)
+    return [evolve(arrival, number=n) for n, arrival in enumerate(arrivals, 1)]
+
+
+def _make(random: Random, site: Site, kind: Kind, at: float) -> Arrival:
+    zone = random.randrange(site.centres)
+    if kind.tokens is None:
+        work_s = kind.work_s * exp(random.gauss(-0.125, 0.5))
+        return Arrival(at=at, number=0, kind=kind, work_s=work_s, zone=zone)
+    return Arrival(
+        at=at,
+        number=0,
+        kind=kind,
+        tokens=max(50, int(_draw(random, *kind.tokens))),
+        events=max(1, round(_draw(random, *kind.events))),
+        zone=zone,
+    )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -23,6 +23,7 @@
 from briarrelay_core.routes.budget import RepeatBudget
 from briarrelay_core.routes.choosing import Chooser, is_too_large
 from briarrelay_core.routes.evidence import ServerEvidence
+from briarrelay_core.routes.holding import is_better_later
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.reserving import Reservations
@@ -100,7 +101,7 @@
         if known and is_too_large(routed, len(known)):
             return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         placement = self.chooser.choose(routed, known, now) if known else None
-        if placement is not None:
+        if placement is not None and not is_better_later(routed, placement, now):
             self._waiting.pop(routed.request.request_id, None)
             return self._send(routed, placement, now)
         if not known:
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
@@ -0,0 +1,67 @@
+"""Whether a prompt that could be sent now had better wait in the queue.
+
+Engines read in the order of arrival, so what is sent first delays all that comes after.
+The load patterns: a herd of long prompts that arrive within a second, and prompts so
+large that they are late in any case, ahead of many that could be on time.
+"""
+
+from briarrelay_core.routes.placement import Placement
+from briarrelay_core.routes.routed import RoutedRequest
+
+__all__ = ["is_better_later"]
+
+HOLD_HARM = 0.5
+"""Expected loss to streams from which a prompt with time to spare waits; a short
+stream that is paused for too long loses about 1."""
+
+HOLD_S = 0.1
+"""Seconds between looks at prompts that wait."""
+
+HOLD_PART = 0.6
+"""Part of the target latency up to which a late first event is not yet expected."""
+
+BACKLOG_S = 0.5
+"""Seconds of others' work before a prompt from which engines count as busy."""
+
+DEFER_PART = 2.4
+"""Times the target latency within which a late prompt gets its first event; callers
+bear silence for four times the target."""
+
+DEFER_MARGIN_S = 3.0
+"""Seconds left to write the answer of a prompt that was put behind others."""
+
+
+def is_better_later(routed: RoutedRequest, placement: Placement, now: float) -> bool:
+    """Return whether a prompt should wait though there is a place for it."""
+    if not routed.is_prompt:
+        return False
+    waited_s = now - routed.arrived_at
+    return _is_harmful(routed, placement, waited_s) or _is_late_anyway(
+        routed, placement, waited_s
+    )
+
+
+def _is_harmful(routed: RoutedRequest, placement: Placement, waited_s: float) -> bool:
+    """Return whether it would pause streams and has time to let engines read on."""
+    if placement.harm < HOLD_HARM:
+        return False
+    first_s = waited_s + HOLD_S + placement.expected_s
+    return first_s < HOLD_PART * routed.route.target_latency_s
+
+
+def _is_late_anyway(
+    routed: RoutedRequest, placement: Placement, waited_s: float
+) -> bool:
+    """Return whether it is late in any case and would delay others that are not.
+
+    It goes once the engines have little before it, or when its caller's patience or
+    its deadline come near.
+    """
+    first_s = waited_s + placement.expected_s
+    if first_s <= routed.route.target_latency_s:
+        return False
+    if placement.expected_s - placement.read_s <= BACKLOG_S:
+        return False
+    whole_s = routed.due - routed.arrived_at
+    latest_s = min(DEFER_PART * routed.route.target_latency_s, whole_s - DEFER_MARGIN_S)
+    return first_s < latest_s
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -99,6 +99,7 @@
 
     :param read_s: seconds that each of them reads.
     :param expected_s: seconds until the first event.
+    :param harm: the part of the loss that streams on its engines bear.
     :param holdings: helpers that keep a part of the prompt's memory, with the tokens
         that each sets aside.
     """
@@ -108,6 +109,7 @@
     read_s: float
     expected_s: float
     cost: float
+    harm: float = 0.0
     holdings: tuple[tuple[str, int], ...] = ()
 
 
@@ -182,7 +184,8 @@
     costs = [(_lead_cost(profile, c, prompt, read_s), c) for c in roomy]
     cost, lead = min(costs, key=lambda pair: (pair[0], pair[1].name))
     expected = _first_event_s(profile, lead, read_s)
-    return Placement(lead.name, (), read_s, expected, cost)
+    harm = _harm(profile, lead, read_s)
+    return Placement(lead.name, (), read_s, expected, cost, harm)
 
 
 def _place_shared(
@@ -291,10 +294,9 @@
     )
     cost = LATE_LOSS * prompt.weight * _ramp(first_s / prompt.aim_s)
     cost += BUSY_COST * first_s + HELPER_COST * len(helpers)
-    cost += _harm(profile, lead, part_s)
-    cost += sum(_harm(profile, helper, part_s) for helper in helpers)
+    harm = sum(_harm(profile, engine, part_s) for engine in (lead, *helpers))
     names = tuple(helper.name for helper in helpers)
-    return Placement(lead.name, names, part_s, first_s, cost)
+    return Placement(lead.name, names, part_s, first_s, cost + harm, harm)
 
 
 def whole_memory(profile: EngineProfile, engines: int) -> int:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/replies.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/replies.py
@@ -37,6 +37,19 @@
 READING_FACTOR = 1.5
 """Times the reading known to be in progress by which a server may be silent longer."""
 
+CALLER_S = 2.0
+"""Seconds of silence that every caller of a stream bears, by the users' pages."""
+
+CALLER_AIM = 4.0
+"""Times the target latency that it bears."""
+
+CALLER_GAP = 8.0
+"""Times the longest pause on time that it bears."""
+
+LEAVING_PART = 0.65
+"""Part of a caller's patience after which its stream goes on elsewhere; the rest is for
+reading the prompt again."""
+
 SAFE_FACTOR = 3.0
 """Times the target latency after which a repeatable call counts as lost."""
 
@@ -229,10 +242,28 @@
                 continue
             patience = _patience_s(routed, sending)
             patience += READING_FACTOR * self._reading_s(sending, now)
-            if now - sending.progress_at > patience:
+            silent_s = now - sending.progress_at
+            if silent_s > patience:
                 effects += self._on_silent(routed, now)
+            elif self._is_better_moved(routed, silent_s, now):
+                effects += self._move(routed, now)
         return effects
 
+    def _is_better_moved(
+        self, routed: RoutedRequest, silent_s: float, now: float
+    ) -> bool:
+        """Return whether a caller would leave before a reading engine writes on.
+
+        It is moved only to an engine that writes before the caller leaves.
+        """
+        patience_s = _caller_patience_s(routed)
+        if silent_s <= LEAVING_PART * patience_s:
+            return False
+        chooser = self.desk.chooser
+        known = chooser.candidates(routed, now)
+        placement = chooser.choose(routed, known, now) if known else None
+        return placement is not None and placement.expected_s < patience_s - silent_s
+
     def _reading_s(self, sending: Sending, now: float) -> float:
         """Return seconds that the engines of a send may read without a word."""
         load = self.desk.load
@@ -244,6 +275,12 @@
         sending = routed.sending
         is_mute = desk.evidence.heard_at.get(sending.server, 0.0) <= sending.progress_at
         desk.evidence.health.note_failure(sending.server, now, certain=is_mute)
+        return self._move(routed, now)
+
+    def _move(self, routed: RoutedRequest, now: float) -> list:
+        """Send a request to another server, if it may still be sent."""
+        desk = self.desk
+        sending = routed.sending
         if routed.runs + 1 >= routed.route.attempts:
             sending.progress_at = now
             return []
@@ -271,6 +308,14 @@
     return max(GAP_S, GAP_FACTOR * (routed.route.gap_limit_s or 0.0))
 
 
+def _caller_patience_s(routed: RoutedRequest) -> float:
+    """Return seconds of silence after which the caller leaves a stream."""
+    if routed.route.kind is not RouteKind.STREAM:
+        return float("inf")
+    target_s, gap_s = routed.route.target_latency_s, routed.route.gap_limit_s or 0.0
+    return max(CALLER_S, CALLER_AIM * target_s, CALLER_GAP * gap_s)
+
+
 def _is_newer(event_id: str, last: str) -> bool:
     if not last:
         return True
