--- a/features/properties/test_directory.py
+++ b/features/properties/test_directory.py
@@ -4,9 +4,12 @@
 from random import Random
 
 from briarrelay_core.ports.control import WokeUp
+from briarrelay_core.ports.digest import DigestHeard, LoadDigest, ServerLoad
 from properties.directoryworld import NEWS_S, DirectoryWorld
 from properties.routeworld import make_entry
 
+BUSY = ServerLoad(leads=3)
+
 ALONE_PERIOD_S = 0.9
 """Seconds between reads of an instance that nobody tells."""
 
@@ -77,6 +80,20 @@
         world.advance(9.0)
         self.assertGreaterEqual(world.reads[3] - before, 9)
 
+    def test_one_that_started_again_with_an_earlier_clock_is_heard(self):
+        """The time of day went back between its two starts."""
+        world = DirectoryWorld(2, 4)
+        world.advance(4.0)
+        address = world.cores[1].address
+        told = LoadDigest(
+            sender=address, incarnation=0, number=1, version=1, loads={"engine-1": BUSY}
+        )
+        world.frozen = {1}
+        world.advance(5.0)
+        world.tell(0, DigestHeard(told))
+        load = world.cores[0].desk.load.of("engine-1", world.now)
+        self.assertEqual(load.leads, 3)
+
     def test_one_that_woke_up_reads_itself(self):
         world = DirectoryWorld(4, 6)
         world.advance(6.0)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,13 +1,14 @@
 """Runs the fault soak.
 
 Usage:
-  run.py [--seeds=LIST] [--seconds=S] [--entries=N] [--report=FILE]
+  run.py [--seeds=LIST] [--seconds=S] [--entries=N] [--report=FILE] [--plots=FOLDER]
 
 Options:
   --seeds=LIST    seeds by commas, or FIRST-LAST [default: 1]
   --seconds=S     seconds of faults for each seed [default: 15]
   --entries=N     entry instances [default: 3]
   --report=FILE   append one line of JSON for each seed
+  --plots=FOLDER  draw what callers got beside the faults, one SVG for each seed
 """
 
 import json
@@ -16,6 +17,7 @@
 import sys
 import time
 from pathlib import Path
+from tempfile import mkdtemp
 
 from attrs import define, field
 from docopt import docopt
@@ -25,6 +27,7 @@
 from standins.fleet import Entry, Fleet, configuration, post  # noqa: E402
 
 from soak.callers import Callers, Pause, find_broken  # noqa: E402
+from soak.plots import draw_seed  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
 
 CALM_S = 3.0
@@ -33,6 +36,12 @@
 STOP_S = 12.0
 """Seconds for a planned stop, whose grace is 8, once nothing holds it up."""
 
+CLOCK = Path(__file__).resolve().parent / "clock"
+"""Folder on the path of the instances that shifts their time of day."""
+
+IN_FORCE = {"configuration_in_force": "version", "preset_in_force": "revision"}
+"""Log lines that tell what is in force, and their field that may only rise."""
+
 RECOVERED = 0.7
 """Part of the requests sent in calm that must succeed; error rates are zero then."""
 
@@ -47,10 +56,14 @@
     fleet: Fleet | None = None
     proxies: list[Proxy] = field(factory=list)
     faults: list[str] = field(factory=list)
+    happened: list[tuple[float, str]] = field(factory=list)
+    sent: list[tuple[float, int]] = field(factory=list)
+    clock: Path = field(factory=lambda: Path(mkdtemp(prefix="soak-clock-")) / "shift")
     paused: list[Entry] = field(factory=list)
     pauses: list[Pause] = field(factory=list)
     stopping: set[str] = field(factory=set)
     version: int = 1
+    presets: int = 0
     calm_from: float = 0.0
     asked: int = 0
     served: int = 0
@@ -64,6 +77,7 @@
             entries=self.entries,
             base=f"{2 + self.seed // 250}.{self.seed % 250}",
             seed=self.seed,
+            environment={"PYTHONPATH": str(CLOCK), "SOAK_CLOCK": str(self.clock)},
             through=self._through,
         )
         try:
@@ -81,20 +95,24 @@
     def _play(self, chance: random.Random) -> list[str]:
         callers = Callers(self.fleet, self.seed)
         callers.start()
-        end = time.monotonic() + self.seconds
+        begin = time.monotonic()
+        end = begin + self.seconds
         while time.monotonic() < end:
             fault = chance.choice(FAULTS)
             self.faults.append(fault.__name__)
+            self.happened.append((time.monotonic() - begin, fault.__name__))
             fault(self, chance)
             time.sleep(chance.uniform(0.2, 1.5))
         self._calm()
         time.sleep(CALM_S)
         self.calm_from = time.monotonic()
+        self.happened.append((self.calm_from - begin, "calm"))
         time.sleep(CALM_S)
         callers.stop()
         broken = find_broken(callers.sent, self.fleet.runs(), self.pauses)
         self.served = sum(s.answer.status == 200 for s in callers.sent)
         self.asked = len(callers.sent)
+        self.sent = [(s.begun_at - begin, s.answer.status) for s in callers.sent]
         return broken + self._check_recovery(callers) + self._check_versions()
 
     def _calm(self) -> None:
@@ -129,17 +147,19 @@
         return []
 
     def _check_versions(self) -> list[str]:
-        """No process may go back to an older configuration."""
+        """No process may go back to an older configuration or older presets."""
         broken = []
         for entry in self.fleet.instances:
-            version = 0
+            newest = {}
             for line in entry.lines():
-                if line["event"] == "started":
-                    version = 0
-                elif line["event"] == "configuration_in_force":
-                    if int(line["version"]) <= version:
-                        broken.append(f"{entry.name} went back to {line['version']}")
-                    version = int(line["version"])
+                event = line["event"]
+                if event == "started":
+                    newest = {}
+                elif event in IN_FORCE:
+                    number = int(line[IN_FORCE[event]])
+                    if number <= newest.get(event, 0):
+                        broken.append(f"{entry.name} went back: {event} {number}")
+                    newest[event] = number
         return broken
 
 
@@ -239,6 +259,24 @@
     soak.fleet.put("keyed.op", "config", configuration(soak.version))
 
 
+def choose_preset(soak: Soak, chance: random.Random) -> None:
+    """Put another preset in force, at times write an old one after it."""
+    soak.presets += 1
+    for revision in (soak.presets, chance.randint(1, soak.presets)):
+        book = {
+            "revision": revision,
+            "author": "soak",
+            "presets": {"day": {}, "peak": {"objective": "ttft"}},
+            "active": chance.choice(("day", "peak")),
+        }
+        soak.fleet.put("keyed.presets", "presets", book)
+
+
+def step_clock(soak: Soak, chance: random.Random) -> None:
+    """Shift the time of day of all instances."""
+    soak.clock.write_text(str(chance.choice((-3_600.0, -5.0, 0.0, 5.0, 86_400.0))))
+
+
 FAULTS = (
     kill,
     stop,
@@ -257,6 +295,8 @@
     trouble_server,
     mute_server,
     configure,
+    choose_preset,
+    step_clock,
 )
 
 
@@ -284,6 +324,9 @@
         for line in broken[:10]:
             print(f"  {line}  (logs in {soak.fleet.folder})")
         sys.stdout.flush()
+        if options["--plots"]:
+            path = Path(options["--plots"]) / f"seed-{seed}.svg"
+            draw_seed(f"seed {seed}", soak.happened, soak.sent, path)
         if options["--report"]:
             with open(options["--report"], "a", encoding="utf-8") as report:
                 row = {"seed": seed, "faults": soak.faults, "broken": broken}
--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -130,6 +130,7 @@
     """A store, backend servers and entry instances; ends just what it started.
 
     :param base: second and third number of the loopback addresses, ``127.base.*``.
+    :param environment: more variables for the entry instances.
     :param through: host and port that entry instances see for a stand-in's own, for
         proxies; called with a host and a port.
     """
@@ -139,6 +140,7 @@
     entries: int = 2
     base: str = "1.0"
     seed: int = 0
+    environment: dict[str, str] = field(factory=dict)
     through: object = lambda host, port: (host, port)
     folder: Path = field(init=False)
     store: tuple[str, int] = field(init=False)
@@ -256,6 +258,7 @@
             entry.name,
             str(ROOT / "platform" / "start.py"),
             BRIARRELAY_BOOT=str(entry.settings),
+            **self.environment,
         )
 
     def put(self, topic: str, key: str, value) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -223,6 +223,8 @@
                 notes.append(Note("warning", "peer_lost", fields=fields))
                 self.load.forget_peer(peer.address.name)
                 peer.heard_at = None
+                # one that starts again may do so with an earlier time of day
+                peer.incarnation, peer.number = 0, -1
         return notes + self._send(now)
 
     def _send_due(self, now: float) -> list:
