--- /dev/null
+++ b/features/corpus/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes captured from real processes, from which decoders are fuzzed."""
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -23,7 +23,7 @@
 from briarrelay_daemon.settings import Address
 from briarrelay_daemon.wire import READ
 
-__all__ = ["DigestPort"]
+__all__ = ["DigestPort", "read_answer"]
 
 MAX_DATAGRAM_BYTES = 60_000
 """Longest digest; a longer one does not fit into a datagram."""
@@ -83,7 +83,7 @@
 
     def _ask(self, effect: AskPeer) -> None:
         def done(status: int, value) -> None:
-            self._host.tell(_read_answer(effect, status, value))
+            self._host.tell(read_answer(effect, status, value))
 
         def lost(sent: bool) -> None:
             self._host.tell(PeerAnswered(effect.peer, problem="no answer"))
@@ -109,7 +109,8 @@
         return 200, orjson.dumps(body)
 
 
-def _read_answer(effect: AskPeer, status: int, value) -> PeerAnswered:
+def read_answer(effect: AskPeer, status: int, value) -> PeerAnswered:
+    """Return what a peer's answer tells, with the problem if it is of no use."""
     changes = []
     try:
         if value["configuration"] is not None:
