--- a/features/properties/test_corpus.py
+++ b/features/properties/test_corpus.py
@@ -14,11 +14,12 @@
 
 from briarrelay_core.ports.digest import DigestHeard
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_daemon.answerreader import CallSink
 from briarrelay_daemon.callerserver import CallerServer, RawExchange
 from briarrelay_daemon.digestcodec import DigestError, decode_digest
 from briarrelay_daemon.digestport import AskPeer, read_answer
 from briarrelay_daemon.eventsplit import EventSplitter
-from briarrelay_daemon.httpcall import CallSink, HttpClient
+from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.settings import Address, SettingsError
 from briarrelay_daemon.wire import Wire
 from properties.routeworld import RouteWorld
--- a/features/properties/test_emulator.py
+++ b/features/properties/test_emulator.py
@@ -24,7 +24,7 @@
     """Play requests on the salons' deployment; acts are pairs of time and call."""
     fleet = RouteFleet(SITE, seed=1)
     for at, act in acts:
-        fleet._later(WARM_UP_S + at, partial(act, fleet))
+        fleet.later(WARM_UP_S + at, partial(act, fleet))
     fleet.run(arrivals, seconds + TAIL_S)
     return fleet
 
@@ -127,7 +127,7 @@
 
         def lose(fleet: RouteFleet) -> None:
             for name in list(fleet.engines)[::2]:
-                fleet.lose_engine(name)
+                fleet.backends.lose_engine(name)
 
         fleet = run(arrivals, 14.0, (6.0, lose))
         self.assertTrue(all(c.is_over for c in fleet.callers.values()))
--- a/features/properties/test_route_edges.py
+++ b/features/properties/test_route_edges.py
@@ -11,10 +11,11 @@
 
 from briarrelay_core.ports.digest import LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_daemon.answerreader import CallSink
 from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_daemon.eventsplit import EventSplitter
-from briarrelay_daemon.httpcall import CallSink, HttpClient
+from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.settings import Address
 from briarrelay_daemon.wire import Wire
 
--- a/features/standins/engines.py
+++ b/features/standins/engines.py
@@ -6,7 +6,8 @@
 
 import orjson
 
-from briarrelay_daemon.httpcall import CallSink, HttpClient
+from briarrelay_daemon.answerreader import CallSink
+from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.settings import Address
 from standins.loop import StandInLoop, read_path
 
--- /dev/null
+++ b/packages/briarrelay-bench/src/briarrelay_bench/deployment.py
@@ -0,0 +1,108 @@
+"""The instances, servers and routes of a deployment on the users' sheets."""
+
+from briarrelay_bench.sheets import Kind, Site
+from briarrelay_core.identity import Identity
+from briarrelay_core.ports.directory import PeerAddress, ServerEntry, ServerState
+from briarrelay_core.routes.budget import RepeatLimits
+from briarrelay_core.routes.instance import RouteInstance
+from briarrelay_core.routes.model import (
+    CallerLimits,
+    Route,
+    RouteConfiguration,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+
+__all__ = ["DESK_SLOTS", "HOST", "make_configuration", "make_entries", "make_instances"]
+
+HOST = "fleet.example"
+
+DESK_SLOTS = 6
+"""Calls that a plain service runs at a time, from the users' sheets."""
+
+REPEAT_SLACK = 100.0
+"""Repeats beyond the ratio, as the small deployments have it."""
+
+
+def make_instances(site: Site) -> list[RouteInstance]:
+    """Return the entry instances, which know each other's addresses."""
+    addresses = [
+        PeerAddress(
+            name=f"entry-{n}",
+            host=f"10.9.0.{n}",
+            question_port=1,
+            digest_port=2,
+            data_centre=f"centre-{n % site.centres}",
+        )
+        for n in range(site.instances)
+    ]
+    return [
+        RouteInstance(
+            identity=Identity(address.name, 1, address.data_centre),
+            address=address,
+            repeats=RepeatLimits(slack=REPEAT_SLACK),
+            grace_s=8.0,
+            hold_s=3.2,
+            seeds=tuple(addresses),
+        )
+        for address in addresses
+    ]
+
+
+def make_entries(site: Site) -> list[ServerEntry]:
+    """Return the entries of engines and plain services."""
+    engines = [
+        _make_entry(site, n, f"engine-{n:03d}", "llm", site.slots)
+        for n in range(site.engines)
+    ]
+    desks = [
+        _make_entry(site, n, f"desk-{n}", "desk", DESK_SLOTS) for n in range(site.desks)
+    ]
+    return engines + desks
+
+
+def _make_entry(
+    site: Site, number: int, name: str, service: str, slots: int
+) -> ServerEntry:
+    return ServerEntry(
+        name=name,
+        service=service,
+        host=f"10.{1 if service == 'llm' else 2}.0.{number}",
+        port=80,
+        data_centre=f"centre-{number % site.centres}",
+        state=ServerState.READY,
+        slots=slots,
+    )
+
+
+def make_configuration(site: Site) -> RouteConfiguration:
+    """Return the routes of the kinds of requests."""
+    services = {
+        "llm": Service(name="llm", profile=site.profile),
+        "desk": Service(name="desk"),
+    }
+    return RouteConfiguration(
+        version=1,
+        routes=tuple(map(_make_route, site.kinds)),
+        services=services,
+        limits=CallerLimits(),
+    )
+
+
+def _make_route(kind: Kind) -> Route:
+    is_prompt = kind.tokens is not None
+    named = RouteKind.SAFE if kind.route == "look" else RouteKind.UNSAFE
+    return Route(
+        name=kind.name,
+        host=HOST,
+        prefix=f"/{kind.route}/",
+        kind=RouteKind.STREAM if is_prompt else named,
+        shares=(ServiceShare("llm" if is_prompt else "desk", 1.0),),
+        timeout_s=kind.deadline_s,
+        target_latency_s=kind.aim_s,
+        attempts=1 if kind.route == "book" else 2,
+        is_anonymous=True,
+        is_resumable=is_prompt,
+        gap_limit_s=kind.gap_s or None,
+    )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -351,21 +351,7 @@
         self.requests.pop(request.request_id, None)
         self._waiting.pop(request.request_id, None)
         self._record(routed, "request", outcome, now)
-        first = routed.first_event_at
-        fields = (
-            ("outcome", outcome),
-            ("route", routed.route.name),
-            ("workspace", routed.workspace),
-            ("version", str(self.admission.version)),
-            ("servers", ",".join(routed.tried)),
-            ("helpers", str(len(sending.helpers)) if sending else "0"),
-            ("expected_ms", f"{1000 * sending.expected_s:.0f}" if sending else ""),
-            ("first_ms", f"{1000 * (first - routed.arrived_at):.0f}" if first else ""),
-            ("whole_ms", f"{1000 * (now - routed.arrived_at):.0f}"),
-            ("gap_ms", f"{1000 * routed.longest_gap_s:.0f}"),
-            ("last_event", routed.last_event),
-            ("tokens", str(request.prompt_tokens)),
-        )
+        fields = routed.note_fields(outcome, sending, self.admission.version, now)
         effects.append(Note("info", "request", request.caller_id, fields))
         return effects
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/routed.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/routed.py
@@ -8,6 +8,10 @@
 
 __all__ = ["RoutedRequest", "Sending"]
 
+WEIGHT_TOKENS = 15_000.0
+"""Prompt tokens that add as much to a request's weight as a short one has; from the
+payoffs on the users' sheets, about 2 a request of 45 k and 20 for 210 k."""
+
 
 @define(slots=True, eq=False)
 class Sending:
@@ -80,7 +84,26 @@
         """What a late answer costs, relative to a short prompt."""
         return 1.0 + self.request.prompt_tokens / WEIGHT_TOKENS
 
-
-WEIGHT_TOKENS = 15_000.0
-"""Prompt tokens that add as much to a request's weight as a short one has; from the
-payoffs on the users' sheets, about 2 a request of 45 k and 20 for 210 k."""
+    def note_fields(
+        self, outcome: str, sending: Sending | None, version: int, now: float
+    ) -> tuple[tuple[str, str], ...]:
+        """Return what the log tells of its end.
+
+        :param sending: the send that was open at its end.
+        :param version: of the configuration in force.
+        """
+        first = self.first_event_at
+        return (
+            ("outcome", outcome),
+            ("route", self.route.name),
+            ("workspace", self.workspace),
+            ("version", str(version)),
+            ("servers", ",".join(self.tried)),
+            ("helpers", str(len(sending.helpers)) if sending else "0"),
+            ("expected_ms", f"{1000 * sending.expected_s:.0f}" if sending else ""),
+            ("first_ms", f"{1000 * (first - self.arrived_at):.0f}" if first else ""),
+            ("whole_ms", f"{1000 * (now - self.arrived_at):.0f}"),
+            ("gap_ms", f"{1000 * self.longest_gap_s:.0f}"),
+            ("last_event", self.last_event),
+            ("tokens", str(self.request.prompt_tokens)),
+        )
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/engineport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/engineport.py
@@ -25,8 +25,9 @@
     StartGang,
 )
 from briarrelay_core.ports.platform import OrderAnswer, ReadEngineState, SendOrder
+from briarrelay_daemon.answerreader import CallSink
 from briarrelay_daemon.host import Host
-from briarrelay_daemon.httpcall import CallSink, HttpCall, HttpClient
+from briarrelay_daemon.httpcall import HttpCall, HttpClient
 from briarrelay_daemon.jsoncall import JsonAnswer
 from briarrelay_daemon.settings import Address
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/jsoncall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/jsoncall.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from briarrelay_daemon.httpcall import CallSink
+from briarrelay_daemon.answerreader import CallSink
 
 __all__ = ["JsonAnswer"]
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -24,10 +24,11 @@
     SendHead,
     SendLost,
 )
+from briarrelay_daemon.answerreader import CallSink
 from briarrelay_daemon.callerserver import CallerServer, RawExchange
 from briarrelay_daemon.eventsplit import EventSplitter
 from briarrelay_daemon.host import Host
-from briarrelay_daemon.httpcall import CallSink, HttpCall, HttpClient
+from briarrelay_daemon.httpcall import HttpCall, HttpClient
 from briarrelay_daemon.settings import Address
 
 __all__ = ["Dialect", "RoutePort", "passable_headers"]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/wholecall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/wholecall.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from briarrelay_daemon.httpcall import CallSink
+from briarrelay_daemon.answerreader import CallSink
 
 __all__ = ["WholeAnswer"]
 
