--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -289,6 +289,33 @@
         self.assertNotIn(first.host, hosts)
 
 
+class HolderTest(unittest.TestCase):
+    def test_memory_that_is_set_aside_counts_on_its_engine(self):
+        """Prompts placed on a holder beyond its memory wait there for seconds."""
+        world = RouteWorld(engines=3)
+        effects = world.request("file", prompt_tokens=1_000_000, patience_s=15.0)
+        reserves = world.of(effects, Reserve)
+        self.assertGreaterEqual(len(reserves), 2)
+        for reserve in reserves:
+            effects = world.tell(ReserveAnswered(reserve.reservation_id, True))
+        forward = world.forwards(effects)[0]
+        load = world.core.desk.load
+        held = {r.host: r.tokens for r in reserves}
+        for name in ("engine-1", "engine-2", "engine-3"):
+            host = world.core.desk.servers.get(name).entry.host
+            if name != forward.server:
+                self.assertEqual(load.of(name, world.now).tokens, held[host])
+        begin(world, forward.send_id)
+        self.assertEqual(sum(load.of(n, world.now).tokens > 0 for n in names(world)), 3)
+        world.tell(SendDone(forward.send_id))
+        self.assertEqual(sum(load.of(n, world.now).tokens for n in names(world)), 0)
+
+
+def names(world: RouteWorld) -> list[str]:
+    """Return the names of all engines."""
+    return [s.entry.name for s in world.core.desk.servers.of_service("llm", world.now)]
+
+
 class HelperTest(unittest.TestCase):
     def test_busy_helper_is_avoided_and_stays_in_use(self):
         """An engine that helps others to its limit still serves chats."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -196,7 +196,14 @@
             weight=routed.weight,
         )
         for helper in placement.helpers:
-            self.load.add(send_id, helper, now, read_s=placement.read_s, is_lead=False)
+            self.load.add(
+                send_id,
+                helper,
+                now,
+                tokens=held.get(helper, 0),
+                read_s=placement.read_s,
+                is_lead=False,
+            )
 
     def serve_waiting(self, now: float) -> list:
         """Place the requests that wait, the most urgent first."""
