--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -35,7 +35,7 @@
 )
 from briarrelay_core.reasons import RefusalReason
 from briarrelay_core.routes.budget import RepeatLimits
-from briarrelay_core.routes.holding import DEFER_PART, is_better_later
+from briarrelay_core.routes.holding import DEFER_PART, is_better_later, longest_wait_s
 from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.routed import RoutedRequest
@@ -88,6 +88,22 @@
         )
         if waited >= DEFER_PART * routed.route.target_latency_s:
             self.assertFalse(is_better_later(routed, placement, now))
+        if waited >= longest_wait_s(routed) - 0.15:
+            self.assertFalse(is_better_later(routed, placement, now))
+
+
+class HeldTest(unittest.TestCase):
+    def test_one_that_waits_is_sent_before_it_would_be_refused(self):
+        """Every engine reads for 6.5 s, so a long prompt is late in any case."""
+        world = RouteWorld(engines=3)
+        for number, name in enumerate(names(world)):
+            world.core.desk.load.add(900 + number, name, world.now, read_s=6.5)
+        effects = world.request("file", prompt_tokens=90_000, patience_s=15.0)
+        self.assertEqual(world.forwards(effects), [])
+        for _ in range(50):
+            effects += world.advance(0.1)
+        self.assertEqual(world.of(effects, RouteRefused), [])
+        self.assertEqual(len(world.forwards(effects)), 1)
 
 
 class SilenceTest(unittest.TestCase):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
@@ -10,7 +10,7 @@
 from briarrelay_core.routes.presets import PresetBook
 from briarrelay_core.routing.lengths import LengthClass, class_of
 
-__all__ = ["Admission", "Admitted", "ELSEWHERE_S", "NO_SERVER_S"]
+__all__ = ["RouteAdmission", "AdmittedRoute", "ELSEWHERE_S", "NO_SERVER_S"]
 
 ELSEWHERE_S = 0.02
 """Retry-After where another instance can take the request at once."""
@@ -23,7 +23,7 @@
 
 
 @frozen(slots=True)
-class Admitted:
+class AdmittedRoute:
     """What the configuration says of a request that is let in.
 
     :param profile: None for plain services.
@@ -37,7 +37,7 @@
 
 
 @define(slots=True, eq=False)
-class Admission:
+class RouteAdmission:
     """Checks requests against the configuration and the preset in force.
 
     :param is_unsure: a newer configuration may be in force elsewhere.
@@ -54,7 +54,7 @@
         """Version of the configuration in force, 0 before the first."""
         return self.configuration.version if self.configuration else 0
 
-    def check(self, request: RouteRequest) -> Admitted | NotRun:
+    def check(self, request: RouteRequest) -> AdmittedRoute | NotRun:
         """Return what is known of a request that is let in, else the refusal."""
         configuration = self.configuration
         if configuration is None:
@@ -69,7 +69,7 @@
             return self._unknown(RefusalReason.UNAUTHORIZED)
         service = route.service_for(unit_hash(request.caller_id, "share"))
         known = configuration.services.get(service)
-        admitted = Admitted(
+        admitted = AdmittedRoute(
             route, service, known.profile if known else None, workspace or ""
         )
         if self._is_shut(request, admitted):
@@ -82,7 +82,7 @@
             return NotRun(RefusalReason.NOT_READY, retry_after=NO_SERVER_S)
         return NotRun(reason)
 
-    def _is_shut(self, request: RouteRequest, admitted: Admitted) -> bool:
+    def _is_shut(self, request: RouteRequest, admitted: AdmittedRoute) -> bool:
         """Return whether the preset in force refuses this kind of request."""
         preset = self.book.in_force
         if admitted.profile is None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/desk.py
@@ -19,11 +19,11 @@
 )
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
 from briarrelay_core.record.record import Entry, Recorder
-from briarrelay_core.routes.admission import NO_SERVER_S, Admission
+from briarrelay_core.routes.admission import NO_SERVER_S, RouteAdmission
 from briarrelay_core.routes.budget import RepeatBudget
 from briarrelay_core.routes.choosing import Chooser, is_too_large
 from briarrelay_core.routes.evidence import ServerEvidence
-from briarrelay_core.routes.holding import is_better_later
+from briarrelay_core.routes.holding import is_better_later, longest_wait_s
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.reserving import Reservations
@@ -44,9 +44,6 @@
 LATE_ANSWER_S = 0.1
 """Seconds after the time of a request in which its server's own answer may come."""
 
-WAIT_PART = 0.25
-"""Part of a request's time that it may wait for a free place."""
-
 RETRY_AFTER_S = 0.3
 """Shortest Retry-After; places become free about as fast as short answers end."""
 
@@ -62,7 +59,7 @@
     reservations: Reservations
     evidence: ServerEvidence
     chooser: Chooser
-    admission: Admission = field(factory=Admission)
+    admission: RouteAdmission = field(factory=RouteAdmission)
     requests: dict[int, RoutedRequest] = field(factory=dict)
     sends: dict[int, RoutedRequest] = field(factory=dict)
     _waiting: dict[int, RoutedRequest] = field(factory=dict)
@@ -389,15 +386,12 @@
         for routed in list(self.requests.values()):
             if now >= routed.due + LATE_ANSWER_S:
                 effects += self._on_due(routed, now)
-            elif routed.sending is None and self._has_waited(routed, now):
+            elif routed.sending is None and now - routed.arrived_at > longest_wait_s(
+                routed
+            ):
                 effects += self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         return effects
 
-    def _has_waited(self, routed: RoutedRequest, now: float) -> bool:
-        whole = routed.due - routed.arrived_at
-        patience = max(routed.route.target_latency_s, WAIT_PART * whole)
-        return now - routed.arrived_at > min(patience, whole)
-
     def _on_due(self, routed: RoutedRequest, now: float) -> list:
         if routed.sending is not None:
             routed.runs += 1
--- a/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
@@ -8,7 +8,10 @@
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.routed import RoutedRequest
 
-__all__ = ["is_better_later"]
+__all__ = ["is_better_later", "longest_wait_s"]
+
+WAIT_PART = 0.25
+"""Part of a request's time that it may wait for a free place."""
 
 HOLD_HARM = 0.5
 """Expected loss to streams from which a prompt with time to spare waits; a short
@@ -17,6 +20,9 @@
 HOLD_S = 0.1
 """Seconds between looks at prompts that wait."""
 
+LAST_LOOKS_S = 0.25
+"""Seconds before the longest wait at which a prompt goes all the same; two looks."""
+
 HOLD_PART = 0.6
 """Part of the target latency up to which a late first event is not yet expected."""
 
@@ -36,11 +42,19 @@
     if not routed.is_prompt:
         return False
     waited_s = now - routed.arrived_at
+    if waited_s >= longest_wait_s(routed) - LAST_LOOKS_S:
+        return False
     return _is_harmful(routed, placement, waited_s) or _is_late_anyway(
         routed, placement, waited_s
     )
 
 
+def longest_wait_s(routed: RoutedRequest) -> float:
+    """Return seconds after which a request that has no place is refused."""
+    whole_s = routed.due - routed.arrived_at
+    return min(max(routed.route.target_latency_s, WAIT_PART * whole_s), whole_s)
+
+
 def _is_harmful(routed: RoutedRequest, placement: Placement, waited_s: float) -> bool:
     """Return whether it would pause streams and has time to let engines read on."""
     if placement.harm < HOLD_HARM:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/news.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -17,7 +17,7 @@
 )
 from briarrelay_core.ports.observe import Count, Note
 from briarrelay_core.record.record import Entry
-from briarrelay_core.routes.admission import Admission
+from briarrelay_core.routes.admission import RouteAdmission
 from briarrelay_core.routes.desk import RouteDesk
 from briarrelay_core.routes.follower import Follower
 from briarrelay_core.routes.model import RouteConfiguration
@@ -79,7 +79,7 @@
         self.followers[Topic.SERVERS].told_s = self._directory_told_s
 
     @property
-    def admission(self) -> Admission:
+    def admission(self) -> RouteAdmission:
         """What requests are checked against."""
         return self.desk.admission
 
