--- a/features/properties/directoryworld.py
+++ b/features/properties/directoryworld.py
@@ -1,20 +1,23 @@
 """Several route instances that tell each other, before one made-up store."""
 
 from collections.abc import Callable
+from functools import partial
 from heapq import heappop, heappush
 from random import Random
 
 from attrs import evolve
 
 from briarrelay_core.identity import Identity
-from briarrelay_core.ports.digest import DigestHeard, SendDigest
+from briarrelay_core.ports.digest import AskPeer, DigestHeard, PeerAnswered, SendDigest
 from briarrelay_core.ports.directory import (
+    CheckTopic,
     ListTopic,
     PeerAddress,
     ReadTopic,
     ServerState,
     Topic,
     TopicChange,
+    TopicChecked,
     TopicFailed,
     TopicListed,
     TopicRead,
@@ -48,6 +51,8 @@
         self.refused: set[int] = set()
         self.frozen: set[int] = set()
         self.store_s = 0.005
+        self.versions: list[int] = [1]
+        self.watching: list[tuple[int, ReadTopic]] = []
         self._events: list = []
         self._count = 0
         addresses = [
@@ -82,8 +87,8 @@
 
     def _start(self, n: int, core: RouteInstance) -> None:
         self.run(n, core.start(self.now))
-        change = TopicChange("config", make_configuration())
-        listed = TopicListed(Topic.CONFIGURATION, (change,), 0, False)
+        changes = self._configurations(0)
+        listed = TopicListed(Topic.CONFIGURATION, changes, len(changes), False)
         self.run(n, core.handle(listed, self.now))
 
     def later(self, seconds: float, act: Callable[[], None]) -> None:
@@ -115,6 +120,34 @@
     def drain(self, name: str) -> None:
         self.change(name, state=ServerState.DRAINING)
 
+    def _configurations(self, start: int) -> tuple[TopicChange, ...]:
+        return tuple(
+            TopicChange("config", make_configuration(version))
+            for version in self.versions[start:]
+        )
+
+    def configure(self, version: int, is_lost: bool) -> None:
+        """Publish a configuration; the answers to waiting reads may be lost."""
+        self.versions.append(version)
+        waiting, self.watching = self.watching, []
+        for n, effect in waiting:
+            if is_lost:
+                failed = TopicFailed(effect.topic, "timed out")
+                self.later(effect.wait_s, partial(self.tell, n, failed))
+            else:
+                changes = self._configurations(effect.start)
+                end = effect.start + len(changes)
+                self.tell(n, TopicRead(effect.topic, changes, end))
+
+    def in_force(self) -> list[int]:
+        """Return the version that each instance has in force."""
+        return [core.desk.admission.version for core in self.cores]
+
+    def _check(self, n: int, effect: CheckTopic) -> None:
+        if effect.topic is Topic.CONFIGURATION:
+            changes = self._configurations(effect.start)
+            self.tell(n, TopicChecked(effect.topic, changes))
+
     def _answer(self, n: int, effect) -> None:
         if n in self.refused:
             self.tell(n, TopicFailed(effect.topic, "turned away"))
@@ -145,11 +178,24 @@
         for effect in effects:
             if isinstance(effect, SendDigest):
                 self._send(n, effect)
+            elif isinstance(effect, CheckTopic):
+                self.later(self.store_s, partial(self._check, n, effect))
+            elif isinstance(effect, AskPeer):
+                self.later(0.004, partial(self._ask, n, effect))
+            elif isinstance(effect, ReadTopic) and (
+                effect.topic is Topic.CONFIGURATION
+            ):
+                self.watching.append((n, effect))
             elif isinstance(effect, (ListTopic, ReadTopic)):
                 if effect.topic is Topic.SERVERS:
                     self.reads[n] += 1
                     self.later(self.store_s, lambda e=effect: self._answer(n, e))
 
+    def _ask(self, n: int, effect: AskPeer) -> None:
+        known = self.cores[self.by_host[effect.peer.host]].desk.admission
+        change = TopicChange("config", known.configuration)
+        self.tell(n, PeerAnswered(effect.peer, (change,)))
+
     def _send(self, n: int, effect: SendDigest) -> None:
         for address in effect.peers:
             to = self.by_host[address.host]
--- a/features/properties/test_directory.py
+++ b/features/properties/test_directory.py
@@ -14,6 +14,24 @@
 """Seconds between reads of an instance that nobody tells."""
 
 
+class LostAnswerTest(unittest.TestCase):
+    def test_a_version_is_known_though_every_waiting_read_lost_it(self):
+        """The last version of a storm, while the store loses answers."""
+        world = DirectoryWorld(5, 6)
+        world.advance(5.0)
+        self.assertEqual(world.in_force(), [1] * 5)
+        world.configure(60, is_lost=True)
+        world.advance(3.5)
+        self.assertEqual(world.in_force(), [60] * 5)
+
+    def test_a_version_is_known_at_once_else(self):
+        world = DirectoryWorld(5, 6)
+        world.advance(5.0)
+        world.configure(60, is_lost=False)
+        world.advance(0.1)
+        self.assertEqual(world.in_force(), [60] * 5)
+
+
 class SharedReadingTest(unittest.TestCase):
     def test_few_read_while_nothing_changes(self):
         world = DirectoryWorld(8, 12)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -8,6 +8,7 @@
 from briarrelay_core.routes.presets import PresetBook
 
 __all__ = [
+    "CheckTopic",
     "EntryPublished",
     "ListTopic",
     "PeerAddress",
@@ -17,6 +18,7 @@
     "ServerState",
     "Topic",
     "TopicChange",
+    "TopicChecked",
     "TopicExpired",
     "TopicFailed",
     "TopicListed",
@@ -141,6 +143,22 @@
     end: int
 
 
+@frozen(slots=True)
+class CheckTopic:
+    """Effect: read changes without waiting, beside a waiting read of the topic."""
+
+    topic: Topic
+    start: int
+
+
+@frozen(slots=True)
+class TopicChecked:
+    """Answer to CheckTopic."""
+
+    topic: Topic
+    changes: tuple[TopicChange, ...]
+
+
 @frozen(slots=True)
 class TopicExpired:
     """The records from the wanted offset on are no longer kept."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -89,6 +89,15 @@
                 self._known.add(change.key)
         return list(read.changes), notes + self._read_later(now)
 
+    @property
+    def next_position(self) -> int | None:
+        """Offset of the next record to read, None while the topic is being listed."""
+        return self._next if self.is_listed else None
+
+    def on_checked(self, now: float) -> None:
+        """Take word that a look beside the waiting read was answered."""
+        self.heard_at = now
+
     def on_expired(self, now: float) -> list:
         """List again, since changes between were lost."""
         self._next = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -15,6 +15,7 @@
 from briarrelay_core.ports.directory import (
     EntryPublished,
     PeerAddress,
+    TopicChecked,
     TopicExpired,
     TopicFailed,
     TopicListed,
@@ -219,6 +220,10 @@
     def _(self, message: TopicRead, now: float) -> list:
         return self.news.on_read(message, now)
 
+    @_take.register
+    def _(self, message: TopicChecked, now: float) -> list:
+        return self.news.on_checked(message, now)
+
     @_take.register
     def _(self, message: TopicExpired, now: float) -> list:
         return self.news.on_expired(message, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/news.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/news.py
@@ -4,12 +4,14 @@
 
 from briarrelay_core.ports.digest import PeerAnswered
 from briarrelay_core.ports.directory import (
+    CheckTopic,
     EntryPublished,
     PeerAddress,
     PublishEntry,
     ServerEntry,
     Topic,
     TopicChange,
+    TopicChecked,
     TopicExpired,
     TopicFailed,
     TopicListed,
@@ -42,6 +44,11 @@
 """Seconds that a read of the presets waits, below the store's bound of 30; changes are
 answered at once, and peers tell of newer presets meanwhile."""
 
+CHECK_S = {Topic.CONFIGURATION: 2.0, Topic.PRESETS: 10.0}
+"""Seconds after which whoever reads the servers looks at a topic beside the waiting
+reads. Their answers may all be lost, which shows only when their time is over; the
+look costs one call for the deployment, not one for each instance."""
+
 UNSURE_S = 2.0
 """Seconds without an answer beyond its wait after which news may have been missed."""
 
@@ -73,6 +80,7 @@
     news_s: float
     followers: dict[Topic, Follower] = field(init=False)
     _asked: int = 0
+    _checked_at: dict[Topic, float] = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.followers = _make_followers(self.timers, self.news_s)
@@ -115,7 +123,24 @@
         if topic is not Topic.SERVERS:
             return []
         self.peers.directory_at = now
-        return self.peers.on_changed(now)
+        return self._check_waiting(now) + self.peers.on_changed(now)
+
+    def _check_waiting(self, now: float) -> list:
+        """Look at topics whose waiting read has not been answered for a while."""
+        effects = []
+        for topic, period_s in CHECK_S.items():
+            follower = self.followers[topic]
+            last = max(follower.heard_at, self._checked_at.get(topic, float("-inf")))
+            if follower.next_position is None or now - last < period_s:
+                continue
+            self._checked_at[topic] = now
+            effects.append(CheckTopic(topic, follower.next_position))
+        return effects
+
+    def on_checked(self, message: TopicChecked, now: float) -> list:
+        """Take changes that a waiting read may have lost."""
+        self.followers[message.topic].on_checked(now)
+        return self._apply(message.topic, list(message.changes), "store", now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
         """List a topic whose records were dropped."""
