--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -66,8 +66,14 @@
             arrived_at=100.0,
             due=115.0,
         )
-        given = {"read_s": 0.5, "expected_s": 0.6, "cost": 0.0, "harm": 0.0}
-        placement = Placement("engine-1", (), **{**given, **placed})
+        given = {
+            "helpers": (),
+            "read_s": 0.5,
+            "expected_s": 0.6,
+            "cost": 0.0,
+            "harm": 0.0,
+        }
+        placement = Placement("engine-1", **{**given, **placed})
         return routed, placement, 100.0 + waited_s
 
     def test_one_that_harms_nobody_goes(self):
@@ -77,6 +83,13 @@
         self.assertTrue(is_better_later(*self.make(0.0, harm=3.0)))
         self.assertFalse(is_better_later(*self.make(1.5, harm=3.0)))
 
+    def test_a_shared_one_does_not_go_ahead_of_older_ones(self):
+        """Engines read the newest shared part first."""
+        shared = {"helpers": ("engine-2",), "backlog_s": 0.4}
+        self.assertTrue(is_better_later(*self.make(0.0, **shared)))
+        self.assertFalse(is_better_later(*self.make(1.5, **shared)))
+        self.assertFalse(is_better_later(*self.make(0.0, backlog_s=0.4)))
+
     def test_one_that_is_late_anyway_lets_others_go(self):
         self.assertTrue(is_better_later(*self.make(0.0, expected_s=5.0)))
         self.assertFalse(is_better_later(*self.make(0.0, expected_s=5.0, read_s=4.8)))
--- a/packages/briarrelay-bench/src/briarrelay_bench/backends.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/backends.py
@@ -174,13 +174,11 @@
         self._wake(lead)
 
     def _begin_reading(self, job: Job) -> None:
-        """Give each engine of a job its part; shared parts go ahead of whole reads."""
+        """Give each engine of a job its part; a shared one goes ahead of all others."""
         engines = self._engines_of.pop(job)
         for engine, ticket in engines:
             part = engine.make_part(job, len(engines), ticket)
-            whole = [n for n, p in enumerate(engine.reading) if not p.is_shared]
-            at = whole[0] if part.is_shared and whole else len(engine.reading)
-            engine.reading.insert(at, part)
+            engine.reading.insert(0 if part.is_shared else len(engine.reading), part)
             self._wake(engine)
 
     def _wake(self, engine: PassEngine) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
@@ -1,8 +1,9 @@
 """Whether a prompt that could be sent now had better wait in the queue.
 
-Engines read in the order of arrival, so what is sent first delays all that comes after.
-The load patterns: a herd of long prompts that arrive within a second, and prompts so
-large that they are late in any case, ahead of many that could be on time.
+Engines read whole prompts in the order of arrival, and the parts of shared ones ahead
+of all that they have: the newest first, so that a herd of them starves the oldest. The
+load patterns: such a herd, and prompts so large that they are late in any case, ahead of
+many that could be on time.
 """
 
 from briarrelay_core.routes.placement import Placement
@@ -23,6 +24,10 @@
 LAST_LOOKS_S = 0.25
 """Seconds before the longest wait at which a prompt goes all the same; two looks."""
 
+HOLD_BACKLOG_S = 0.1
+"""Seconds of reading for others from which a shared prompt waits rather than go ahead
+of it; about two passes."""
+
 HOLD_PART = 0.6
 """Part of the target latency up to which a late first event is not yet expected."""
 
@@ -56,8 +61,9 @@
 
 
 def _is_harmful(routed: RoutedRequest, placement: Placement, waited_s: float) -> bool:
-    """Return whether it would pause streams and has time to let engines read on."""
-    if placement.harm < HOLD_HARM:
+    """Return whether it would hold others up and has time to let engines read on."""
+    goes_ahead = placement.helpers and placement.backlog_s > HOLD_BACKLOG_S
+    if placement.harm < HOLD_HARM and not goes_ahead:
         return False
     first_s = waited_s + HOLD_S + placement.expected_s
     return first_s < HOLD_PART * routed.route.target_latency_s
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -100,6 +100,8 @@
     :param read_s: seconds that each of them reads.
     :param expected_s: seconds until the first event.
     :param harm: the part of the loss that streams on its engines bear.
+    :param backlog_s: most seconds that one of the engines that share its reading has
+        to read for others.
     :param holdings: helpers that keep a part of the prompt's memory, with the tokens
         that each sets aside.
     """
@@ -110,6 +112,7 @@
     expected_s: float
     cost: float
     harm: float = 0.0
+    backlog_s: float = 0.0
     holdings: tuple[tuple[str, int], ...] = ()
 
 
@@ -295,8 +298,9 @@
     cost = LATE_LOSS * prompt.weight * _ramp(first_s / prompt.aim_s)
     cost += BUSY_COST * first_s + HELPER_COST * len(helpers)
     harm = sum(_harm(profile, engine, part_s) for engine in (lead, *helpers))
+    backlog_s = max(engine.load.read_s for engine in (lead, *helpers))
     names = tuple(helper.name for helper in helpers)
-    return Placement(lead.name, names, part_s, first_s, cost + harm, harm)
+    return Placement(lead.name, names, part_s, first_s, cost + harm, harm, backlog_s)
 
 
 def whole_memory(profile: EngineProfile, engines: int) -> int:
