--- a/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/holding.py
@@ -2,8 +2,8 @@
 
 Engines read whole prompts in the order of arrival, and the parts of shared ones ahead
 of all that they have: the newest first, so that a herd of them starves the oldest. The
-load patterns: such a herd, and prompts so large that they are late in any case, ahead of
-many that could be on time.
+load patterns: such a herd, and prompts so large that they are late in any case, ahead
+of many that could be on time.
 """
 
 from briarrelay_core.routes.placement import Placement
