--- a/features/properties/routeworld.py
+++ b/features/properties/routeworld.py
@@ -14,7 +14,13 @@
     TopicRead,
 )
 from briarrelay_core.ports.memory import Release, Reserve
-from briarrelay_core.ports.route import Forward, RouteRequest
+from briarrelay_core.ports.route import (
+    Forward,
+    HeadKind,
+    RouteRequest,
+    SendEvent,
+    SendHead,
+)
 from briarrelay_core.routes.budget import RepeatLimits
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_core.routes.model import (
@@ -207,3 +213,15 @@
             elif isinstance(effect, Release):
                 held.discard(effect.reservation_id)
         return held
+
+
+def begin(world: RouteWorld, send_id: int) -> None:
+    """Let a send's first event come."""
+    head = SendHead(send_id=send_id, kind=HeadKind.SUCCESS, status=200, is_stream=True)
+    world.tell(head)
+    world.tell(SendEvent(send_id, "1", b"1"))
+
+
+def names(world: RouteWorld) -> list[str]:
+    """Return the names of all engines."""
+    return [s.entry.name for s in world.core.desk.servers.of_service("llm", world.now)]
--- /dev/null
+++ b/features/properties/test_route_decoders.py
@@ -0,0 +1,121 @@
+"""Every decoder at the edges takes any bytes and says what is wrong with them."""
+
+import sys
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarrelay_core.ports.digest import LoadDigest, ServerLoad
+from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform"))
+
+from briarrelay_platform.decode import (  # noqa: E402
+    decode_configuration,
+    decode_entry,
+    decode_server,
+)
+from briarrelay_platform.fields import DecodeError  # noqa: E402
+from briarrelay_platform.records import (  # noqa: E402
+    RecordError,
+    keyed_record,
+    split_read,
+)
+from standins.fleet import configuration  # noqa: E402
+
+ADDRESSES = st.builds(
+    PeerAddress,
+    name=st.text(max_size=9),
+    host=st.text("0123.", max_size=9),
+    question_port=st.integers(0, 65_535),
+    digest_port=st.integers(0, 65_535),
+)
+
+
+class DecoderTest(unittest.TestCase):
+    """Every decoder takes any bytes and says what is wrong with them."""
+
+    @given(
+        st.builds(
+            LoadDigest,
+            sender=ADDRESSES,
+            incarnation=st.integers(0, 2**50),
+            number=st.integers(0, 2**50),
+            version=st.integers(0, 2**50),
+            loads=st.dictionaries(
+                st.text(max_size=9),
+                st.builds(
+                    ServerLoad,
+                    st.just(0.25),
+                    st.integers(0, 99),
+                    st.integers(0, 99),
+                    st.integers(0, 10**7),
+                    st.just(((0.2, 1.5),)),
+                ),
+                max_size=3,
+            ),
+            leaving=st.lists(st.text(max_size=9), max_size=3).map(tuple),
+            peers=st.lists(ADDRESSES, max_size=3).map(tuple),
+        )
+    )
+    def test_digest_comes_back(self, digest):
+        self.assertEqual(decode_digest(encode_digest(digest)), digest)
+
+    def check(self, decode, data, *errors):
+        try:
+            decode(data)
+        except errors as error:
+            self.assertNotIn("\n", str(error)[:200])
+
+    @given(st.binary(max_size=200))
+    def test_any_datagram(self, data):
+        self.check(decode_digest, data, DigestError)
+
+    @given(st.binary(max_size=200))
+    def test_any_read(self, data):
+        self.check(split_read, data, RecordError)
+
+    @given(st.binary(max_size=100))
+    def test_any_entry(self, data):
+        for decode in (decode_server, decode_entry):
+            self.check(lambda d, decode=decode: decode("k", d), data, DecodeError)
+        self.check(decode_configuration, data, DecodeError)
+
+    @given(st.data())
+    def test_any_field_of_a_configuration(self, data):
+        """One field is gone or of another type."""
+        import orjson
+
+        mapping = configuration(3)
+        target = data.draw(
+            st.sampled_from(
+                [
+                    mapping,
+                    mapping["routes"][0],
+                    mapping["services"][0]["engine"],
+                    mapping["limits"],
+                    mapping["tenants"][0],
+                ]
+            )
+        )
+        name = data.draw(st.sampled_from(sorted(target)))
+        target[name] = data.draw(
+            st.one_of(st.none(), st.booleans(), st.text(max_size=3), st.just([]))
+        )
+        self.check(decode_configuration, orjson.dumps(mapping), DecodeError)
+
+    def test_read_that_was_cut(self):
+        whole = bytes(16) + keyed_record("a", b"1") + keyed_record("b", b"2")
+        self.assertEqual(split_read(whole), [("a", b"1"), ("b", b"2")])
+        with self.assertRaises(RecordError):
+            split_read(whole[:-1])
+        with self.assertRaises(RecordError):
+            split_read(whole[:10])
+
+
+if __name__ == "__main__":
+    unittest.main()
