Report an ip or internal port of the platform's settings that is invalid

Cause: the field went into Address unchecked, whose ValueError is no SettingsError; internal-ports was indexed unchecked as well. Ruled out: the TOML reader, which only sees a string. Before: ValueError from a settings file with ip 1127.1.9.11 (and IndexError, ValueError for internal-ports [], ["a"], [70000]). After: one line with file, field and remedy; PlatformSettingsTest. Tests find the adapter through the package of the properties, in one place.

--- a/features/properties/test_corpus.py
+++ b/features/properties/test_corpus.py
@@ -1,7 +1,6 @@
 """Fuzzes the decoders of untrusted bytes with mutated copies of captured traffic."""
 
 import socket
-import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -22,20 +21,17 @@
 from briarrelay_daemon.reactor import Reactor
 from briarrelay_daemon.responsereader import CallSink
 from briarrelay_daemon.settings import Address, SettingsError
-from properties.routeworld import RouteWorld
-from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
-
-sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "platform"))
-
-from briarrelay_platform.decode import (  # noqa: E402
+from briarrelay_platform.decode import (
     decode_configuration,
     decode_peer_address,
     decode_server,
 )
-from briarrelay_platform.dialect import PlatformDialect  # noqa: E402
-from briarrelay_platform.fields import DecodeError  # noqa: E402
-from briarrelay_platform.records import RecordError, decode_keyed_records  # noqa: E402
-from briarrelay_platform.settings import read_platform_settings  # noqa: E402
+from briarrelay_platform.dialect import PlatformDialect
+from briarrelay_platform.fields import DecodeError
+from briarrelay_platform.records import RecordError, decode_keyed_records
+from briarrelay_platform.settings import read_platform_settings
+from properties.routeworld import RouteWorld
+from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
 
 CORPUS = Path(__file__).resolve().parents[1] / "corpus"
 PEER = PeerAddress(name="p", host="10.0.0.1", question_port=1, digest_port=2)
--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -1,9 +1,7 @@
 """HTTP connections of callers and backend servers, and splitting of event streams."""
 
 import socket
-import sys
 import unittest
-from pathlib import Path
 from time import monotonic
 
 from hypothesis import given, settings
@@ -16,10 +14,6 @@
 from briarrelay_daemon.responsereader import CallSink
 from briarrelay_daemon.settings import Address
 
-ROOT = Path(__file__).resolve().parents[2]
-sys.path.insert(0, str(ROOT / "platform"))
-
-
 LOCAL_ADDRESS = Address("127.0.0.1", 0)
 
 
--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -1,31 +1,25 @@
 """Decoders of untrusted bytes accept the input or raise their own error type."""
 
-import sys
 import unittest
-from pathlib import Path
 
 from hypothesis import given
 from hypothesis import strategies as st
+from standins.fleet import configuration
 
 from briarrelay_core.ports.digest import LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
-
-ROOT = Path(__file__).resolve().parents[2]
-sys.path.insert(0, str(ROOT / "platform"))
-
-from briarrelay_platform.decode import (  # noqa: E402
+from briarrelay_platform.decode import (
     decode_configuration,
     decode_peer_address,
     decode_server,
 )
-from briarrelay_platform.fields import DecodeError  # noqa: E402
-from briarrelay_platform.records import (  # noqa: E402
+from briarrelay_platform.fields import DecodeError
+from briarrelay_platform.records import (
     RecordError,
     decode_keyed_records,
     encode_keyed_record,
 )
-from standins.fleet import configuration  # noqa: E402
 
 ADDRESSES = st.builds(
     PeerAddress,
--- a/features/properties/test_settings.py
+++ b/features/properties/test_settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from briarrelay_daemon.settings import SettingsError, read_settings
+from briarrelay_platform.settings import read_platform_settings
 
 ADDRESS = {"host": "127.0.0.1", "port": 1}
 VALID_SETTINGS = {
@@ -74,3 +75,41 @@
             read_settings("no-such-file.jsonc")
         self.assertIn("no-such-file.jsonc", str(caught.exception))
         self.assertIn("--settings", str(caught.exception))
+
+
+class PlatformSettingsTest(unittest.TestCase):
+    """Settings of an instance on the platform."""
+
+    TEXT = """
+node = "entry-1"
+ip = "127.1.9.11"
+zone = "a"
+internal-ports = [7340, 7355]
+[listen]
+front = "127.1.9.11:1"
+ready = "127.1.9.11:2"
+control = "127.1.9.11:3"
+[platform]
+address = "127.1.9.1:4"
+"""
+
+    def read_error(self, old: str, new: str) -> str:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.toml"
+            path.write_text(self.TEXT.replace(old, new), encoding="utf-8")
+            with self.assertRaises(SettingsError) as caught:
+                read_platform_settings(str(path))
+        text = str(caught.exception)
+        self.assertNotIn("\n", text)
+        self.assertIn("settings.toml", text)
+        self.assertIn("correct this field", text)
+        return text
+
+    def test_ip_that_is_no_number(self):
+        text = self.read_error('ip = "127.1.9.11"', 'ip = "1127.1.9.11"')
+        self.assertIn("ip: given '1127.1.9.11'", text)
+
+    def test_internal_ports_that_are_no_ports(self):
+        for ports in ("[]", '["a"]', "[70000]", "[[1]]", "[-1]"):
+            text = self.read_error("[7340, 7355]", ports)
+            self.assertIn("internal-ports", text)
