Hand records over by number, and end a stop that has no platform

Cause: Outbox.drop removed the oldest records by count, so records queued after the log had acknowledged the handed ones were lost uncounted; the taker confirmed records that its own full outbox had dropped; a stop waited without end for a log that never returned. Change: a queue numbers its records, HandOver and HandOverTaken carry the first number (absent from older builds: nothing is dropped, records are kept twice at worst), only kept records are confirmed. A stop waits record_wait_s (60 s) after its last request, then logs records_lost and counts outbox.lost.STREAM.

--- a/packages/briarrelay-core/src/briarrelay_core/agreement/outbox.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/outbox.py
@@ -6,14 +6,14 @@
 
 from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.log import AppendDone, AppendFailed, AppendLog
 from briarrelay_core.ports.telemetry import IncrementCounter
 from briarrelay_core.timers import Timer, TimerService
 
-__all__ = ["Outbox"]
+__all__ = ["Outbox", "QueuedRecords"]
 
 MAX_BATCH_RECORDS = 200
 """Largest number of records in one append."""
@@ -28,10 +28,22 @@
 """Longest delay before a failed append is repeated."""
 
 
+@frozen(slots=True)
+class QueuedRecords:
+    """Records of a stream that the log has not acknowledged, oldest first.
+
+    :param first: number of the first of them; a queue numbers its records from 0.
+    """
+
+    first: int
+    bodies: tuple[str, ...]
+
+
 @define(slots=True)
 class _StreamQueue:
     """Records of one stream that the log has not acknowledged.
 
+    :param first: number of the oldest pending record.
     :param in_flight: number of records at the head that the current append holds.
     :param append_id: id of the current append, empty if there is none.
     :param failures: consecutive failed appends.
@@ -41,6 +53,7 @@
 
     stream: str
     min_interval_s: float
+    first: int = 0
     pending: deque = field(factory=deque)
     in_flight: int = 0
     append_id: str = ""
@@ -48,6 +61,17 @@
     timer: Timer | None = None
     next_append_at: float = 0.0
 
+    @property
+    def is_full(self) -> bool:
+        """Whether a further record would be dropped."""
+        return len(self.pending) >= MAX_QUEUED_RECORDS
+
+    def remove_oldest(self, count: int) -> None:
+        """Remove records that the log or a peer has."""
+        for _ in range(count):
+            self.pending.popleft()
+        self.first += count
+
 
 @define(slots=True)
 class Outbox:
@@ -78,6 +102,11 @@
         queue = self._queues.get(stream)
         return len(queue.pending) if queue else 0
 
+    def has_room(self, stream: str) -> bool:
+        """Return whether :meth:`add` keeps a further record of a stream."""
+        queue = self._queues.get(stream)
+        return queue is None or not queue.is_full
+
     def is_down(self, now: float, grace_s: float) -> bool:
         """Return whether appends have failed for more than a number of seconds."""
         return self.down_since is not None and now - self.down_since > grace_s
@@ -88,7 +117,7 @@
         if queue is None:
             queue = _StreamQueue(stream, self.min_intervals_s.get(stream, 0.0))
             self._queues[stream] = queue
-        if len(queue.pending) >= MAX_QUEUED_RECORDS:
+        if queue.is_full:
             return [IncrementCounter(f"outbox.overflow.{stream}")]
         queue.pending.append(body)
         return self._append_if_ready(queue, now)
@@ -132,8 +161,7 @@
             return []
         self.down_since = None
         queue.failures = 0
-        for _ in range(queue.in_flight):
-            queue.pending.popleft()
+        queue.remove_oldest(queue.in_flight)
         self._end_append(queue, now + queue.min_interval_s)
         return self._append_if_ready(queue, now)
 
@@ -181,21 +209,28 @@
                 effects.extend(self._append_if_ready(queue, now))
         return effects
 
-    def unacknowledged(self) -> dict[str, tuple[str, ...]]:
+    def unacknowledged(self) -> dict[str, QueuedRecords]:
         """Return every record that the log has not acknowledged, by stream."""
         return {
-            queue.stream: tuple(queue.pending)
+            queue.stream: QueuedRecords(queue.first, tuple(queue.pending))
             for queue in self._queues.values()
             if queue.pending
         }
 
-    def drop(self, stream: str, count: int, now: float) -> None:
-        """Remove the oldest records of a stream after a peer has taken them over.
+    def drop(self, stream: str, first: int, count: int, now: float) -> None:
+        """Remove records of a stream that a peer has taken over.
 
-        A response to the stream's current append is then ignored.
+        A response to the stream's current append is then ignored. Records that the log
+        has acknowledged meanwhile are no longer queued; later ones are kept.
+
+        :param first: number of the first record that was taken over.
         """
-        queue = self._queues[stream]
+        queue = self._queues.get(stream)
+        if queue is None:
+            return
+        taken = min(first + count - queue.first, len(queue.pending))
+        if first > queue.first or taken <= 0:
+            return
         self._queues_by_append.pop(queue.append_id, None)
         self._end_append(queue, now)
-        for _ in range(min(count, len(queue.pending))):
-            queue.pending.popleft()
+        queue.remove_oldest(taken)
--- a/packages/briarrelay-core/src/briarrelay_core/entry.py
+++ b/packages/briarrelay-core/src/briarrelay_core/entry.py
@@ -17,7 +17,7 @@
 from briarrelay_core.chats.responses import ResponseForwarder
 from briarrelay_core.context import Context
 from briarrelay_core.identity import Identity
-from briarrelay_core.membership.drain import Drain
+from briarrelay_core.membership.drain import DEFAULT_RECORD_WAIT_S, Drain
 from briarrelay_core.membership.gossip import Gossip
 from briarrelay_core.membership.membership import Membership
 from briarrelay_core.membership.peermessages import PeerMessageHandler
@@ -59,9 +59,12 @@
     """An entry instance; all entry instances have the same role.
 
     :param identity: name, incarnation and data centre of this process.
+    :param record_wait_s: seconds for which a stop waits, after the last request, until
+        the log or a peer has the records.
     """
 
     identity: Identity
+    record_wait_s: float = DEFAULT_RECORD_WAIT_S
     context: Context = field(init=False)
     chats: ChatController = field(init=False)
     calls: CallController = field(init=False)
@@ -96,7 +99,7 @@
         self.orders = OrderController(context)
         self.gossip = Gossip(context)
         self.poller = Poller(context)
-        self.drain = Drain(context, self.calls, self.gossip)
+        self.drain = Drain(context, self.calls, self.gossip, self.record_wait_s)
         self.responses = ResponseForwarder(self.chats)
         self.relays = RelayHandler(self.chats)
         self.peer_messages = PeerMessageHandler(self)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/peer.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/peer.py
@@ -167,21 +167,28 @@
 
 @frozen(slots=True)
 class HandOver:
-    """Records that a stopping instance could not append; the receiver appends them."""
+    """Records that a stopping instance could not append; the receiver appends them.
+
+    :param first: number of the first record in the sender's queue.
+    """
 
     stream: str
     bodies: tuple[str, ...]
+    first: int = 0
 
 
 @frozen(slots=True)
 class HandOverTaken:
     """Acknowledgement of HandOver.
 
-    :param count: number of records that the sender of this message has taken over.
+    :param count: number of records that the sender of this message has taken over,
+        from the first one on.
+    :param first: number of the first record, as in HandOver.
     """
 
     stream: str
     count: int
+    first: int = 0
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/main.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/main.py
@@ -59,7 +59,7 @@
         self.reactor = Reactor(clock).register(self)
         self.reactor.attach(poller)
         identity = Identity(settings.name, int(clock() * 1_000), settings.data_centre)
-        core = EntryInstance(identity)
+        core = EntryInstance(identity, settings.record_wait_s)
         self.host = Host(core, self.reactor, Counters(settings), logger)
         client = HttpClient(self.reactor)
         EnginePort(self.host, client)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
@@ -7,6 +7,7 @@
 from attrs import field, frozen, validators
 
 from briarrelay_core.mappings import MappingError, from_mapping
+from briarrelay_core.membership.drain import DEFAULT_RECORD_WAIT_S
 
 __all__ = ["Address", "SeedPeer", "Settings", "SettingsError", "read_settings"]
 
@@ -63,6 +64,8 @@
     :param operator_key_hash: SHA-256 of the key for status, explanations and drain,
         in hexadecimal; without it status and explanations need no key, and drain is
         refused.
+    :param record_wait_s: seconds for which a stop waits, after the last request, until
+        the log or a peer has the records; beyond it they are counted as lost.
     :param bytes_per_token: bytes of prompt text that are counted as one token.
     """
 
@@ -91,6 +94,10 @@
     operator_key_hash: str = field(
         default="", validator=validators.matches_re(r"([0-9a-f]{64})?")
     )
+    record_wait_s: float = field(
+        default=DEFAULT_RECORD_WAIT_S,
+        validator=[validators.ge(0), validators.le(3_600)],
+    )
     bytes_per_token: float = field(
         default=4.0, validator=[validators.gt(0), validators.le(64)]
     )
