Rotate the receivers of periodic digests

Cause: with five peers in a data centre, digests are broadcast to the first four by name in each period; the fifth got none. Ruled out: suspicion, the list. Before: GossipTest: i5 gets none in six periods. After: each peer is left out of one period in five; the number of digests is unchanged.

--- a/features/properties/test_core_components.py
+++ b/features/properties/test_core_components.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from briarrelay_core.entry import EntryInstance
 from briarrelay_core.identity import Identity
 from briarrelay_core.membership.membership import Membership
 from briarrelay_core.memory.allocator import Allocator, Reservation, plan_gang
@@ -18,6 +19,7 @@
     EngineReport,
     Resident,
 )
+from briarrelay_core.ports.peer import SendToPeer
 from briarrelay_core.ports.platform import InstanceKind, LifecycleState
 from briarrelay_core.routing.admission import fair_rates
 from briarrelay_core.routing.engineview import EngineView, SentWork
@@ -87,6 +89,21 @@
         self.assertEqual(len(members.live(InstanceKind.ENGINE)), 1)
 
 
+class GossipTest(unittest.TestCase):
+    def test_each_peer_of_the_data_centre_gets_digests(self):
+        """Six instances: five peers, one more than get a digest each period."""
+        instance = EntryInstance(Identity("i0", 1, "dc1"))
+        peers = [f"i{number}" for number in range(1, 6)]
+        listed = [make_listed_instance(name, InstanceKind.ENTRY) for name in peers]
+        instance.context.membership.apply_list(1, listed, 1.0)
+        instance.gossip.start(1.0)
+        receivers = []
+        for second in range(2, 8):
+            effects = instance.run_timers(float(second))
+            receivers += [e.peer for e in effects if isinstance(e, SendToPeer)]
+        self.assertEqual(set(receivers), set(peers))
+
+
 class FairQueueTest(unittest.TestCase):
     @given(
         st.lists(
--- a/packages/briarrelay-core/src/briarrelay_core/membership/gossip.py
+++ b/packages/briarrelay-core/src/briarrelay_core/membership/gossip.py
@@ -112,8 +112,9 @@
         local_peers = self.context.entry_peers(now, own_data_centre)
         if len(local_peers) > BROADCAST_MAX_PEERS:
             ranking_key = f"{self.context.identity.name}:{self._round}"
-            local_peers = ranked(ranking_key, local_peers)[:1]
-        targets = local_peers[:LOCAL_FANOUT]
+            targets = ranked(ranking_key, local_peers)[:1]
+        else:
+            targets = self._rotate(local_peers)[:LOCAL_FANOUT]
         if self._round % REMOTE_DIGEST_PERIODS == 0:
             remote_peers = set(self.context.entry_peers(now)) - set(
                 self.context.entry_peers(now, own_data_centre)
@@ -124,6 +125,11 @@
         digest = self.make_digest(now)
         return [SendToPeer(peer, digest) for peer in targets]
 
+    def _rotate(self, peers: list[str]) -> list[str]:
+        """Return the peers, beginning with another one each period."""
+        start = self._round % len(peers) if peers else 0
+        return [*peers[start:], *peers[:start]]
+
     def make_digest(self, now: float) -> Digest:
         """Return a digest of this instance's load and its latest observations."""
         context = self.context
