Answer unknown for a repeatable call that was sent and lost

Cause: CallController._retry and _send refuse with not_run when no instance or retry budget is left, also after an attempt that may have run. The retry was recorded as service_not_sent. Before: RepeatableCallTest: not_run for a call that ran. After: unknown, and the retry is recorded and counted as service_lost.

--- a/features/properties/test_claims.py
+++ b/features/properties/test_claims.py
@@ -6,6 +6,7 @@
 import unittest
 from uuid import UUID
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -138,6 +139,32 @@
 CallMachineTest = CallMachine.TestCase
 
 
+class RepeatableCallTest(unittest.TestCase):
+    def test_call_that_was_sent_and_lost_is_not_reported_as_not_run(self):
+        """The call is repeated until no instance or retry budget is left."""
+        cluster = SimulatedCluster(instances=1, engines=0)
+        simulation = cluster.simulation
+        simulation.service_fault = ServiceFault.LOSE_ANSWERS
+        context = cluster.hosts[0].core.context
+        service = evolve(context.configuration.services["booking"], repeatable=True)
+        context.configuration = evolve(
+            context.configuration, services={"booking": service}
+        )
+        request = ServiceRequest(
+            request_id="c0",
+            key="key-ws1",
+            service="booking",
+            path="/slots",
+            body=b"{}",
+            deadline=simulation.now + CALL_TIMEOUT_S,
+            idempotency_key="",
+        )
+        simulation.deliver(cluster.hosts[0], request)
+        cluster.advance(CALL_TIMEOUT_S + ANSWER_MARGIN_S)
+        self.assertTrue(simulation.service_calls)
+        self.assertEqual(cluster.outcomes["c0"][0][0].outcome.tag, "unknown")
+
+
 def reference_state(records: list[ClaimRecord], key: str) -> tuple[str, str]:
     """Return the phase of a key and its winning claim.
 
--- a/packages/briarrelay-core/src/briarrelay_core/agreement/calls.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/calls.py
@@ -200,7 +200,12 @@
         return self._void_and_refuse(call, refusal, now)
 
     def _void_and_refuse(self, call: Call, refusal: NotRun, now: float) -> list:
-        """Refuse a call that is not sent, or not sent again; void its claim, if any."""
+        """Refuse a call that is not sent, or not sent again; void its claim, if any.
+
+        A call that may have run ends with an unknown outcome instead.
+        """
+        if call.may_have_run:
+            return self._end_unanswered(call, now)
         call.why.append("claim voided before it was sent")
         effects = self._append(call, ClaimKind.VOID, now) if call.claim_id else []
         return effects + self._finish(call, refusal, now)
@@ -335,15 +340,21 @@
         if call is None or call.phase not in (CallPhase.SENT, CallPhase.DETACHED):
             return []
         self.context.fleet.health.record_failure(call.instance, now)
+        if message.sent:
+            call.may_have_run = True
         may_repeat = call.repeatable and call.phase is CallPhase.SENT
         if not message.sent or may_repeat:
-            return self._retry(call, now)
+            return self._retry(call, message.sent, now)
+        return self._end_unanswered(call, now)
+
+    def _end_unanswered(self, call: Call, now: float) -> list:
+        """End a call that was sent and not answered with an unknown outcome."""
         effects = self._record_outcome(call, 0, b"", now)
         detail = f"{call.instance} was sent the call and did not answer."
         return effects + self._finish(call, Unknown(detail), now)
 
-    def _retry(self, call: Call, now: float) -> list:
-        reason = RetryReason.SERVICE_NOT_SENT
+    def _retry(self, call: Call, was_sent: bool, now: float) -> list:
+        reason = RetryReason.SERVICE_LOST if was_sent else RetryReason.SERVICE_NOT_SENT
         effects = [IncrementCounter(f"retried.{reason.value}")]
         effects += self.context.record_event(
             now, "retry", call.id, call.workspace, reason.value, (call.instance,)
--- a/packages/briarrelay-core/src/briarrelay_core/agreement/callstate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/callstate.py
@@ -37,6 +37,7 @@
     :param claim_id: this instance's claim of the key, empty if it made none.
     :param attempts: number of times that the call was sent.
     :param instance: instance that the call was last sent to.
+    :param may_have_run: an instance received the call and did not answer.
     :param claimant_gone_checks: consecutive checks that found the claimant gone.
     :param why: steps of the call's progress, for its explanation.
     """
@@ -51,6 +52,7 @@
     attempts: int = 0
     tried_instances: set[str] = field(factory=set)
     instance: str = ""
+    may_have_run: bool = False
     claimant_gone_checks: int = 0
     why: list[str] = field(factory=list)
     timers: list[Timer] = field(factory=list)
--- a/packages/briarrelay-core/src/briarrelay_core/reasons.py
+++ b/packages/briarrelay-core/src/briarrelay_core/reasons.py
@@ -52,6 +52,7 @@
     ENGINE_LEAVING = "engine_leaving"
     SEGMENT_LOST = "segment_lost"
     SERVICE_NOT_SENT = "service_not_sent"
+    SERVICE_LOST = "service_lost"
     SERVER_REFUSED = "server_refused"
     SERVER_REPLACED = "server_replaced"
     SERVER_LOST = "server_lost"
