--- a/features/properties/test_route_waiting.py
+++ b/features/properties/test_route_waiting.py
@@ -2,12 +2,16 @@
 
 import unittest
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
 from briarrelay_core.ports.digest import DigestReceived, LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import (
     PeerAddress,
+    ServerState,
+    Topic,
+    TopicChange,
 )
 from briarrelay_core.ports.memory import (
     Release,
@@ -248,6 +252,30 @@
         self.assertTrue(hosts)
         self.assertNotIn(first.host, hosts)
 
+    def test_prompt_whose_memory_is_not_granted_in_time_has_not_run(self):
+        world = RouteWorld(engines=6)
+        world.request("file", prompt_tokens=700_000, time_limit_s=1.0)
+        world.advance(1.3)
+        self.assertEqual(world.forwards(), [])
+        answer = world.of_type(world.all_effects, SendErrorResponse)[0]
+        self.assertEqual(answer.outcome.tag, "not_run")
+
+    def test_server_that_left_during_the_reservation_excludes_no_engine(self):
+        world = RouteWorld(engines=6)
+        effects = world.request("file", prompt_tokens=700_000, time_limit_s=15.0)
+        reserves = world.of_type(effects, Reserve)
+        routed = next(iter(world.instance.controller.requests.values()))
+        leaving = routed.active_attempt.server
+        entry = world.instance.controller.servers.get(leaving).entry
+        world.deliver_changes(
+            Topic.SERVERS,
+            TopicChange(leaving, evolve(entry, state=ServerState.DRAINING)),
+        )
+        for reserve in reserves:
+            world.deliver(ReserveResponse(reserve.reservation_id, True))
+        self.assertEqual(routed.excluded, set())
+        self.assertEqual(routed.attempt_count, 0)
+
 
 class ReservedMemoryTest(unittest.TestCase):
     def test_reserved_memory_counts_as_load_of_its_engine(self):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -175,7 +175,8 @@
             placement became unusable while memory was being reserved.
         """
         routed = self.attempts[attempt_id]
-        routed.excluded.add(engine)
+        if engine:
+            routed.excluded.add(engine)
         self.end_attempt(routed, now)
         routed.tried.pop()
         routed.attempt_count -= 1
@@ -460,6 +461,7 @@
         return effects
 
     def _on_deadline(self, routed: RoutedRequest, now: float) -> list:
-        if routed.active_attempt is not None:
+        attempt = routed.active_attempt
+        if attempt is not None and attempt.is_sent:
             routed.possible_runs += 1
         return self.give_up(routed, now, RefusalReason.CANNOT_FINISH)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -38,6 +38,11 @@
     is_stream: bool = False
     events: int = 0
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the request has left for the server; its memory is reserved first."""
+        return self.pending_placement is None
+
 
 @define(slots=True, eq=False)
 class RoutedRequest:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -265,7 +265,7 @@
         effects = []
         for routed in list(self.controller.requests.values()):
             attempt = routed.active_attempt
-            if attempt is None or attempt.pending_placement is not None:
+            if attempt is None or not attempt.is_sent:
                 continue
             if not routed.route.is_repeatable:
                 continue
