Bound heads, framing and bodies of responses that do not end

Cause: httptools buffers header names and values without a limit, chunk sizes, extensions and trailers were read for ever, bodies of JSON responses went on unread beyond 64 MB, those of other calls were unbounded, and an event that never ends grew in the splitter. Ruled out: the parser's own limits; it has none. Change: a response may have 64 KiB in a row that are no body, 1 MiB of responses to other calls, the sink's limit of body bytes, and 1 MiB an event; beyond that the connection is closed and the attempt ends as one that may have run. Before: HttpCallTest.test_responses_without_end_are_lost: nine cases of nine read on; body limits of both sinks missing. After: all end as lost; a body of 40,000 one-byte chunks stays whole.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -7,9 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from briarrelay_daemon.bytesresponse import BytesResponse
 from briarrelay_daemon.callerserver import CallerServer
-from briarrelay_daemon.eventsplit import EventSplitter
+from briarrelay_daemon.eventsplit import MAX_EVENT_BYTES, EventSplitter
 from briarrelay_daemon.httpcall import HttpClient
+from briarrelay_daemon.jsonresponse import JsonResponse
 from briarrelay_daemon.reactor import Reactor
 from briarrelay_daemon.responsereader import CallSink
 from briarrelay_daemon.settings import Address
@@ -265,6 +267,90 @@
         self.assertEqual(sink.status, 503)
         self.assertEqual(self.idle_count(), 0)
 
+    def flood(self, start: bytes, repeated: bytes, limit: int = 8_000_000) -> tuple:
+        """Call a server that sends bytes without end.
+
+        :returns: the call's sink, and the number of bytes sent until it had ended.
+        """
+        sink = _RecordingSink("new")
+        self.client.call(
+            self.address, "GET", "/", sink, timeout=30.0, force_new_connection=True
+        )
+        sock, _ = self.listener.accept()
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        run_reactor(self.reactor, lambda: False, 0.05)
+        data, sent = start, 0
+        while sent < limit and sink.end is None:
+            try:
+                sent += sock.send(data)
+                data = repeated
+            except BlockingIOError:
+                pass
+            except OSError:
+                break
+            run_reactor(self.reactor, lambda: sink.end, 0.001)
+        run_reactor(self.reactor, lambda: sink.end, 0.05)
+        return sink, sent
+
+    def test_responses_without_end_are_lost(self):
+        """Each repeats bytes that never complete a head, or are no body."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        cases = {
+            "status line": (b"HTTP/1.1 200 ", b"a" * 4096),
+            "header name": (head + b"X-", b"a" * 4096),
+            "header value": (head + b"X-A: ", b"a" * 4096),
+            "number of headers": (head, b"X-A: b\r\n" * 400),
+            "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+            "chunk size": (chunked, b"0" * 4096),
+            "chunk extension": (chunked + b"1;", b"a" * 4096),
+            "trailers": (chunked + b"0\r\n", b"X-A: b\r\n" * 400),
+            "responses to others": (
+                b"",
+                b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 1000\r\n\r\n"
+                + b"a" * 1000,
+            ),
+        }
+        for name, (start, repeated) in cases.items():
+            with self.subTest(name):
+                sink, sent = self.flood(start or repeated, repeated)
+                self.assertEqual(sink.end, "lost")
+                self.assertEqual(self.idle_count(), 0)
+
+    def test_body_longer_than_the_sink_accepts_is_lost(self):
+        for sink_class in (BytesResponse, JsonResponse):
+            with self.subTest(sink_class.__name__):
+                ends = []
+                sink = sink_class(
+                    lambda status, value, ends=ends: ends.append("whole"),
+                    lambda sent, ends=ends: ends.append("lost"),
+                )
+                sink.max_body_bytes = 100_000
+                self.client.call(
+                    self.address,
+                    "GET",
+                    "/",
+                    sink,
+                    timeout=30.0,
+                    force_new_connection=True,
+                )
+                sock, _ = self.listener.accept()
+                self.addCleanup(sock.close)
+                run_reactor(self.reactor, lambda: False, 0.05)
+                sock.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * 50_000)
+                run_reactor(self.reactor, lambda: False, 0.05)
+                self.assertEqual(ends, [])
+                sock.sendall(b"a" * 60_000)
+                run_reactor(self.reactor, lambda ends=ends: ends, 1.0)
+                self.assertEqual(ends, ["lost"])
+
+    def test_long_body_that_arrives_in_small_parts_is_whole(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parts = [b"1\r\na\r\n" * 2_000] * 20
+        sink = self.call(head, *parts, b"0\r\n\r\n")
+        self.assertEqual((sink.end, len(sink.body)), ("whole", 40_000))
+
     def start_stalled_call(self):
         """Start a call with a body that the server does not read."""
         sink = _RecordingSink()
@@ -342,6 +428,14 @@
         self.assertEqual(b"".join(event.data for event in events), text)
         self.assertFalse(splitter.has_partial_event)
 
+    def test_event_without_end_is_too_long(self):
+        splitter = EventSplitter()
+        splitter.feed(b"data: ")
+        for _ in range(MAX_EVENT_BYTES // 65_536):
+            self.assertFalse(splitter.is_too_long)
+            self.assertEqual(splitter.feed(b"a" * 65_536), [])
+        self.assertTrue(splitter.is_too_long)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/eventsplit.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/eventsplit.py
@@ -2,11 +2,14 @@
 
 from attrs import define, field, frozen
 
-__all__ = ["EventSplitter", "ServerSentEvent"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "ServerSentEvent"]
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 
+MAX_EVENT_BYTES = 1_048_576
+"""Longest event; a server that sends a longer one sends no event stream."""
+
 
 @frozen(slots=True)
 class ServerSentEvent:
@@ -24,7 +27,12 @@
 class EventSplitter:
     """Buffers the bytes of an event until it is complete."""
 
-    _partial: bytes = b""
+    _partial: bytearray = field(factory=bytearray)
+
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the incomplete event exceeds the length of any event."""
+        return len(self._partial) > MAX_EVENT_BYTES
 
     @property
     def has_partial_event(self) -> bool:
@@ -33,14 +41,17 @@
 
     def feed(self, data: bytes) -> list[ServerSentEvent]:
         """Add bytes; return the events that they complete."""
-        buffered = self._partial + data
+        buffered = self._partial
+        # the end may have begun with the last byte that is buffered
+        search_from = max(0, len(buffered) - 1)
+        buffered += data
         events = []
         start = 0
-        while (end := buffered.find(EVENT_END, start)) >= 0:
-            block = buffered[start : end + 2]
+        while (end := buffered.find(EVENT_END, search_from)) >= 0:
+            block = bytes(buffered[start : end + 2])
             events.append(ServerSentEvent(_read_id(block), block))
-            start = end + 2
-        self._partial = buffered[start:]
+            start = search_from = end + 2
+        del buffered[:start]
         return events
 
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -161,12 +161,14 @@
             return
         reader = self._reader
         try:
-            reader.parser.feed_data(data)
+            reader.feed(data)
         except HttpParserError as error:
             if not reader.is_complete:
                 self._fail(f"invalid HTTP response: {error}")
                 return
             reader.has_extra_bytes = True
+        if reader.problem and not reader.is_complete:
+            self._fail(reader.problem)
         if reader.is_complete and not self.is_over:
             self._finish()
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/jsonresponse.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/jsonresponse.py
@@ -8,9 +8,6 @@
 
 __all__ = ["JsonResponse"]
 
-MAX_BODY_BYTES = 64_000_000
-"""Longest body that is collected."""
-
 
 class JsonResponse(CallSink):
     """Collects a response and passes on its status and JSON value.
@@ -33,8 +30,7 @@
         self.headers = headers
 
     def on_data(self, data: bytes) -> None:
-        if len(self._body) + len(data) <= MAX_BODY_BYTES:
-            self._body += data
+        self._body += data
 
     def on_end(self) -> None:
         try:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
@@ -4,9 +4,21 @@
 
 __all__ = ["CallSink", "ResponseReader"]
 
+MAX_OVERHEAD_BYTES = 65_536
+"""Most bytes of heads, chunk framing and trailers in a row, without any of the body."""
+
+MAX_SKIPPED_BYTES = 1_048_576
+"""Most body bytes of responses that belong to other calls."""
+
 
 class CallSink:
-    """Receives the events of a call; the methods do nothing unless overridden."""
+    """Receives the events of a call; the methods do nothing unless overridden.
+
+    :cvar max_body_bytes: longest body; a call with a longer one fails. None for no
+        limit, as for event streams, whose events are limited one by one.
+    """
+
+    max_body_bytes: int | None = 64_000_000
 
     def accepts(self, status: int, headers: dict[str, str]) -> bool:
         """Return whether a response belongs to this call; others are skipped."""
@@ -38,6 +50,7 @@
     :ivar keeps_alive: the server keeps the connection open; recorded at the end of
         the response, since the parser only reports it there.
     :ivar has_extra_bytes: bytes were received after the end of the response.
+    :ivar problem: why the response is longer than any valid one, else empty.
     """
 
     def __init__(self, sink: CallSink):
@@ -45,12 +58,31 @@
         self._pairs: list[tuple[bytes, bytes]] = []
         self._is_skipped = False
         self._has_head = False
+        self._overhead_bytes = 0
+        self._skipped_bytes = 0
+        self._body_bytes = 0
+        self.problem = ""
         self.headers: dict[str, str] = {}
         self.is_complete = False
         self.has_extra_bytes = False
         self.keeps_alive = False
         self.parser = HttpResponseParser(self)
 
+    def feed(self, data: bytes) -> None:
+        """Parse bytes of the response; `problem` is set if it is too long.
+
+        :raises HttpParserError: if they are no HTTP response.
+        """
+        self._overhead_bytes += len(data)
+        self.parser.feed_data(data)
+        limit = self._sink.max_body_bytes
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self.problem = f"{MAX_OVERHEAD_BYTES} bytes without a part of the body"
+        elif self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self.problem = f"{MAX_SKIPPED_BYTES} bytes of responses to other calls"
+        elif limit is not None and self._body_bytes > limit:
+            self.problem = f"response longer than {limit} bytes"
+
     def on_message_begin(self) -> None:
         """Start reading a response."""
         if self.is_complete:
@@ -74,13 +106,19 @@
         if self._is_skipped:
             return
         self._has_head = True
+        self._overhead_bytes = 0
         self.headers = headers
         self._sink.on_raw_headers(self._pairs)
         self._sink.on_head(status, headers)
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
-        if not self.is_complete and not self._is_skipped:
+        if self._is_skipped:
+            self._overhead_bytes -= len(data)
+            self._skipped_bytes += len(data)
+        elif not self.is_complete:
+            self._overhead_bytes = 0
+            self._body_bytes += len(data)
             self._sink.on_data(data)
 
     def on_message_complete(self) -> None:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -25,7 +25,7 @@
     SendErrorResponse,
 )
 from briarrelay_daemon.callerserver import CallerServer, RawExchange
-from briarrelay_daemon.eventsplit import EventSplitter
+from briarrelay_daemon.eventsplit import MAX_EVENT_BYTES, EventSplitter
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.httpcall import HttpCall, HttpClient
 from briarrelay_daemon.responsereader import CallSink
@@ -112,6 +112,7 @@
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
+        self.max_body_bytes = MAX_BODY_BYTES
 
     def accepts(self, status: int, headers: dict[str, str]) -> bool:
         return self._port.dialect.is_response_to(headers, self._exchange)
@@ -124,6 +125,7 @@
         head = self._port.dialect.read_head(status, headers, self._forward.attempt_id)
         if head.kind is ResponseKind.SUCCESS and head.is_stream:
             self._splitter = EventSplitter()
+            self.max_body_bytes = None
         self._notify_core(head)
 
     def on_data(self, data: bytes) -> None:
@@ -131,14 +133,14 @@
             return
         if self._splitter is None:
             self.body += data
-            if len(self.body) > MAX_BODY_BYTES:
-                self.call.problem = f"response longer than {MAX_BODY_BYTES} bytes"
-                self.call.abort()
             return
         for event in self._splitter.feed(data):
             self._notify_core(
                 ResponseEvent(self._forward.attempt_id, event.event_id, event.data)
             )
+        if self._splitter.is_too_long and not self.call.is_over:
+            self.call.problem = f"event longer than {MAX_EVENT_BYTES} bytes"
+            self.call.abort()
 
     def on_end(self) -> None:
         if self._splitter is not None and self._splitter.has_partial_event:
