Handle what servers announce in responses: shutdown and pauses

Cause: neither header was known. A server that announced its shutdown got requests until its entry changed; one that named a Retry-After got retries within it. Change: a leaving server is marked under its incarnation by any response, also to orders, and peers get a digest at once; entries of the same incarnation do not bring it back. A 503 with Retry-After pauses a server for this instance (bounded to 300 s, invalid values logged), its end is jittered, one request goes first; waiting, placement and Retry-After to callers use the time; it is no failure. Peers' pauses are a preference. Platform names stay in the adapter.

--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -54,6 +54,8 @@
     :param directory_age_s: seconds since the sender read the servers from the platform.
     :param gone: backend servers whose entries were recently removed from the store, as
         ``name@born``.
+    :param paused: seconds for which backend servers asked the sender for no further
+        requests, by name.
     """
 
     sender: PeerAddress
@@ -67,6 +69,7 @@
     directory: int = 0
     directory_age_s: float = UNKNOWN_AGE_S
     gone: tuple[str, ...] = ()
+    paused: dict[str, float] = field(factory=dict)
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -7,6 +7,7 @@
 from briarrelay_core.outcomes import Failed, NotRun
 
 __all__ = [
+    "MAX_PAUSE_S",
     "AbortAttempt",
     "AbortResponse",
     "CallerDisconnected",
@@ -24,8 +25,12 @@
     "ResponseLost",
     "RouteRequest",
     "SendErrorResponse",
+    "ServerAnnouncement",
 ]
 
+MAX_PAUSE_S = 300.0
+"""Longest pause in seconds that a backend server may ask for."""
+
 
 @frozen(slots=True, kw_only=True)
 class RouteRequest:
@@ -139,6 +144,9 @@
     :param refused_by: address of the engine that caused a refusal, empty if the
         response does not name it.
     :param is_stream: the body is an event stream.
+    :param is_leaving: the server announces that it is shutting down.
+    :param pause_s: seconds for which the server asks for no further requests.
+    :param problem: why a header has been ignored or bounded, empty if none was.
     """
 
     attempt_id: int
@@ -146,6 +154,20 @@
     status: int
     refused_by: str = ""
     is_stream: bool = False
+    is_leaving: bool = False
+    pause_s: float = 0.0
+    problem: str = ""
+
+
+@frozen(slots=True)
+class ServerAnnouncement:
+    """A response to anything but a request of a caller announces a shutdown.
+
+    :param address: ``host:port`` of the backend server.
+    """
+
+    address: str
+    is_leaving: bool
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -122,13 +122,20 @@
         if placement is not None and not should_defer(routed, placement, now):
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
-        if not eligible_servers:
+        if not eligible_servers and not self._can_wait_for_pause(routed, now):
             return self.give_up(routed, now, RefusalReason.NO_ENGINE)
         if routed.request.request_id in self._waiting:
             return []
         self._waiting[routed.request.request_id] = routed
         return [IncrementCounter("route.waited")]
 
+    def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a paused server is expected to take a request in its time."""
+        resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
+        if resumes_in_s is None:
+            return False
+        return now - routed.arrived_at + resumes_in_s < max_wait_s(routed)
+
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
     ) -> list:
@@ -139,12 +146,14 @@
         routed.active_attempt = AttemptState(
             attempt_id=attempt_id,
             server=placement.lead,
+            server_born=self.servers.get(placement.lead).entry.born,
             helpers=placement.helpers,
             sent_at=now,
             expected_s=placement.expected_s,
             progress_at=now,
         )
         self.attempts[attempt_id] = routed
+        self.observations.pauses.record_send(placement.lead, now)
         self._add_load(routed, placement, attempt_id, now)
         if not placement.memory_shares:
             return [self._forward(routed, placement, now)]
@@ -338,14 +347,22 @@
                 FailureReason.DEADLINE if is_out_of_time else FailureReason.SERVER_LOST
             )
             return self._fail(routed, Failed(failure_reason), now)
-        retry_after_s = self._retry_after(routed, reason)
+        retry_after_s = self._retry_after(routed, reason, now)
         return self._refuse_admitted(
             routed, NotRun(reason, retry_after=retry_after_s), now
         )
 
-    def _retry_after(self, routed: RoutedRequest, reason: RefusalReason) -> float:
-        """Return the Retry-After in seconds, with jitter to spread out retries."""
+    def _retry_after(
+        self, routed: RoutedRequest, reason: RefusalReason, now: float
+    ) -> float:
+        """Return the Retry-After in seconds, with jitter to spread out retries.
+
+        While every server is paused, it is the time until one of them resumes.
+        """
         jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
+        resumes_in_s = self.selector.resumes_in_s(routed, now)
+        if resumes_in_s is not None:
+            return resumes_in_s + MIN_RETRY_AFTER_S * jitter
         if reason is RefusalReason.NO_ENGINE:
             return NO_SERVER_RETRY_S * jitter
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -35,6 +35,7 @@
     ResponseHead,
     ResponseLost,
     RouteRequest,
+    ServerAnnouncement,
 )
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.record.record import AUDIT_STREAM, Recorder
@@ -115,7 +116,12 @@
         self.reservations.on_denied = self.controller.on_denied
         self.responses = ResponseHandler(self.controller)
         self.peers = PeerExchange(
-            self.address, identity.incarnation, self.timers, load, servers
+            self.address,
+            identity.incarnation,
+            self.timers,
+            load,
+            servers,
+            observations.pauses,
         )
         for seed in self.seeds:
             self.peers.add(seed)
@@ -161,9 +167,13 @@
         return self._add_pending(self.timers.run_due(now), now)
 
     def _add_pending(self, effects: list, now: float) -> list:
-        """Append queued memory releases, and a digest if the load changed."""
+        """Append queued memory releases, and a digest if load or servers changed."""
         effects += self.reservations.pop_effects()
         load = self.controller.load
+        servers = self.controller.servers
+        if servers.has_urgent_change:
+            servers.has_urgent_change = False
+            load.is_changed = load.is_urgent = True
         if load.is_changed:
             effects += self.peers.on_changed(now, load.is_urgent)
             load.is_changed = load.is_urgent = False
@@ -218,6 +228,16 @@
     def _(self, message: ResponseLost, now: float) -> list:
         return self.responses.on_lost(message, now)
 
+    @_dispatch.register
+    def _(self, message: ServerAnnouncement, now: float) -> list:
+        if not message.is_leaving:
+            return []
+        servers = self.controller.servers
+        effects = []
+        for entry in servers.at_address(message.address):
+            effects += servers.apply_announcement(entry.name, entry.born, now)
+        return effects
+
     @_dispatch.register
     def _(self, message: ReserveResponse, now: float) -> list:
         return self.reservations.on_reserved(message, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.slowdown import SlowdownTable
@@ -12,7 +13,7 @@
 
 @define(slots=True, eq=False)
 class ServerObservations:
-    """Health, slowdown and reachability of servers, as this instance observed them.
+    """Health, slowdown, reachability and pauses of servers, as this instance saw them.
 
     :param last_response_at: time of the last message from each server.
     """
@@ -21,6 +22,7 @@
     health: HealthTable = field(factory=HealthTable)
     slowdown: SlowdownTable = field(factory=SlowdownTable)
     reachability: ReachabilityTable = field(factory=ReachabilityTable)
+    pauses: PauseTable = field(factory=PauseTable)
     last_response_at: dict[str, float] = field(factory=dict)
 
     def record_response(self, server: str, now: float) -> None:
@@ -40,4 +42,5 @@
         """Discard the observations of a server that left or restarted."""
         self.health.forget(name)
         self.slowdown.forget(name)
+        self.pauses.forget(name)
         self.last_response_at.pop(name, None)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -17,6 +17,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
@@ -107,6 +108,7 @@
     timers: TimerService
     load: LoadTable
     servers: ServerTable
+    pauses: PauseTable
     version: int = 0
     presets: int = 0
     directory: int = 0
@@ -178,6 +180,7 @@
             effects += self.servers.apply_peer_leaving(report, now)
         for report in digest.gone:
             effects += self.servers.apply_peer_gone(report, now)
+        self.pauses.apply_peer_pauses(digest.paused, now)
         return effects + self._query_if_behind(now)
 
     def directory_read_delay_s(
@@ -284,6 +287,7 @@
             gone=self.servers.gone_servers(now),
             loads=self.load.own_loads(now),
             leaving=self.servers.leaving_servers(now),
+            paused=self.pauses.own_pauses(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -18,6 +18,7 @@
 class AttemptState:
     """One attempt to send a request to a backend server.
 
+    :param server_born: start of the server's incarnation that the attempt goes to.
     :param expected_s: seconds until the first event, as estimated at placement.
     :param progress_at: time of the attempt's start or of its last message.
     :param pending_placement: the placement while its memory is being reserved, None
@@ -28,6 +29,7 @@
 
     attempt_id: int
     server: str
+    server_born: float
     helpers: tuple[str, ...]
     sent_at: float
     expected_s: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.ports.route import (
     AbortAttempt,
     RelayEnd,
@@ -80,13 +81,45 @@
         attempt.status = message.status
         attempt.is_stream = message.is_stream
         attempt.progress_at = now
-        if message.kind is ResponseKind.NOT_RUN:
-            return self._on_refused(routed, message, now)
         if message.kind is ResponseKind.OTHER_SERVER:
             return self._on_replaced(routed, now)
+        effects = self._apply_announcements(routed, message, now)
+        if message.kind is ResponseKind.NOT_RUN:
+            return effects + self._on_refused(routed, message, now)
         if message.kind is ResponseKind.UNPROVEN:
-            return self._on_unusable(routed, "unproven response", now)
-        return []
+            return effects + self._on_unusable(routed, "unproven response", now)
+        return effects
+
+    def _apply_announcements(
+        self, routed: RoutedRequest, message: ResponseHead, now: float
+    ) -> list:
+        """Apply what the head says about the server itself: shutdown, pause."""
+        attempt = routed.active_attempt
+        pauses = self.controller.observations.pauses
+        effects = []
+        if message.problem:
+            fields = (("server", attempt.server), ("problem", message.problem))
+            effects += [
+                LogEvent(
+                    "warning", "header_bad", routed.request.caller_request_id, fields
+                ),
+                IncrementCounter("route.header_bad"),
+            ]
+        if message.is_leaving:
+            effects += self.controller.servers.apply_announcement(
+                attempt.server, attempt.server_born, now
+            )
+        if not message.pause_s:
+            pauses.record_response(attempt.server, attempt.sent_at)
+            return effects
+        jitter = unit_hash(attempt.server, self.controller.selector.name)
+        pauses.pause(attempt.server, message.pause_s, jitter, now)
+        fields = (("server", attempt.server), ("pause_s", f"{message.pause_s:.2f}"))
+        return [
+            *effects,
+            LogEvent("info", "server_paused", fields=fields),
+            IncrementCounter("route.server_paused"),
+        ]
 
     def _on_refused(
         self, routed: RoutedRequest, message: ResponseHead, now: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -44,10 +44,16 @@
     def candidates(self, routed: RoutedRequest, now: float) -> list[KnownServer]:
         """Return the servers that may get a request.
 
-        Servers that were tried or excluded are left out. Healthy servers in reachable
-        data centres are preferred, then other healthy servers, then unhealthy ones.
+        Servers that were tried, excluded or paused are left out. Healthy servers in
+        reachable data centres are preferred, first those without a pause for a peer,
+        then other healthy servers, then unhealthy ones.
         """
-        usable = self.servers.of_service(routed.service, now)
+        pauses = self.observations.pauses
+        usable = [
+            server
+            for server in self.servers.of_service(routed.service, now)
+            if not pauses.is_paused(server.entry.name, now)
+        ]
         skipped = routed.excluded.union(routed.tried)
         untried = [s for s in usable if s.entry.name not in skipped]
         request_id = str(routed.request.request_id)
@@ -63,10 +69,34 @@
                 server.entry.data_centre, now
             )
         ]
+        preferred = [
+            server
+            for server in reachable
+            if not pauses.is_paused_for_peer(server.entry.name, now)
+        ]
         if healthy:
-            return reachable or healthy
+            return preferred or reachable or healthy
         return untried if skipped or len(untried) == len(usable) else usable
 
+    def resumes_in_s(
+        self, routed: RoutedRequest, now: float, is_untried: bool = False
+    ) -> float | None:
+        """Return the seconds until the first paused server may get a request.
+
+        :param is_untried: consider only servers that the request was not sent to.
+        :returns: None unless every usable server is paused.
+        """
+        skipped = routed.excluded.union(routed.tried) if is_untried else ()
+        pauses = self.observations.pauses
+        names = [
+            server.entry.name
+            for server in self.servers.of_service(routed.service, now)
+            if server.entry.name not in skipped
+        ]
+        if not names or not all(pauses.is_paused(name, now) for name in names):
+            return None
+        return min(pauses.resumes_in_s(name, now) for name in names)
+
     def choose(
         self, routed: RoutedRequest, known: list[KnownServer], now: float
     ) -> Placement | None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -26,6 +26,9 @@
 LEAVING_ANNOUNCE_S = 8.0
 """Seconds for which a leaving server is announced to peers."""
 
+LEAVING_MEMORY_S = 60.0
+"""Seconds for which a leaving server is remembered after its entry was removed."""
+
 
 @define(slots=True, eq=False)
 class KnownServer:
@@ -63,12 +66,15 @@
         which it was first found to be leaving.
     :ivar _gone: by name, the ``born`` value of a server whose entry is gone and the
         time at which that was detected.
+    :ivar has_urgent_change: a server announced its shutdown to this instance, and peers
+        have not been notified yet.
     """
 
     _servers: dict[str, KnownServer] = field(factory=dict)
     _by_service: dict[str, dict[str, KnownServer]] = field(factory=dict)
     _leaving: dict[str, tuple[float, float]] = field(factory=dict)
     _gone: dict[str, tuple[float, float]] = field(factory=dict)
+    has_urgent_change: bool = False
 
     def __len__(self) -> int:
         return len(self._servers)
@@ -93,7 +99,11 @@
 
     def leaving_servers(self, now: float) -> tuple[str, ...]:
         """Return ``name@born`` of servers recently found to be leaving."""
-        outdated = [name for name, (_, at) in self._leaving.items() if now - at > 60.0]
+        outdated = [
+            name
+            for name, (_, at) in self._leaving.items()
+            if now - at > LEAVING_MEMORY_S and name not in self._servers
+        ]
         for name in outdated:
             del self._leaving[name]
         return tuple(
@@ -188,6 +198,22 @@
             self._by_service[service].pop(name, None)
         return names
 
+    def apply_announcement(self, name: str, born: float, now: float) -> list:
+        """Apply a response in which a server announces its shutdown.
+
+        :param born: start of the incarnation that sent the response.
+        """
+        known = self._servers.get(name)
+        if known is None or known.is_leaving or known.entry.born != born:
+            return []
+        known.is_leaving = True
+        self.has_urgent_change = True
+        return self._mark_leaving(known.entry, "response", now)
+
+    def at_address(self, address: str) -> list[ServerEntry]:
+        """Return the entries of the servers that listen at an address."""
+        return [s.entry for s in self._servers.values() if s.entry.address == address]
+
     def apply_peer_leaving(self, report: str, now: float) -> list:
         """Apply a peer's report, ``name@born``, that a server is leaving."""
         known = self._find_registered(report)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -8,6 +8,7 @@
 
 from briarrelay_core.ports.digest import UNKNOWN_AGE_S, LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.route import MAX_PAUSE_S
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
 
@@ -40,6 +41,7 @@
             digest.directory,
             round(digest.directory_age_s, 3),
             digest.gone,
+            digest.paused,
         ]
     )
 
@@ -69,13 +71,26 @@
 
 
 def _decode_optional(
-    presets: int = 0, directory: int = 0, age_s: float = UNKNOWN_AGE_S, gone: tuple = ()
+    presets: int = 0,
+    directory: int = 0,
+    age_s: float = UNKNOWN_AGE_S,
+    gone: tuple = (),
+    paused: dict | None = None,
+    *_,
 ) -> dict:
+    """Return the fields that were added to digests later.
+
+    Fields of later releases are ignored.
+    """
     return {
         "presets": int(presets),
         "directory": int(directory),
         "directory_age_s": float(age_s),
         "gone": tuple(str(server) for server in gone),
+        "paused": {
+            str(server): min(MAX_PAUSE_S, max(0.0, float(pause_s)))
+            for server, pause_s in (paused or {}).items()
+        },
     }
 
 
