Play announced shutdowns, pauses and endless bodies on real processes

Stand-in servers announce a shutdown, refuse with Retry-After and flood; three end-to-end tests, and the soak draws all of them. Ruled out: growth of an instance's memory under floods (below 48 MB over six requests).

--- a/features/properties/test_platform_end_to_end.py
+++ b/features/properties/test_platform_end_to_end.py
@@ -261,6 +261,54 @@
             servers = {r["server"] for r in fleet.runs()}
             self.assertEqual(servers, {"engine-1"})
 
+    def test_server_that_announces_its_shutdown_gets_no_new_requests(self):
+        """Its entry says that it is ready all the while."""
+        with Fleet(engines=2, plain_servers=1, entries=2, subnet="1.6") as fleet:
+            fleet.send_command("leave", "engine-0", is_leaving=True)
+            for number in range(8):
+                response = call(
+                    fleet.instances[0], "/chat/x", f"a{number}", tokens="1000,3"
+                )
+                self.assertEqual(event_ids(response), [1, 2, 3])
+            time.sleep(1.0)
+            announced = len(fleet.runs())
+            for number in range(12):
+                entry = fleet.instances[number % 2]
+                call(entry, "/chat/x", f"b{number}", tokens="1000,2")
+            later_runs = fleet.runs()[announced:]
+            self.assertEqual({run["server"] for run in later_runs}, {"engine-1"})
+
+    def test_server_that_names_a_pause_gets_no_requests_in_it(self):
+        with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.7") as fleet:
+            fleet.send_command("trouble", "engine-0", trouble={"pause": 1.0})
+            end = time.monotonic() + 4.0
+            number = 0
+            while time.monotonic() < end:
+                number += 1
+                response = call(
+                    fleet.instances[0], "/chat/x", f"p{number}", tokens="1000,1"
+                )
+                self.assertEqual(response.status, 200)
+            times = fleet.send_command("pauses", "engine-0")
+            gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+            self.assertGreaterEqual(len(times), 2)
+            self.assertGreaterEqual(min(gaps), 1.0)
+
+    def test_responses_without_end_cost_bounded_memory(self):
+        with Fleet(engines=2, plain_servers=2, entries=1, subnet="1.8") as fleet:
+            entry = fleet.instances[0]
+            memory_file = Path(f"/proc/{entry.process.pid}/statm")
+            for name in ("engine-0", "desk-0"):
+                fleet.send_command("trouble", name, trouble={"flood": 1.0})
+            pages_before = int(memory_file.read_text().split()[1])
+            for number in range(6):
+                response = call(entry, "/chat/x", f"e{number}", tokens="1000,3")
+                self.assertEqual(event_ids(response), [1, 2, 3])
+                response = call(entry, "/look/x", f"l{number}", method="GET", body=b"")
+                self.assertEqual(response.status, 200)
+            pages = int(memory_file.read_text().split()[1]) - pages_before
+            self.assertLess(pages * 4_096, 48_000_000)
+
     def test_start_without_the_store(self):
         """A new instance gets the configuration and the servers from a peer."""
         with Fleet(engines=2, plain_servers=1, entries=2, subnet="1.4") as fleet:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -56,6 +56,7 @@
     :ivar outcomes: seconds from the start and response status of each request.
     :ivar clock_file: holds the seconds by which the instances' clocks are shifted.
     :ivar stopping: names of instances that got SIGTERM.
+    :ivar leaving_server: name of the server that announces its shutdown, or empty.
     :ivar recovered_at: start of the requests that are checked for recovery.
     """
 
@@ -75,6 +76,7 @@
     stopping: set[str] = field(factory=set)
     configuration_version: int = 1
     preset_revision: int = 0
+    leaving_server: str = ""
     recovered_at: float = 0.0
     sent_count: int = 0
     served: int = 0
@@ -257,8 +259,11 @@
 
 
 def trouble_server(soak: Soak, rng: random.Random) -> None:
-    """Make a server abort, break off, reject, ignore or fail some of its requests."""
-    kinds = ("cut", "break", "shed", "mute", "error")
+    """Make a server abort, break off, reject, ignore or fail some of its requests.
+
+    It may also ask for a pause, or answer with bytes that never end.
+    """
+    kinds = ("cut", "break", "shed", "pause", "mute", "error", "flood")
     rates = {rng.choice(kinds): rng.choice((0.05, 0.3))}
     soak.fleet.send_command(
         "trouble", rng.choice(soak.fleet.server_names), trouble=rates
@@ -271,6 +276,16 @@
     soak.fleet.send_command("silent", name, is_silent=rng.random() < 0.5)
 
 
+def leave_server(soak: Soak, rng: random.Random) -> None:
+    """Make a server announce its shutdown, or let the leaving one start again."""
+    if soak.leaving_server:
+        soak.fleet.send_command("restart", soak.leaving_server)
+        soak.leaving_server = ""
+        return
+    soak.leaving_server = rng.choice(soak.fleet.server_names)
+    soak.fleet.send_command("leave", soak.leaving_server, is_leaving=True)
+
+
 def configure(soak: Soak, rng: random.Random) -> None:
     """Publish an old or invalid configuration at times, and then always a valid one."""
     soak.configuration_version += rng.randint(1, 3)
@@ -315,6 +330,7 @@
     trouble_server,
     trouble_server,
     mute_server,
+    leave_server,
     configure,
     choose_preset,
     step_clock,
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -13,6 +13,8 @@
 
 REGISTRATION_INTERVAL_S = 0.4
 EVENT_INTERVAL_S = 0.02
+FLOOD_INTERVAL_S = 0.002
+PAUSE_S = 1.0
 
 
 class RunningStream:
@@ -30,8 +32,11 @@
 class ServerStandIn:
     """One backend server.
 
-    :ivar fault_rates: probability of each fault (``shed``, ``cut``, ``mute``,
-        ``error`` for each request, ``break`` for each event of a stream).
+    :ivar announces_leaving: every response says that the server is shutting down.
+    :ivar paused_at: times at which it asked for a pause of PAUSE_S.
+    :ivar fault_rates: probability of each fault (``shed``, ``pause``, ``cut``,
+        ``mute``, ``error``, ``flood`` for each request, ``break`` for each event of a
+        stream).
     """
 
     def __init__(
@@ -47,6 +52,8 @@
         self.slots = options.get("slots", 8)
         self.state = "ready"
         self.is_silent = False
+        self.announces_leaving = False
+        self.paused_at: list[float] = []
         self.started_at_ms = int(time.time() * 1000)
         self.running: list[RunningStream] = []
         self.reservations: dict[str, float] = {}
@@ -79,10 +86,16 @@
         attempt = exchange.header("x-attempt-id")
         expected = exchange.header("x-expect-instance")
         echo = [(b"X-Attempt-Id", attempt.encode())]
+        if self.announces_leaving:
+            echo.append((b"Server-Leaving", b"1"))
         if expected and expected != self.name:
             exchange.reply(421, [*echo, (b"X-Instance-Id", self.name.encode())], b"")
         elif len(self.running) >= self.slots or self.draw_fault("shed"):
             exchange.reply(503, [*echo, (b"X-Not-Executed", b"1")], b"")
+        elif self.draw_fault("pause"):
+            self.paused_at.append(time.time())
+            pause = (b"Retry-After", b"%.1f" % PAUSE_S)
+            exchange.reply(503, [*echo, (b"X-Not-Executed", b"1"), pause], b"")
         else:
             self.execute(exchange, attempt, echo)
 
@@ -93,6 +106,10 @@
             exchange.abort()
         elif self.draw_fault("mute"):
             return
+        elif self.draw_fault("flood"):
+            kind = b"text/event-stream" if exchange.header("x-token-counts") else b"a/b"
+            exchange.begin(200, [(b"Content-Type", kind), *headers])
+            self.flood(exchange)
         elif exchange.header("x-token-counts"):
             self.start_stream(exchange, attempt, headers)
         elif self.draw_fault("error"):
@@ -103,6 +120,12 @@
                 EVENT_INTERVAL_S, lambda: exchange.reply(200, headers, body)
             )
 
+    def flood(self, exchange) -> None:
+        """Send bytes that complete no event and no body, until the caller closes."""
+        if exchange.is_open:
+            exchange.send(b"a" * 65_536)
+            self.loop.call_later(FLOOD_INTERVAL_S, lambda: self.flood(exchange))
+
     def start_stream(self, exchange, attempt: str, headers: list) -> None:
         first_event = int(exchange.header("last-event-id") or 0) + 1
         run = RunningStream(self, exchange, attempt, first_event)
@@ -216,9 +239,18 @@
             server.fault_rates = command["trouble"]
         elif path == "/standin/silent":
             server.is_silent = command["is_silent"]
+        elif path == "/standin/leave":
+            server.announces_leaving = command["is_leaving"]
         elif path == "/standin/drain":
             server.state = "draining"
             self.register(server, orjson.dumps(server.make_registration()))
+        elif path == "/standin/restart":
+            server.announces_leaving = False
+            server.started_at_ms = int(time.time() * 1000)
+            self.register(server, orjson.dumps(server.make_registration()))
+        elif path == "/standin/pauses":
+            exchange.reply(200, [], orjson.dumps(server.paused_at))
+            return
         elif path == "/standin/remove":
             del self.servers[command["server"]]
             self.register(server, b"")
