--- a/features/properties/test_platform_end_to_end.py
+++ b/features/properties/test_platform_end_to_end.py
@@ -20,6 +20,16 @@
 )
 
 
+def run_ctl(*arguments: str) -> tuple[int, str]:
+    """Run an operator's command; return its exit code and output."""
+    completed = subprocess.run(
+        [sys.executable, str(ROOT / "platform" / "ctl.py"), *arguments],
+        capture_output=True,
+        text=True,
+    )
+    return completed.returncode, completed.stdout + completed.stderr
+
+
 class EndToEndTest(unittest.TestCase):
     """Requests through one fleet, shared by all tests since a start takes seconds.
 
@@ -186,14 +196,6 @@
 class AuditTest(unittest.TestCase):
     """The audit record, read with the operator's commands."""
 
-    def run_ctl(self, *arguments: str) -> tuple[int, str]:
-        completed = subprocess.run(
-            [sys.executable, str(ROOT / "platform" / "ctl.py"), *arguments],
-            capture_output=True,
-            text=True,
-        )
-        return completed.returncode, completed.stdout + completed.stderr
-
     def test_record_is_exported_verified_and_explained(self):
         with Fleet(engines=1, plain_servers=1, entries=2, subnet="1.5") as fleet:
             store = "{}:{}".format(*fleet.store_address)
@@ -206,27 +208,80 @@
             for entry in fleet.instances:
                 entry.process.wait(10)
             path = str(fleet.folder / "day.jsonl")
-            code, text = self.run_ctl(f"--store={store}", "audit", "export", path)
+            code, text = run_ctl(f"--store={store}", "audit", "export", path)
             self.assertEqual((code, text.split()[0]), (0, "added"))
-            code, text = self.run_ctl("audit", "verify", path)
+            code, text = run_ctl("audit", "verify", path)
             self.assertEqual(code, 0, text)
-            code, text = self.run_ctl(f"--store={store}", "explain", "v3")
+            code, text = run_ctl(f"--store={store}", "explain", "v3")
             self.assertIn("request owners done desk-0", text)
-            code, text = self.run_ctl(f"--store={store}", "explain", "v-refused")
+            code, text = run_ctl(f"--store={store}", "explain", "v-refused")
             self.assertIn("refusal", text)
-            code, _ = self.run_ctl(f"--store={store}", "explain", "nobody")
+            code, _ = run_ctl(f"--store={store}", "explain", "nobody")
             self.assertEqual(code, 8)
             lines = Path(path).read_text().splitlines()
             altered = [line.replace("owners", "others") for line in lines]
             for tampered in (altered, lines[::-1]):
                 Path(path).write_text("\n".join(tampered) + "\n")
-                code, text = self.run_ctl("audit", "verify", path)
+                code, text = run_ctl("audit", "verify", path)
                 self.assertEqual(code, 7, text)
-        code, text = self.run_ctl(f"--store={store}", "explain", "v3")
+        code, text = run_ctl(f"--store={store}", "explain", "v3")
         self.assertEqual(code, 6)
         self.assertIn("does not answer", text)
 
 
+class StoreReturnTest(unittest.TestCase):
+    """The store returns to a copy some seconds old, twice, while requests go on."""
+
+    def test_everything_accepted_holds_after_the_store_returned_to_a_copy(self):
+        with Fleet(engines=2, plain_servers=1, entries=2, subnet="1.9") as fleet:
+            store = "{}:{}".format(*fleet.store_address)
+            path = str(fleet.folder / "day.jsonl")
+            for round_number in (1, 2):
+                self.run_round(fleet, store, round_number)
+                code, text = run_ctl(f"--store={store}", "audit", "export", path)
+                self.assertEqual(code, 0, text)
+            code, text = run_ctl("audit", "verify", path)
+            self.assertEqual(code, 0, text)
+            for entry in fleet.instances:
+                events = [line["event"] for line in entry.log_entries()]
+                self.assertEqual(events.count("store_returned_to_copy"), 2)
+            code, text = run_ctl(f"--store={store}", "preset", "list")
+            self.assertIn("revision 4", text)
+
+    def run_round(self, fleet: Fleet, store: str, number: int) -> None:
+        post(*fleet.store_address, "/standin/copy")
+        newest = 10 * number
+        for version in range(newest - 4, newest + 1):
+            fleet.put("keyed.op", "config", configuration(version, (f"new{version}",)))
+        name = f"closed{number}"
+        presets = fleet.folder / f"{name}.jsonc"
+        presets.write_text('{"accept_long": false}')
+        for arguments in (("publish", name, str(presets)), ("activate", name)):
+            code, text = run_ctl(f"--store={store}", "preset", *arguments)
+            self.assertEqual(code, 0, text)
+        bookings = [f"b{number}-{index}" for index in range(6)]
+        for index, booking in enumerate(bookings):
+            response = call(fleet.instances[index % 2], "/book/x", booking)
+            self.assertEqual(response.status, 200)
+        time.sleep(6.0)
+        post(*fleet.store_address, "/standin/return")
+        fleet.put("keyed.op", "config", configuration(newest, (f"new{newest}",)))
+        time.sleep(7.0)
+        for entry in fleet.instances:
+            response = call(entry, f"/new{newest}/x", f"n{number}", method="GET")
+            self.assertEqual(response.status, 200)
+        for booking in bookings:
+            code, text = run_ctl(f"--store={store}", "explain", booking)
+            self.assertEqual(code, 0, text)
+        restarted = fleet.instances[0]
+        restarted.process.kill()
+        restarted.process.wait()
+        fleet.start(restarted)
+        fleet.wait(restarted.is_ready, 10)
+        response = call(restarted, "/chat/x", f"long{number}", tokens="200000,1")
+        self.assertEqual(response.status, 503)
+
+
 class StopTest(unittest.TestCase):
     def test_graceful_stop_completes_all_streams(self):
         with Fleet(engines=2, plain_servers=1, entries=2, subnet="1.2") as fleet:
--- a/features/properties/test_presets.py
+++ b/features/properties/test_presets.py
@@ -19,6 +19,7 @@
     QueryPeer,
 )
 from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.route import SendErrorResponse
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.reasons import RefusalReason
@@ -148,7 +149,9 @@
             self.assertEqual(book.in_force, book.presets[book.active])
 
     def test_peer_with_a_newer_revision_is_queried(self):
-        digest = LoadDigest(sender=PEER, incarnation=1, number=1, version=1, presets=4)
+        digest = LoadDigest(
+            sender=PEER, incarnation=1, number=1, version=1, presets=EraPosition(0, 4)
+        )
         effects = self.world.deliver(DigestReceived(digest))
         effects += self.world.advance(0.5)
         self.assertEqual(self.world.of_type(effects, QueryPeer), [QueryPeer(PEER)])
@@ -171,6 +174,7 @@
 
     :ivar written: the stored revisions, in order.
     :ivar responses_to_lose: number of replacements whose response is still to be lost.
+    :ivar era: rises when the store returns to a copy.
     :ivar concurrent_change: another operator's revision, stored just before the next
         replacement.
     """
@@ -179,26 +183,27 @@
         self.written = []
         self.responses_to_lose = 0
         self.concurrent_change = None
+        self.era = 0
 
     def read(self):
-        return (self.written[-1] if self.written else PresetCollection()), len(
-            self.written
-        )
+        newest = self.written[-1] if self.written else PresetCollection()
+        return newest, EraPosition(self.era, len(self.written))
 
     def read_position(self, position):
-        return self.written[position] if position < len(self.written) else None
+        number = position.number
+        return self.written[number] if number < len(self.written) else None
 
     def replace(self, book, position):
         if self.concurrent_change is not None:
             self.written.append(self.concurrent_change)
             self.concurrent_change = None
-        is_last = position == len(self.written)
+        is_last = position.number == len(self.written)
         if is_last:
             self.written.append(book)
         if self.responses_to_lose:
             self.responses_to_lose -= 1
             raise RemoteError("store", "answer lost", sent=True)
-        return is_last
+        return EraPosition(self.era, len(self.written)) if is_last else None
 
 
 class PresetCommandsTest(unittest.TestCase):
@@ -238,6 +243,21 @@
         self.store.replace = replace_then_change
         self.assertEqual(self.commands.publish("day", {}).code, 0)
 
+    def test_change_in_a_store_that_returned_to_a_copy_carries_its_era(self):
+        """The store returns to a copy between the read and the write."""
+        self.store.era = 1
+        read = self.store.read
+
+        def read_then_return():
+            result = read()
+            self.store.era = 2
+            return result
+
+        self.store.read = read_then_return
+        self.assertEqual(self.commands.publish("day", {}).code, 0)
+        self.assertEqual([book.era for book in self.store.written], [1, 2])
+        self.assertEqual(len({book.change_id for book in self.store.written}), 1)
+
     def test_unknown_names_and_invalid_values_are_rejected(self):
         self.assertEqual(self.commands.activate("none").code, 4)
         self.assertEqual(self.commands.publish("day", {"retry_ratio": 7}).code, 4)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -57,6 +57,7 @@
     :ivar clock_file: holds the seconds by which the instances' clocks are shifted.
     :ivar stopping: names of instances that got SIGTERM.
     :ivar leaving_server: name of the server that announces its shutdown, or empty.
+    :ivar has_copy: the store has a copy that it has not returned to.
     :ivar recovered_at: start of the requests that are checked for recovery.
     """
 
@@ -77,6 +78,7 @@
     configuration_version: int = 1
     preset_revision: int = 0
     leaving_server: str = ""
+    has_copy: bool = False
     recovered_at: float = 0.0
     sent_count: int = 0
     served: int = 0
@@ -177,10 +179,12 @@
                 if event == "started":
                     newest = {}
                 elif event in ACTIVATION_EVENTS:
+                    # a later era of the store replaces what was lost in it
                     number = int(line[ACTIVATION_EVENTS[event]])
-                    if number <= newest.get(event, 0):
+                    position = (int(line.get("era", 0)), number)
+                    if position <= newest.get(event, (0, 0)):
                         violations.append(f"{entry.name} reverted: {event} {number}")
-                    newest[event] = number
+                    newest[event] = position
         return violations
 
 
@@ -258,6 +262,17 @@
     post(*soak.fleet.store_address, "/standin/forget")
 
 
+def copy_store(soak: Soak, rng: random.Random) -> None:
+    """Copy the store, or let it return to its copy; the operator then writes again."""
+    if not soak.has_copy:
+        post(*soak.fleet.store_address, "/standin/copy")
+    else:
+        post(*soak.fleet.store_address, "/standin/return")
+        version = soak.configuration_version
+        soak.fleet.put("keyed.op", "config", configuration(version))
+    soak.has_copy = not soak.has_copy
+
+
 def trouble_server(soak: Soak, rng: random.Random) -> None:
     """Make a server abort, break off, reject, ignore or fail some of its requests.
 
@@ -327,6 +342,8 @@
     refuse,
     trouble_store,
     forget,
+    copy_store,
+    copy_store,
     trouble_server,
     trouble_server,
     mute_server,
--- a/features/standins/store.py
+++ b/features/standins/store.py
@@ -2,6 +2,7 @@
 
 import random
 from base64 import b64encode
+from copy import deepcopy
 from struct import pack, unpack_from
 
 import orjson
@@ -56,6 +57,8 @@
     :ivar faults: ``busy`` is the probability that a call is rejected with 503,
         ``lost`` that its response is not sent, ``late`` that an append is applied 2 s
         later without a response; ``slow_s`` delays every call by so many seconds.
+    :ivar era: rises each time that the store returns to its copy.
+    :ivar copy: partitions at the time of the last copy.
     """
 
     def __init__(self, loop: StandInLoop, host: str, port: int, seed: int = 0):
@@ -65,6 +68,8 @@
         self.random = random.Random(seed)
         self.faults = {"busy": 0.0, "lost": 0.0, "late": 0.0, "slow_s": 0.0}
         self.refused_hosts: set[str] = set()
+        self.era = 1
+        self.copy: dict[tuple[str, int], Partition] = {}
         self.calls = 0
         self.server = loop.serve(host, port, self.on_request)
 
@@ -90,7 +95,7 @@
             return
         self.calls += 1
         if self.random.random() < self.faults["busy"]:
-            exchange.reply(503, [], b"")
+            self.reply(exchange, 503, b"")
         elif self.faults["slow_s"]:
             self.loop.call_later(
                 self.faults["slow_s"], lambda: self.handle_call(exchange, path)
@@ -115,7 +120,7 @@
         elif path == "/api/log-read":
             self.read_records(exchange, query)
         else:
-            exchange.reply(404, [], b"")
+            self.reply(exchange, 404, b"")
 
     def append(self, exchange, query: dict, body: bytes) -> None:
         partition = self.get_partition(query["topic"], int(query["part"]))
@@ -126,7 +131,18 @@
             status, value = 200, {"offset": offset, "end": partition.end}
             self.answer_waiting_reads()
         if exchange is not None:
-            exchange.reply(status, [], orjson.dumps(value))
+            self.reply(exchange, status, orjson.dumps(value))
+
+    def reply(self, exchange, status: int, body: bytes) -> None:
+        exchange.reply(status, [(b"Store-Era", b"%d" % self.era)], body)
+
+    def return_to_copy(self) -> None:
+        """Return to the copy; reads that wait are broken off."""
+        self.partitions = deepcopy(self.copy)
+        self.era += 1
+        waiting, self.waiting_reads = self.waiting_reads, []
+        for exchange, _ in waiting:
+            exchange.abort()
 
     def list_newest(self, exchange, query: dict) -> None:
         partition = self.get_partition(query["topic"], int(query["part"]))
@@ -144,18 +160,18 @@
             "has-more": len(keys) > PAGE_ITEMS,
             "end": partition.end,
         }
-        exchange.reply(200, [], orjson.dumps(page))
+        self.reply(exchange, 200, orjson.dumps(page))
 
     def read_records(self, exchange, query: dict) -> None:
         partition = self.get_partition(query["topic"], int(query["part"]))
         start = int(query["from"])
-        if start < partition.first_offset:
+        if not partition.first_offset <= start <= partition.end:
             body = orjson.dumps({"first": partition.first_offset})
-            exchange.reply(410, [], body)
+            self.reply(exchange, 410, body)
             return
         wait_s = int(query.get("wait-ms", 0)) / 1000
         if start < partition.end or wait_s <= 0:
-            exchange.reply(200, [], self.encode_records(partition, start))
+            self.reply(exchange, 200, self.encode_records(partition, start))
             return
         waiting_read = (exchange, query)
         self.waiting_reads.append(waiting_read)
@@ -166,7 +182,7 @@
     def time_out_read(self, waiting_read, partition: Partition, start: int) -> None:
         if waiting_read in self.waiting_reads:
             self.waiting_reads.remove(waiting_read)
-            waiting_read[0].reply(200, [], self.encode_records(partition, start))
+            self.reply(waiting_read[0], 200, self.encode_records(partition, start))
 
     def encode_records(self, partition: Partition, start: int) -> bytes:
         records = partition.records[max(0, start - partition.first_offset) :]
@@ -190,6 +206,10 @@
         elif path == "/standin/forget":
             for partition in self.partitions.values():
                 partition.drop_records()
+        elif path == "/standin/copy":
+            self.copy = deepcopy(self.partitions)
+        elif path == "/standin/return":
+            self.return_to_copy()
         elif path == "/standin/records":
             records = self.get_partition(command["topic"], command["part"]).records
             exchange.reply(200, [], orjson.dumps([r.decode() for r in records]))
--- a/packages/briarrelay-core/src/briarrelay_core/agreement/outbox.py
+++ b/packages/briarrelay-core/src/briarrelay_core/agreement/outbox.py
@@ -10,10 +10,10 @@
 
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.log import AppendDone, AppendFailed, AppendLog
-from briarrelay_core.ports.telemetry import IncrementCounter
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.timers import Timer, TimerService
 
-__all__ = ["Outbox", "QueuedRecords"]
+__all__ = ["Outbox", "QueuedRecords", "Retention"]
 
 MAX_BATCH_RECORDS = 200
 """Largest number of records in one append."""
@@ -28,6 +28,20 @@
 """Longest delay before a failed append is repeated."""
 
 
+@frozen(slots=True)
+class Retention:
+    """How long the outbox keeps records after the log has acknowledged them.
+
+    The log may return to a copy that lacks them; then they are appended again.
+
+    :param keep_s: seconds by which a copy may be older than the log; 0 keeps none.
+    :param keep_bytes: most characters of acknowledged records, per stream.
+    """
+
+    keep_s: float = 0.0
+    keep_bytes: int = 0
+
+
 @frozen(slots=True)
 class QueuedRecords:
     """Records of a stream that the log has not acknowledged, oldest first.
@@ -46,9 +60,12 @@
     :param first: number of the oldest pending record.
     :param in_flight: number of records at the head that the current append holds.
     :param append_id: id of the current append, empty if there is none.
+    :param started_at: time at which the current append was sent.
     :param failures: consecutive failed appends.
     :param timer: timeout of the current append, or start of the next one.
     :param next_append_at: time before which no further append is sent.
+    :param kept: acknowledged records and the times of their acknowledgement.
+    :param kept_bytes: characters of the kept records.
     """
 
     stream: str
@@ -57,9 +74,12 @@
     pending: deque = field(factory=deque)
     in_flight: int = 0
     append_id: str = ""
+    started_at: float = 0.0
     failures: int = 0
     timer: Timer | None = None
     next_append_at: float = 0.0
+    kept: deque = field(factory=deque)
+    kept_bytes: int = 0
 
     @property
     def is_full(self) -> bool:
@@ -72,6 +92,26 @@
             self.pending.popleft()
         self.first += count
 
+    def keep(self, count: int, now: float) -> None:
+        """Keep copies of the oldest records, which the log has acknowledged."""
+        for index in range(count):
+            self.kept.append((now, self.pending[index]))
+            self.kept_bytes += len(self.pending[index])
+
+    def forget_oldest(self) -> None:
+        """Forget the oldest acknowledged record."""
+        _, body = self.kept.popleft()
+        self.kept_bytes -= len(body)
+
+    def requeue_kept(self) -> int:
+        """Queue the kept records again, before the others; return their number."""
+        count = len(self.kept)
+        self.pending.extendleft(body for _, body in reversed(self.kept))
+        self.first -= count
+        self.kept.clear()
+        self.kept_bytes = 0
+        return count
+
 
 @define(slots=True)
 class Outbox:
@@ -81,12 +121,14 @@
     record is idempotent by an id within it, so readers count it once.
 
     :param min_intervals_s: minimum seconds between appends, by stream; 0 if not given.
+    :param retention: how long acknowledged records are kept.
     :param down_since: time of the first failure since an append last succeeded.
     """
 
     identity: Identity
     timers: TimerService
     min_intervals_s: dict[str, float] = field(factory=dict)
+    retention: Retention = Retention()
     _queues: dict[str, _StreamQueue] = field(factory=dict)
     _queues_by_append: dict[str, _StreamQueue] = field(factory=dict)
     _append_count: int = 0
@@ -143,6 +185,7 @@
             f"{self.identity.name}.{self.identity.incarnation}.{self._append_count}"
         )
         queue.append_id = append_id
+        queue.started_at = now
         queue.in_flight = min(MAX_BATCH_RECORDS, len(queue.pending))
         self._queues_by_append[append_id] = queue
         if queue.timer is not None:
@@ -161,9 +204,50 @@
             return []
         self.down_since = None
         queue.failures = 0
+        effects = self._keep_appended(queue, now)
         queue.remove_oldest(queue.in_flight)
         self._end_append(queue, now + queue.min_interval_s)
-        return self._append_if_ready(queue, now)
+        return effects + self._append_if_ready(queue, now)
+
+    def _keep_appended(self, queue: _StreamQueue, now: float) -> list:
+        """Keep the records of the current append, and forget the oldest kept ones.
+
+        The log had not returned to a copy when the append was sent, so records that it
+        had acknowledged longer before than the age of a copy are safe.
+        """
+        if not self.retention.keep_s:
+            return []
+        queue.keep(queue.in_flight, now)
+        safe_until = queue.started_at - self.retention.keep_s
+        while queue.kept and queue.kept[0][0] < safe_until:
+            queue.forget_oldest()
+        forgotten = 0
+        while queue.kept_bytes > self.retention.keep_bytes:
+            queue.forget_oldest()
+            forgotten += 1
+        if not forgotten:
+            return []
+        fields = (("stream", queue.stream), ("records", str(forgotten)))
+        return [
+            LogEvent("warning", "records_not_kept", fields=fields),
+            IncrementCounter(f"outbox.not_kept.{queue.stream}", forgotten),
+        ]
+
+    def on_log_returned(self, now: float) -> list:
+        """Append the kept records again, since the log has returned to a copy.
+
+        A response to an append in flight is ignored, since it may have been undone.
+        """
+        effects = []
+        for queue in self._queues.values():
+            self._queues_by_append.pop(queue.append_id, None)
+            count = queue.requeue_kept()
+            self._end_append(queue, now)
+            if count:
+                fields = (("stream", queue.stream), ("records", str(count)))
+                effects.append(LogEvent("info", "records_requeued", fields=fields))
+            effects += self._append_if_ready(queue, now)
+        return effects
 
     def on_failed(self, message: AppendFailed, now: float) -> list:
         """Repeat the append after an exponential backoff."""
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.position import START, EraPosition
 
 __all__ = [
     "UNKNOWN_AGE_S",
@@ -49,8 +50,8 @@
     :param leaving: backend servers that are shutting down or have stopped, as
         ``name@born``.
     :param peers: addresses of entry instances that were active recently.
-    :param presets: revision of the presets that the sender applies.
-    :param directory: offset after the newest change of a server that the sender read.
+    :param presets: position of the presets that the sender applies.
+    :param directory: position after the newest change of a server that it read.
     :param directory_age_s: seconds since the sender read the servers from the platform.
     :param gone: backend servers whose entries were recently removed from the store, as
         ``name@born``.
@@ -65,8 +66,8 @@
     loads: dict[str, ServerLoad] = field(factory=dict)
     leaving: tuple[str, ...] = ()
     peers: tuple[PeerAddress, ...] = ()
-    presets: int = 0
-    directory: int = 0
+    presets: EraPosition = START
+    directory: EraPosition = START
     directory_age_s: float = UNKNOWN_AGE_S
     gone: tuple[str, ...] = ()
     paused: dict[str, float] = field(factory=dict)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -12,8 +12,10 @@
     "ListTopic",
     "PeerAddress",
     "PollTopic",
+    "PresetsReplaced",
     "PublishEntry",
     "ReadTopic",
+    "ReplacePresets",
     "ServerEntry",
     "ServerState",
     "Topic",
@@ -88,12 +90,15 @@
     :param value: None if the key was deleted or its value is invalid.
     :param problem: why the value is invalid, else empty.
     :param position: offset after the record, 0 if unknown.
+    :param is_from_copy: it was listed when the store had just returned to a copy, which
+        may lack later changes.
     """
 
     key: str
     value: ServerEntry | PeerAddress | RouteConfiguration | PresetCollection | None
     problem: str = ""
     position: int = 0
+    is_from_copy: bool = False
 
 
 @frozen(slots=True)
@@ -101,10 +106,12 @@
     """Effect: read the newest value of each key.
 
     :param after: last key of the previous page, empty for the first page.
+    :param generation: copied to the response.
     """
 
     topic: Topic
     after: str = ""
+    generation: int = 0
 
 
 @frozen(slots=True)
@@ -112,11 +119,13 @@
     """Effect: read changes from an offset on by long polling.
 
     :param wait_s: maximum seconds that the platform waits for a change.
+    :param generation: copied to the response.
     """
 
     topic: Topic
     start: int
     wait_s: float
+    generation: int = 0
 
 
 @frozen(slots=True)
@@ -125,12 +134,15 @@
 
     :param end: offset after the newest record at the time of the read.
     :param has_more: more pages follow.
+    :param era: era of the store, None if it does not report one.
     """
 
     topic: Topic
     changes: tuple[TopicChange, ...]
     end: int
     has_more: bool
+    generation: int = 0
+    era: int | None = None
 
 
 @frozen(slots=True)
@@ -138,34 +150,53 @@
     """Response to ReadTopic.
 
     :param end: offset at which to continue.
+    :param era: era of the store, None if it does not report one.
     """
 
     topic: Topic
     changes: tuple[TopicChange, ...]
     end: int
+    generation: int = 0
+    era: int | None = None
 
 
 @frozen(slots=True)
 class PollTopic:
-    """Effect: read changes without waiting, concurrently with a long poll."""
+    """Effect: read changes without waiting, concurrently with a long poll.
+
+    :param generation: copied to the response.
+    """
 
     topic: Topic
     start: int
+    generation: int = 0
 
 
 @frozen(slots=True)
 class TopicPolled:
-    """Response to PollTopic."""
+    """Response to PollTopic.
+
+    :param era: era of the store, None if it does not report one.
+    """
 
     topic: Topic
     changes: tuple[TopicChange, ...]
+    generation: int = 0
+    era: int | None = None
 
 
 @frozen(slots=True)
 class TopicExpired:
-    """The platform no longer retains the record at the requested offset."""
+    """The platform does not have the record at the requested offset.
+
+    It has expired, or the store has returned to a copy that ends before it.
+
+    :param era: era of the store, None if it does not report one.
+    """
 
     topic: Topic
+    generation: int = 0
+    era: int | None = None
 
 
 @frozen(slots=True)
@@ -174,6 +205,7 @@
 
     topic: Topic
     problem: str = field(default="")
+    generation: int = 0
 
 
 @frozen(slots=True)
@@ -189,6 +221,31 @@
 
 @frozen(slots=True)
 class EntryPublished:
-    """Response to PublishEntry."""
+    """Response to PublishEntry.
+
+    :param era: era of the store, None if it does not report one.
+    """
 
     is_done: bool
+    era: int | None = None
+
+
+@frozen(slots=True)
+class ReplacePresets:
+    """Effect: write the presets if an offset is still the end of their topic."""
+
+    collection: PresetCollection
+    position: int
+
+
+@frozen(slots=True)
+class PresetsReplaced:
+    """Response to ReplacePresets.
+
+    :param is_done: None if it is unknown whether the presets were written.
+    :param era: era of the store, None if it does not report one.
+    """
+
+    collection: PresetCollection
+    is_done: bool | None
+    era: int | None = None
--- a/packages/briarrelay-core/src/briarrelay_core/ports/log.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/log.py
@@ -11,10 +11,12 @@
 
     :param offset: position in the stream, from 0.
     :param body: the record's JSON text.
+    :param era: era of the log, 0 if it reports none.
     """
 
     offset: int
     body: str
+    era: int = 0
 
 
 @frozen(slots=True)
@@ -31,10 +33,12 @@
     """The records were appended.
 
     :param offset: position of the first of them.
+    :param era: era of the log, None if it reports none.
     """
 
     append_id: str
     offset: int
+    era: int | None = None
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/record/record.py
+++ b/packages/briarrelay-core/src/briarrelay_core/record/record.py
@@ -4,6 +4,7 @@
 from collections import deque
 from collections.abc import Iterable
 from hashlib import sha256
+from itertools import repeat
 
 from attrs import define, field, frozen
 
@@ -16,6 +17,7 @@
     "ChainFault",
     "Entry",
     "Recorder",
+    "parse_batch",
     "verify_batches",
 ]
 
@@ -164,47 +166,107 @@
     return from_mapping(Batch, mapping, "audit")
 
 
-def verify_batches(bodies: Iterable[str]) -> list[ChainFault]:
+@define(slots=True)
+class _Chain:
+    """Batches of one incarnation that were verified so far.
+
+    :param last_seq: number of the newest batch that follows all before it.
+    :param digests: digests of the verified batches, by number.
+    :param early: batches after a gap, in the order of the log. The log has returned to
+        a copy, and the batches of the gap should follow, then these again.
+    """
+
+    last_seq: int = -1
+    digests: dict[int, str] = field(factory=dict)
+    early: list[Batch] = field(factory=list)
+
+    def append(self, batch: Batch) -> str:
+        """Add the next batch; return the problem with it, empty if there is none."""
+        previous = self.digests.get(batch.seq - 1, GENESIS_DIGEST)
+        has_gap = batch.seq > self.last_seq + 1
+        self.last_seq = batch.seq
+        self.digests[batch.seq] = batch.digest
+        if not has_gap and batch.previous != previous:
+            return "altered: it does not follow the batch before"
+        return ""
+
+
+def verify_batches(
+    bodies: Iterable[str], eras: Iterable[int] | None = None
+) -> list[ChainFault]:
     """Verify the hash chains of an exported record.
 
-    A batch may occur twice, since an append whose response was lost is repeated.
+    A batch may occur twice, since an append whose response was lost is repeated. After
+    the log has returned to a copy, instances append again what it may lack, so a gap
+    may be filled later, followed by what was appended before that.
 
     :param bodies: JSON texts of the batches, in the order of the log.
+    :param eras: era of the log for each of them, by default the same for all.
     :returns: the faults found, empty if the record is complete and unaltered.
     """
     faults = []
-    chains: dict[tuple[str, int], tuple[int, str]] = {}
-    for index, body in enumerate(bodies):
+    chains: dict[tuple[str, int], _Chain] = {}
+    first_era = None
+    for index, (body, era) in enumerate(zip(bodies, eras or repeat(0), strict=False)):
+        first_era = era if first_era is None else first_era
         try:
             batch = parse_batch(body)
         except MappingError as error:
             faults.append(ChainFault(f"record {index}", str(error)))
             continue
-        faults.extend(_check_batch(batch, chains))
+        chain = chains.setdefault((batch.instance, batch.incarnation), _Chain())
+        faults.extend(_check_batch(batch, chain, may_be_early=era > first_era))
+    for chain in chains.values():
+        faults.extend(_check_early(chain))
     return faults
 
 
-def _check_batch(batch: Batch, chains: dict) -> list[ChainFault]:
-    chain = (batch.instance, batch.incarnation)
-    where = f"{batch.instance}/{batch.incarnation} batch {batch.seq}"
+def _where(batch: Batch) -> str:
+    return f"{batch.instance}/{batch.incarnation} batch {batch.seq}"
+
+
+def _check_batch(
+    batch: Batch, chain: _Chain, may_be_early: bool = False
+) -> list[ChainFault]:
+    """Return the faults of the next batch in the log, and add it to its chain.
+
+    :param may_be_early: a gap before it may be filled later.
+    """
+    where = _where(batch)
     if batch.compute_digest() != batch.digest:
         return [ChainFault(where, "altered: its digest does not match its content")]
-    last_seq, last_digest = chains.get(chain, (-1, GENESIS_DIGEST))
-    if batch.seq <= last_seq:
-        if batch.seq == last_seq and batch.digest != last_digest:
-            return [ChainFault(where, "altered: two batches carry this number")]
-        if batch.seq < last_seq and (chain, batch.seq, batch.digest) not in chains:
+    if batch.seq <= chain.last_seq:
+        known = chain.digests.get(batch.seq)
+        if known is None:
             return [ChainFault(where, "reordered: a later batch stands before it")]
+        if known != batch.digest:
+            return [ChainFault(where, "altered: two batches carry this number")]
+        return []
+    missing = f"batches {chain.last_seq + 1} to {batch.seq - 1} missing"
+    if batch.seq > chain.last_seq + 1 and may_be_early:
+        chain.early.append(batch)
         return []
     faults = []
-    if batch.seq > last_seq + 1:
-        missing = f"batches {last_seq + 1} to {batch.seq - 1}"
-        faults.append(ChainFault(where, f"dropped or reordered: {missing} missing"))
-    elif batch.previous != last_digest:
-        faults.append(ChainFault(where, "altered: it does not follow the batch before"))
-    chains[chain] = (batch.seq, batch.digest)
-    chains[(chain, batch.seq, batch.digest)] = (batch.seq, batch.digest)
+    if batch.seq > chain.last_seq + 1:
+        faults.append(ChainFault(where, f"dropped or reordered: {missing}"))
+    problem = chain.append(batch)
+    if problem:
+        faults.append(ChainFault(where, problem))
     return faults
 
 
-__all__ += ["parse_batch"]
+def _check_early(chain: _Chain) -> list[ChainFault]:
+    """Return the faults of the batches after a gap.
+
+    Each should stand in the log again, after the batches that fill the gap.
+    """
+    early, chain.early = chain.early, []
+    faults = []
+    is_first = True
+    for batch in early:
+        if is_first and batch.seq == chain.last_seq + 1:
+            problem = f"reordered: it stands before batch {chain.last_seq}"
+            faults.append(ChainFault(_where(batch), problem))
+        is_first = is_first and batch.seq <= chain.last_seq
+        faults.extend(_check_batch(batch, chain))
+    return faults
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -2,18 +2,20 @@
 
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from briarrelay_core.ports.directory import (
     ListTopic,
     ReadTopic,
     Topic,
     TopicChange,
+    TopicExpired,
+    TopicFailed,
     TopicListed,
     TopicRead,
 )
 from briarrelay_core.ports.telemetry import LogEvent
-from briarrelay_core.timers import TimerService
+from briarrelay_core.timers import Timer, TimerService
 
 __all__ = ["TopicFollower"]
 
@@ -50,6 +52,10 @@
     :ivar failing_since: time of the first of the current consecutive failures, None
         without any.
     :ivar recovered_at: time of the first response after the last failures.
+    :ivar generation: number of restarts; responses to earlier requests are ignored.
+    :ivar _is_listing_copy: the current listing is the first after the store returned to
+        a copy.
+    :ivar _timer: start of the next request, None if none is scheduled.
     :ivar _next_offset: offset of the next record to read, None before a listing.
     :ivar _listed_keys: keys on the pages of the current listing so far.
     :ivar _known_keys: keys that exist, as of the last response.
@@ -65,6 +71,9 @@
     last_response_at: float = float("-inf")
     failing_since: float | None = None
     recovered_at: float = float("-inf")
+    generation: int = 0
+    _is_listing_copy: bool = False
+    _timer: Timer | None = None
     _next_offset: int | None = None
     _listed_keys: set[str] = field(factory=set)
     _known_keys: set[str] = field(factory=set)
@@ -72,26 +81,56 @@
 
     def start(self, now: float) -> list:
         """Start to follow the topic."""
-        return [ListTopic(self.topic)]
+        return [self._list()]
+
+    def restart(self, now: float) -> list:
+        """List the topic again, since the store has returned to a copy.
+
+        Responses to requests that were sent before are ignored.
+        """
+        self.generation += 1
+        self._is_listing_copy = self.is_listed
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        return [self._list()]
+
+    def _list(self, after: str = "") -> ListTopic:
+        if not after:
+            self._next_offset = None
+            self._listed_keys = set()
+        return ListTopic(self.topic, after, self.generation)
 
     def on_listed(self, page: TopicListed, now: float) -> tuple[list, list]:
         """Handle a page of a listing; return changes to apply and effects."""
+        if page.generation != self.generation:
+            return [], []
         effects = self._record_response(now)
         if self._next_offset is None:
             self._next_offset = page.end
         changes = list(page.changes)
         self._listed_keys.update(change.key for change in changes)
         if page.has_more and changes:
-            return changes, [*effects, ListTopic(self.topic, changes[-1].key)]
+            next_page = self._list(changes[-1].key)
+            return self._mark_copy(changes), [*effects, next_page]
         gone = self._known_keys - self._listed_keys
         changes += [TopicChange(key, None) for key in sorted(gone)]
+        changes = self._mark_copy(changes)
+        self._is_listing_copy = False
         self._known_keys = self._listed_keys
         self._listed_keys = set()
         self.is_listed = True
         return changes, effects + self._schedule_read(now)
 
+    def _mark_copy(self, changes: list[TopicChange]) -> list[TopicChange]:
+        if not self._is_listing_copy:
+            return changes
+        return [evolve(change, is_from_copy=True) for change in changes]
+
     def on_read(self, read: TopicRead, now: float) -> tuple[list, list]:
         """Handle the response to a read; return changes to apply and effects."""
+        if read.generation != self.generation:
+            return [], []
         effects = self._record_response(now)
         self._next_offset = read.end
         for change in read.changes:
@@ -110,25 +149,27 @@
         """Handle the response to a read that was sent beside a long poll."""
         self.last_response_at = now
 
-    def on_expired(self, now: float) -> list:
-        """List the topic again, since the store dropped records that were not read."""
-        self._next_offset = None
-        self._listed_keys = set()
+    def on_expired(self, expired: TopicExpired, now: float) -> list:
+        """List the topic again, since the store has not the records to read next."""
+        if expired.generation != self.generation:
+            return []
         log_event = LogEvent(
             "warning", "topic_expired", fields=(("topic", self.topic.value),)
         )
-        return [log_event, *self._record_response(now), ListTopic(self.topic)]
+        return [log_event, *self._record_response(now), self._list()]
 
-    def on_failed(self, problem: str, now: float) -> list:
+    def on_failed(self, failed: TopicFailed, now: float) -> list:
         """Schedule a retry with exponential backoff."""
+        if failed.generation != self.generation:
+            return []
         effects = []
         if self.failing_since is None:
             self.failing_since = now
-            fields = (("topic", self.topic.value), ("problem", problem))
+            fields = (("topic", self.topic.value), ("problem", failed.problem))
             effects.append(LogEvent("warning", "store_lost", fields=fields))
         pause = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
         self._failures += 1
-        self.timers.at(now + pause, self._send_request)
+        self._timer = self.timers.at(now + pause, self._send_request)
         return effects
 
     def may_be_stale(self, now: float, margin_s: float) -> bool:
@@ -141,7 +182,7 @@
     def _schedule_read(self, now: float) -> list:
         if not self.pause_s:
             return self._send_request(now)
-        self.timers.at(now + self.pause_s, self._read_if_needed)
+        self._timer = self.timers.at(now + self.pause_s, self._read_if_needed)
         return []
 
     def _read_if_needed(self, now: float) -> list:
@@ -150,7 +191,8 @@
             return self._send_request(now)
         delay_s = self.read_delay_s(self._next_offset, now)
         if delay_s > 0 and now - self.last_response_at < MAX_SKIP_S:
-            self.timers.at(now + min(delay_s, PEER_CHECK_S), self._read_if_needed)
+            check_at = now + min(delay_s, PEER_CHECK_S)
+            self._timer = self.timers.at(check_at, self._read_if_needed)
             return []
         if now - self.last_response_at > RELIST_AFTER_S:
             self._next_offset = None
@@ -158,10 +200,8 @@
 
     def _send_request(self, now: float) -> list:
         if self._next_offset is None or not self.is_listed:
-            self._next_offset = None
-            self._listed_keys = set()
-            return [ListTopic(self.topic)]
-        return [ReadTopic(self.topic, self._next_offset, self.wait_s)]
+            return [self._list()]
+        return [ReadTopic(self.topic, self._next_offset, self.wait_s, self.generation)]
 
     def _record_response(self, now: float) -> list:
         self.last_response_at = now
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from briarrelay_core.agreement.outbox import Outbox
+from briarrelay_core.agreement.outbox import Outbox, Retention
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.control import (
     DrainRequested,
@@ -19,6 +19,7 @@
 from briarrelay_core.ports.directory import (
     EntryPublished,
     PeerAddress,
+    PresetsReplaced,
     TopicExpired,
     TopicFailed,
     TopicListed,
@@ -72,6 +73,7 @@
     :param hold_s: seconds that an engine keeps reserved memory without a renewal.
     :param news_s: seconds within which a leaving server must get no new requests.
     :param seeds: addresses of the peers to contact at the start.
+    :param retention: how long the audit record is kept after the store has it.
     """
 
     identity: Identity
@@ -81,6 +83,7 @@
     hold_s: float
     news_s: float = 2.0
     seeds: tuple[PeerAddress, ...] = ()
+    retention: Retention = Retention()
     timers: TimerService = field(factory=TimerService)
     recorder: Recorder = field(init=False)
     outbox: Outbox = field(init=False)
@@ -94,7 +97,9 @@
     def __attrs_post_init__(self):
         identity = self.identity
         self.recorder = Recorder(identity)
-        self.outbox = Outbox(identity, self.timers, {AUDIT_STREAM: RECORD_PERIOD_S})
+        self.outbox = Outbox(
+            identity, self.timers, {AUDIT_STREAM: RECORD_PERIOD_S}, self.retention
+        )
         self.reservations = Reservations(
             f"{identity.name}-{identity.incarnation}", self.hold_s, self.timers
         )
@@ -126,7 +131,11 @@
         for seed in self.seeds:
             self.peers.add(seed)
         self.updates = UpdateHandler(
-            self.controller, self.peers, self.timers, self.news_s
+            self.controller,
+            self.peers,
+            self.timers,
+            self.news_s,
+            self.outbox.on_log_returned,
         )
         self.stopping = GracefulStop(
             self.controller,
@@ -272,6 +281,10 @@
             return []
         return self.updates.on_published(message, now)
 
+    @_dispatch.register
+    def _(self, message: PresetsReplaced, now: float) -> list:
+        return self.updates.on_presets_replaced(message, now)
+
     @_dispatch.register
     def _(self, message: DigestReceived, now: float) -> list:
         return self.peers.on_digest(message, now)
@@ -282,7 +295,10 @@
 
     @_dispatch.register
     def _(self, message: AppendDone, now: float) -> list:
-        return self.outbox.on_done(message, now)
+        effects = []
+        if message.era is None or message.era >= self.updates.era.value:
+            effects = self.updates.observe_era(message.era, now)
+        return effects + self.outbox.on_done(message, now)
 
     @_dispatch.register
     def _(self, message: AppendFailed, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -15,6 +15,7 @@
     SendDigest,
 )
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
@@ -72,8 +73,8 @@
     :param last_digest_at: time of its last digest, None if only its address is known.
     :param digest_number: sequence number of its last digest.
     :param version: version of its configuration in force.
-    :param presets: revision of its presets.
-    :param directory: offset after the newest server change that it has read.
+    :param presets: position of its presets.
+    :param directory: position after the newest server change that it has read.
     :param directory_at: time of its last read of the servers topic.
     """
 
@@ -82,8 +83,8 @@
     incarnation: int = 0
     digest_number: int = -1
     version: int = 0
-    presets: int = 0
-    directory: int = 0
+    presets: EraPosition = START
+    directory: EraPosition = START
     directory_at: float = float("-inf")
 
 
@@ -94,8 +95,8 @@
     :param address: address of this instance.
     :param incarnation: identifies this run of the process.
     :param version: version of the configuration in force.
-    :param presets: revision of the presets.
-    :param directory: offset after the newest server change that was read.
+    :param presets: position of the presets.
+    :param directory: position after the newest server change that was read.
     :param directory_at: time of this instance's last read of the servers topic.
     :ivar _digest_number: sequence number of the last digest.
     :ivar _last_remote_at: time of the last digest to remote peers.
@@ -110,8 +111,8 @@
     servers: ServerTable
     pauses: PauseTable
     version: int = 0
-    presets: int = 0
-    directory: int = 0
+    presets: EraPosition = START
+    directory: EraPosition = START
     directory_at: float = float("-inf")
     _peers: dict[str, _Peer] = field(factory=dict)
     _digest_number: int = 0
@@ -183,8 +184,20 @@
         self.pauses.apply_peer_pauses(digest.paused, now)
         return effects + self._query_if_behind(now)
 
+    def rank(self, now: float) -> int:
+        """Return the number of peers with a recent digest whose names sort first."""
+        return sum(p.address.name < self.address.name for p in self._recent_peers(now))
+
+    def _recent_peers(self, now: float) -> list[_Peer]:
+        return [
+            peer
+            for peer in self._peers.values()
+            if peer.last_digest_at is not None
+            and now - peer.last_digest_at <= DIRECTORY_REPORT_FRESH_S
+        ]
+
     def directory_read_delay_s(
-        self, offset: int, max_age_s: float, now: float
+        self, position: EraPosition, max_age_s: float, now: float
     ) -> float:
         """Return the seconds until this instance has to read the servers topic itself.
 
@@ -192,17 +205,18 @@
         digests allow the others to skip theirs. If it stops, the next by name takes
         over after a short delay. The result is 0 or negative if a read is due now.
 
-        :param offset: offset up to which this instance has read.
+        Reads of an earlier era of the store do not count.
+
+        :param position: position up to which this instance has read.
         :param max_age_s: largest allowed age in seconds of the newest read by any
             instance.
         """
         fresh = [
             peer
-            for peer in self._peers.values()
-            if peer.last_digest_at is not None
-            and now - peer.last_digest_at <= DIRECTORY_REPORT_FRESH_S
+            for peer in self._recent_peers(now)
+            if peer.directory.era >= position.era
         ]
-        if any(peer.directory > offset for peer in fresh):
+        if any(peer.directory > position for peer in fresh):
             return 0.0
         newest = max((peer.directory_at for peer in fresh), default=float("-inf"))
         rank = sum(peer.address.name < self.address.name for peer in fresh)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/presets.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/presets.py
@@ -10,6 +10,7 @@
 
 from briarrelay_core.agreement.configuration import Preset
 from briarrelay_core.mappings import MappingError, from_mapping, to_mapping
+from briarrelay_core.ports.position import EraPosition
 
 __all__ = ["BUILT_IN", "PresetCollection", "read_presets"]
 
@@ -26,6 +27,7 @@
     :param change_id: unique id of the change, by which its author recognizes it.
     :param at: time of the change in Unix seconds.
     :param active: name of the preset in force, empty for the built-in one.
+    :param era: era of the store in which the change was written, or written again.
     """
 
     revision: int = field(default=0, validator=validators.ge(0))
@@ -34,6 +36,7 @@
     at: float = 0.0
     presets: dict[str, Preset] = field(factory=dict)
     active: str = ""
+    era: int = field(default=0, validator=validators.ge(0))
 
     def __attrs_post_init__(self):
         if self.active and self.active not in self.presets:
@@ -48,6 +51,11 @@
         """The preset in force."""
         return self.presets[self.active] if self.active else BUILT_IN
 
+    @property
+    def position(self) -> EraPosition:
+        """Orders changes; one of a later era replaces what was lost in it."""
+        return EraPosition(self.era, self.revision)
+
     def with_preset(self, name: str, preset: Preset) -> "PresetCollection":
         """Return the next revision with a preset added or replaced."""
         presets = {**self.presets, name: preset}
@@ -72,9 +80,23 @@
         """Return the same revision with the id, author and time of the change."""
         return evolve(self, change_id=change_id, author=author, at=at)
 
+    def with_era(self, era: int) -> "PresetCollection":
+        """Return the same change as written in another era of the store."""
+        return evolve(self, era=era)
+
+    def to_mapping(self) -> dict:
+        """Return the fields; the era is left out while it is 0.
+
+        Earlier releases, which do not know eras, can then read them.
+        """
+        mapping = to_mapping(self)
+        if not self.era:
+            del mapping["era"]
+        return mapping
+
     def to_json(self) -> str:
         """Return the JSON text to store."""
-        return json.dumps(to_mapping(self), separators=(",", ":"))
+        return json.dumps(self.to_mapping(), separators=(",", ":"))
 
     def _require(self, name: str) -> None:
         if name not in self.presets:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -18,6 +18,10 @@
 """Fraction of a service's servers that must stay registered for a missing entry to
 count as gone at once; an unreachable data centre removes a third or less."""
 
+GONE_MEMORY_S = 60.0
+"""Seconds for which a server whose entry is gone is remembered; a copy that the store
+returns to is some seconds old."""
+
 GONE_BLOCK_S = 2.5
 """Seconds for which a server gets no requests after a peer reported its entry gone, and
 for which this instance reports such servers. By then each instance has read whether
@@ -66,6 +70,7 @@
         which it was first found to be leaving.
     :ivar _gone: by name, the ``born`` value of a server whose entry is gone and the
         time at which that was detected.
+    :ivar _gone_for_peers: the same for servers that peers reported as gone.
     :ivar has_urgent_change: a server announced its shutdown to this instance, and peers
         have not been notified yet.
     """
@@ -74,6 +79,7 @@
     _by_service: dict[str, dict[str, KnownServer]] = field(factory=dict)
     _leaving: dict[str, tuple[float, float]] = field(factory=dict)
     _gone: dict[str, tuple[float, float]] = field(factory=dict)
+    _gone_for_peers: dict[str, tuple[float, float]] = field(factory=dict)
     has_urgent_change: bool = False
 
     def __len__(self) -> int:
@@ -114,12 +120,21 @@
 
     def gone_servers(self, now: float) -> tuple[str, ...]:
         """Return ``name@born`` of servers whose entries recently disappeared."""
-        self._gone = {
-            name: record
-            for name, record in self._gone.items()
-            if now - record[1] < GONE_BLOCK_S
-        }
-        return tuple(f"{name}@{born}" for name, (born, _) in self._gone.items())
+        for memory in (self._gone, self._gone_for_peers):
+            outdated = [n for n, (_, at) in memory.items() if now - at > GONE_MEMORY_S]
+            for name in outdated:
+                del memory[name]
+        return tuple(
+            f"{name}@{born}"
+            for name, (born, at) in self._gone.items()
+            if now - at < GONE_BLOCK_S
+        )
+
+    def is_gone(self, entry: ServerEntry) -> bool:
+        """Return whether the entry of this incarnation was removed not long ago."""
+        memories = (self._gone, self._gone_for_peers)
+        gone = [memory[entry.name] for memory in memories if entry.name in memory]
+        return any(born == entry.born for born, _ in gone)
 
     def is_change(self, change: TopicChange) -> bool:
         """Return whether a record adds, changes or removes an entry.
@@ -146,6 +161,7 @@
             leaving is not None and leaving[0] == entry.born
         )
         self._gone.pop(entry.name, None)
+        self._gone_for_peers.pop(entry.name, None)
         self._servers[entry.name] = server
         self._by_service.setdefault(entry.service, {})[entry.name] = server
         was_leaving = known is not None and known.is_leaving and not is_new
@@ -173,6 +189,17 @@
         self._gone[name] = (known.entry.born, now)
         return [_make_log_event("server_gone", known.entry)]
 
+    def await_renewal(self, name: str, until: float) -> list:
+        """Handle a server that is missing from a copy that the store returned to.
+
+        :param until: time until which it may write its entry again.
+        """
+        known = self._servers.get(name)
+        if known is None or known.expires_at is not None:
+            return []
+        known.expires_at = until
+        return [_make_log_event("server_lapsed", known.entry)]
+
     def _suggests_store_outage(self, service: str, now: float) -> bool:
         """Return whether one more removal leaves a service too few registered servers.
 
@@ -228,6 +255,7 @@
         if known is None or now < known.blocked_until:
             return []
         known.blocked_until = now + GONE_BLOCK_S
+        self._gone_for_peers[known.entry.name] = (known.entry.born, now)
         return [_make_log_event("server_gone", known.entry, "peer")]
 
     def _find_registered(self, report: str) -> KnownServer | None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -3,6 +3,8 @@
 Updates come from the topics of the platform's store and from the responses of peers.
 """
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from briarrelay_core.ports.digest import PeerResponse
@@ -10,6 +12,7 @@
     EntryPublished,
     PeerAddress,
     PollTopic,
+    PresetsReplaced,
     PublishEntry,
     ServerEntry,
     Topic,
@@ -20,6 +23,7 @@
     TopicPolled,
     TopicRead,
 )
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import Entry
 from briarrelay_core.routes.admission import RouteAdmission
@@ -27,8 +31,10 @@
 from briarrelay_core.routes.follower import TopicFollower
 from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.peers import PeerExchange
+from briarrelay_core.routes.presetrestorer import PresetRestorer
 from briarrelay_core.routes.presets import PresetCollection
 from briarrelay_core.routes.servers import REREGISTER_S
+from briarrelay_core.routes.storeera import StoreEra
 from briarrelay_core.timers import TimerService
 
 __all__ = ["UpdateHandler"]
@@ -58,6 +64,10 @@
 """Seconds by which the response to a read may be overdue before the data may be out of
 date."""
 
+RENEWAL_WAIT_S = 4.0
+"""Seconds within which a server that is missing from a copy, to which the store has
+returned, writes its entry again and the entry is read, also if the store is slow."""
+
 PUBLISH_PAUSE_S = 1.0
 """Seconds between attempts to register this instance."""
 
@@ -80,6 +90,9 @@
     """Follows the platform's topics, and applies their updates and those of peers.
 
     :param news_s: seconds within which a leaving server must get no new requests.
+    :param on_store_returned: called with the time when the store has returned to a
+        copy; returns effects.
+    :ivar restorer: writes the presets in force again if the store has older ones.
     :ivar _query_count: number of queries to peers while reads of the store fail.
     :ivar _polled_at: time of the last read beside a topic's long poll.
     """
@@ -88,6 +101,9 @@
     peers: PeerExchange
     timers: TimerService
     news_s: float
+    on_store_returned: Callable[[float], list] = lambda now: []
+    era: StoreEra = field(factory=StoreEra)
+    restorer: PresetRestorer = field(init=False)
     followers: dict[Topic, TopicFollower] = field(init=False)
     _query_count: int = 0
     _polled_at: dict[Topic, float] = field(factory=dict)
@@ -95,6 +111,13 @@
     def __attrs_post_init__(self):
         self.followers = _make_followers(self.timers, self.news_s)
         self.followers[Topic.SERVERS].read_delay_s = self._read_delay_s
+        self.restorer = PresetRestorer(
+            self.admission,
+            self.followers[Topic.PRESETS],
+            self.era,
+            self.timers,
+            self.peers.rank,
+        )
 
     @property
     def admission(self) -> RouteAdmission:
@@ -103,7 +126,9 @@
 
     def _read_delay_s(self, offset: int, now: float) -> float:
         return self.peers.directory_read_delay_s(
-            offset, READ_INTERVAL_FRACTION * self.news_s, now
+            EraPosition(self.era.value, offset),
+            READ_INTERVAL_FRACTION * self.news_s,
+            now,
         )
 
     def start(self, now: float) -> list:
@@ -113,22 +138,54 @@
             effects += follower.start(now)
         return [*effects, PublishEntry(self.peers.address, True)]
 
+    def observe_era(self, era: int | None, now: float) -> list:
+        """Handle the era of a response of the store.
+
+        If it has returned to a copy, list all topics again, and write again what this
+        instance keeps there.
+        """
+        is_new, effects = self.era.observe(era, now)
+        if not is_new:
+            return effects
+        for follower in self.followers.values():
+            effects += follower.restart(now)
+        # offsets of the new era are unrelated to those known so far
+        self.peers.directory = EraPosition(self.era.value, 0)
+        effects.append(PublishEntry(self.peers.address, True))
+        return effects + self.on_store_returned(now)
+
+    def _observe_response(self, message, now: float) -> list:
+        """Handle the era of a response, unless its request was sent in an earlier one.
+
+        Such a response may arrive after the store has returned to a copy.
+        """
+        is_current = message.generation == self.followers[message.topic].generation
+        is_later = message.era is not None and message.era > self.era.value
+        return self.observe_era(message.era, now) if is_current or is_later else []
+
     def on_listed(self, message: TopicListed, now: float) -> list:
         """Apply a page of a topic's listing."""
+        effects = self._observe_response(message, now)
         follower = self.followers[message.topic]
         is_first = not follower.is_listed
-        changes, effects = follower.on_listed(message, now)
-        effects += self._apply(message.topic, changes, "store", now)
+        changes, follow_up = follower.on_listed(message, now)
+        effects += follow_up + self._apply(message.topic, changes, "store", now)
         if is_first:
             # a listed offset is that of the key's newest record, perhaps just a renewal
-            self.peers.directory = 0
-        return effects + self._on_directory_read(message.topic, now)
+            self.peers.directory = EraPosition(self.era.value, 0)
+        return effects + self._on_topic_read(message.topic, now)
 
     def on_read(self, message: TopicRead, now: float) -> list:
         """Apply the changes that a read returned."""
-        changes, effects = self.followers[message.topic].on_read(message, now)
-        effects += self._apply(message.topic, changes, "store", now)
-        return effects + self._on_directory_read(message.topic, now)
+        effects = self._observe_response(message, now)
+        changes, follow_up = self.followers[message.topic].on_read(message, now)
+        effects += follow_up + self._apply(message.topic, changes, "store", now)
+        return effects + self._on_topic_read(message.topic, now)
+
+    def _on_topic_read(self, topic: Topic, now: float) -> list:
+        if topic is Topic.PRESETS:
+            return self.restorer.check(now)
+        return self._on_directory_read(topic, now)
 
     def _on_directory_read(self, topic: Topic, now: float) -> list:
         """Announce a read of the servers topic, so that peers can skip theirs."""
@@ -148,36 +205,51 @@
             if follower.next_offset is None or now - last < period_s:
                 continue
             self._polled_at[topic] = now
-            effects.append(PollTopic(topic, follower.next_offset))
+            effects.append(PollTopic(topic, follower.next_offset, follower.generation))
         return effects
 
     def on_polled(self, message: TopicPolled, now: float) -> list:
         """Apply changes that were read beside a long poll."""
-        self.followers[message.topic].on_polled(now)
-        return self._apply(message.topic, list(message.changes), "store", now)
+        effects = self._observe_response(message, now)
+        follower = self.followers[message.topic]
+        if message.generation != follower.generation:
+            return effects
+        follower.on_polled(now)
+        return effects + self._apply(message.topic, list(message.changes), "store", now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
-        """List a topic again after the store dropped records before they were read."""
-        return self.followers[message.topic].on_expired(now)
+        """List a topic again, since the store has not the records to read next."""
+        effects = self._observe_response(message, now)
+        return effects + self.followers[message.topic].on_expired(message, now)
 
     def on_failed(self, message: TopicFailed, now: float) -> list:
         """Retry a failed read, and query a peer if configuration or servers are
         unknown.
         """
-        effects = self.followers[message.topic].on_failed(message.problem, now)
+        effects = self.followers[message.topic].on_failed(message, now)
         if not self.admission.configuration or not len(self.controller.servers):
             self._query_count += 1
             effects += self.peers.query_any_peer(self._query_count)
         return effects
 
     def on_published(self, message: EntryPublished, now: float) -> list:
-        """Schedule another registration if one failed."""
-        if not message.is_done:
+        """Schedule another registration if one failed, or was undone since."""
+        is_undone = message.era is not None and message.era < self.era.value
+        if not message.is_done or is_undone:
             self.timers.at(
                 now + PUBLISH_PAUSE_S,
                 lambda _: [PublishEntry(self.peers.address, True)],
             )
-        return []
+        return [] if is_undone else self.observe_era(message.era, now)
+
+    def on_presets_replaced(self, message: PresetsReplaced, now: float) -> list:
+        """Handle the response to an attempt to write the presets again."""
+        effects = []
+        if message.era is not None and message.era >= self.era.value:
+            effects = self.observe_era(message.era, now)
+        if message.is_done and message.collection.era == self.era.value:
+            effects += self.apply_presets(message.collection, "restored", now)
+        return effects + self.restorer.on_replaced(message, now)
 
     def on_peer_response(self, message: PeerResponse, now: float) -> list:
         """Apply what a peer returned.
@@ -224,22 +296,31 @@
                 ]
             elif topic is Topic.SERVERS:
                 if self.controller.servers.is_change(change):
-                    self.peers.directory = max(self.peers.directory, change.position)
+                    position = EraPosition(self.era.value, change.position)
+                    self.peers.directory = max(self.peers.directory, position)
                 effects += self._apply_server_change(change, now)
             elif topic is Topic.CONFIGURATION and change.value is not None:
                 effects += self.apply_configuration(change.value, source, now)
             elif topic is Topic.PRESETS and change.value is not None:
+                self.restorer.stored = change.value
                 effects += self.apply_presets(change.value, source, now)
+            elif topic is Topic.PRESETS:
+                self.restorer.stored = None
             elif topic is Topic.ENTRIES:
                 self._apply_entry(change)
         return effects
 
     def _apply_server_change(self, change: TopicChange, now: float) -> list:
+        servers = self.controller.servers
         if change.value is not None:
+            if change.is_from_copy and servers.is_gone(change.value):
+                return []  # written before the server left
             return self._apply_server(change.value, now)
+        if change.is_from_copy:
+            return servers.await_renewal(change.key, now + RENEWAL_WAIT_S)
         follower = self.followers[Topic.SERVERS]
         reregister_until = follower.recovered_at + REREGISTER_S
-        return self.controller.servers.remove(change.key, reregister_until, now)
+        return servers.remove(change.key, reregister_until, now)
 
     def _apply_server(self, entry: ServerEntry, now: float) -> list:
         is_new, effects = self.controller.servers.apply(entry, now)
@@ -250,7 +331,7 @@
     def _apply_entry(self, change: TopicChange) -> None:
         if isinstance(change.value, PeerAddress):
             self.peers.add(change.value)
-        else:
+        elif not change.is_from_copy:
             self.peers.remove(change.key)
 
     def apply_configuration(
@@ -276,15 +357,19 @@
     def apply_presets(self, new: PresetCollection, source: str, now: float) -> list:
         """Put presets in force if they are newer than the current ones."""
         old = self.admission.preset_collection
-        if new.revision <= old.revision:
+        if new.position <= old.position:
             return []
         self.admission.preset_collection = new
         self.controller.budget.preset_ratio = new.in_force.retry_ratio
-        self.peers.presets = new.revision
+        self.peers.presets = new.position
+        if new.with_era(old.era) == old:
+            fields = (("revision", str(new.revision)), ("era", str(new.era)))
+            return [LogEvent("info", "presets_restored", fields=fields)]
         fields = (
             ("preset", new.active),
             ("before", old.active),
             ("revision", str(new.revision)),
+            ("era", str(new.era)),
             ("author", new.author),
             ("source", source),
         )
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/audits.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/audits.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.record.record import (
     AUDIT_STREAM,
     ChainFault,
@@ -24,12 +25,12 @@
     """Result of an export.
 
     :param added: number of records that were appended to the file.
-    :param next_offset: offset at which the next export starts.
+    :param next_position: position at which the next export starts.
     :param missed: number of records that expired from the log before the export.
     """
 
     added: int
-    next_offset: int
+    next_position: EraPosition
     missed: int
 
 
@@ -41,18 +42,27 @@
 
 
 def export_record(log: LogClient, path: Path) -> Exported:
-    """Append the records that are not in the file yet."""
+    """Append the records that are not in the file yet.
+
+    If the log has returned to a copy, all its records are appended again.
+    """
     exported = _read_lines(path)
-    start = exported[-1]["offset"] + 1 if exported else 0
-    added = 0
-    next_offset = start
+    position = START
+    if exported:
+        last = exported[-1]
+        position = EraPosition(last.get("era", 0), last["offset"] + 1)
+    added = missed = 0
     with path.open("a", encoding="utf-8") as out:
-        for record in log.read_all(AUDIT_STREAM, start):
+        for record in log.read_all(AUDIT_STREAM, position):
+            if record.era == position.era:
+                missed += record.offset - position.number
             line = {"offset": record.offset, "body": record.body}
+            if record.era:
+                line["era"] = record.era
             out.write(json.dumps(line) + "\n")
             added += 1
-            next_offset = record.offset + 1
-    return Exported(added, next_offset, next_offset - start - added)
+            position = EraPosition(record.era, record.offset + 1)
+    return Exported(added, position, missed)
 
 
 def verify_export(path: Path) -> tuple[int, list[ChainFault]]:
@@ -62,21 +72,36 @@
     """
     faults = []
     bodies = []
+    eras = []
     expected = None
     with path.open(encoding="utf-8") as lines:
         for number, text in enumerate(lines, start=1):
             try:
                 line = json.loads(text)
                 offset, body = line["offset"], line["body"]
+                era = line.get("era", 0)
             except (ValueError, KeyError, TypeError):
                 faults.append(ChainFault(f"line {number}", "altered: not a record"))
                 continue
-            if expected is not None and offset != expected:
-                problem = f"dropped or reordered: offset {offset}, expected {expected}"
+            problem = _check_position(EraPosition(era, offset), expected)
+            if problem:
                 faults.append(ChainFault(f"line {number}", problem))
-            expected = offset + 1
+            expected = EraPosition(era, offset + 1)
             bodies.append(body)
-    return len(bodies), faults + verify_batches(bodies)
+            eras.append(era)
+    return len(bodies), faults + verify_batches(bodies, eras)
+
+
+def _check_position(position: EraPosition, expected: EraPosition | None) -> str:
+    """Return the problem with a record's position, empty if it is the expected one.
+
+    Offsets start again in a later era.
+    """
+    if expected is None or position == expected or position.era > expected.era:
+        return ""
+    if position.era < expected.era:
+        return f"reordered: era {position.era} after era {expected.era}"
+    return f"dropped or reordered: offset {position.number}, expected {expected.number}"
 
 
 def find_entries(log: LogClient, subject: str) -> list:
@@ -85,7 +110,7 @@
     Batches that can not be parsed are skipped.
     """
     matches = []
-    for record in log.read_all(AUDIT_STREAM, 0):
+    for record in log.read_all(AUDIT_STREAM, START):
         try:
             batch = parse_batch(record.body)
         except ValueError:
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/changes.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/changes.py
@@ -14,6 +14,7 @@
     Verdict,
 )
 from briarrelay_core.agreement.logtail import NEWEST
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_ctl.remote import LogClient, RemoteError
 
 __all__ = ["ChangeClient", "OutcomeUnknownError"]
@@ -61,7 +62,9 @@
 
     def catch_up(self, fold: ConfigurationFold) -> None:
         """Apply the records that were appended since the last read."""
-        for record in self.log.read_all(CONFIG_STREAM, fold.next_offset):
+        for record in self.log.read_all(
+            CONFIG_STREAM, EraPosition(number=fold.next_offset)
+        ):
             fold.apply(record)
 
     def publish(
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/main.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/main.py
@@ -53,7 +53,8 @@
 def _audit(options: dict, commands: Commands) -> Result:
     if options["export"]:
         exported = export_record(commands.changes.log, Path(options["FILE_OUT"]))
-        text = f"added {exported.added} records, next offset {exported.next_offset}"
+        next_offset = exported.next_position.number
+        text = f"added {exported.added} records, next offset {next_offset}"
         if exported.missed:
             text += (
                 f"; {exported.missed} records expired before they were exported; "
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/presets.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/presets.py
@@ -9,6 +9,7 @@
 
 from briarrelay_core.agreement.configuration import Preset
 from briarrelay_core.mappings import MappingError, from_mapping, to_mapping
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.routes.presets import PresetCollection
 from briarrelay_ctl.remote import RemoteError
 from briarrelay_ctl.results import (
@@ -32,18 +33,22 @@
 class PresetStore(Protocol):
     """Stores the presets and replaces them by compare-and-swap on a position."""
 
-    def read(self) -> tuple[PresetCollection, int]:
+    def read(self) -> tuple[PresetCollection, EraPosition]:
         """Return the presets and the position after their record.
 
         :raises RemoteError: if the store does not respond.
         """
 
-    def read_position(self, position: int) -> PresetCollection | None:
+    def read_position(self, position: EraPosition) -> PresetCollection | None:
         """Return the presets at a position, None if no record is kept there."""
 
-    def replace(self, collection: PresetCollection, position: int) -> bool:
-        """Append presets if the position is still the end; return whether it was.
+    def replace(
+        self, collection: PresetCollection, position: EraPosition
+    ) -> EraPosition | None:
+        """Append presets if the position is still the end; return the one after.
 
+        :returns: None if it was not the end. The position is of a later era if the
+            store has returned to a copy meanwhile.
         :raises RemoteError: if the store does not respond.
         """
 
@@ -72,7 +77,7 @@
             text += "\nthe built-in preset is in force; run 'preset activate NAME'"
         if collection.revision:
             text += f"\nrevision {collection.revision} by {collection.author}"
-        return Result(0, to_mapping(collection), text)
+        return Result(0, collection.to_mapping(), text)
 
     def publish(self, name: str, mapping: object) -> Result:
         """Add or replace a preset."""
@@ -97,17 +102,22 @@
         except ValueError as error:
             return Result(EXIT_INVALID, {"problem": str(error)}, str(error))
         signed = changed.with_change_info(str(uuid7()), self.author, round(time(), 3))
-        return self._write(signed, position)
+        return self._write(signed.with_era(position.era), position)
 
-    def _write(self, collection: PresetCollection, position: int) -> Result:
+    def _write(self, collection: PresetCollection, position: EraPosition) -> Result:
         """Retry a write until its outcome is known or time is over.
 
-        Retries are safe, since at most one write at a position succeeds.
+        Retries are safe, since at most one write at a position succeeds. A write that
+        was accepted in a later era is repeated with that era, which orders changes.
         """
         deadline = monotonic() + self.settle_s
         while True:
             try:
-                if self.store.replace(collection, position):
+                end = self.store.replace(collection, position)
+                if end is not None and end.era > collection.era:
+                    collection, position = collection.with_era(end.era), end
+                    continue
+                if end is not None:
                     return _accepted(collection)
                 winner = self.store.read_position(position) or self.store.read()[0]
                 if winner.change_id == collection.change_id:
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/remote.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/remote.py
@@ -7,6 +7,7 @@
 from attrs import define, frozen
 
 from briarrelay_core.ports.log import LogRead, LogRecord
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_ctl.settings import CtlSettings, Place
 
 __all__ = ["InstanceClient", "LogClient", "RemoteError", "Response"]
@@ -74,15 +75,19 @@
         records = tuple(LogRecord(offset, body) for offset, body in value["records"])
         return LogRead(stream, start, records, value["first"], value["end"])
 
-    def read_all(self, stream: str, start: int):
-        """Yield the records from an offset to the end of a stream."""
+    def read_all(self, stream: str, start: EraPosition):
+        """Yield the records from a position to the end of a stream.
+
+        This log has one era.
+        """
+        offset = start.number
         while True:
-            response = self.read(stream, max(start, 0))
+            response = self.read(stream, max(offset, 0))
             yield from response.records
-            start = (
+            offset = (
                 response.records[-1].offset + 1 if response.records else response.end
             )
-            if start >= response.end:
+            if offset >= response.end:
                 return
 
     def _request(self, method: str, stream: str, query: str, body) -> Response:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/bytesresponse.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/bytesresponse.py
@@ -21,9 +21,11 @@
         self._lost = lost
         self._status = 0
         self._body = bytearray()
+        self.headers: dict[str, str] = {}
 
     def on_head(self, status: int, headers: dict[str, str]) -> None:
         self._status = status
+        self.headers = headers
 
     def on_data(self, data: bytes) -> None:
         self._body += data
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -8,6 +8,7 @@
 
 from briarrelay_core.ports.digest import UNKNOWN_AGE_S, LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.route import MAX_PAUSE_S
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
@@ -37,8 +38,8 @@
             },
             digest.leaving,
             [_encode_address(peer) for peer in digest.peers],
-            digest.presets,
-            digest.directory,
+            _encode_position(digest.presets),
+            _encode_position(digest.directory),
             round(digest.directory_age_s, 3),
             digest.gone,
             digest.paused,
@@ -70,9 +71,22 @@
         raise DigestError(f"not a digest: {error}") from error
 
 
+def _encode_position(position: EraPosition) -> int | list[int]:
+    """Encode a position, one of the first era as earlier releases do."""
+    return [position.era, position.number] if position.era else position.number
+
+
+def _decode_position(value: int | list[int]) -> EraPosition:
+    """Decode a position; earlier releases send a number without an era."""
+    if isinstance(value, list):
+        era, number = value
+        return EraPosition(int(era), int(number))
+    return EraPosition(0, int(value))
+
+
 def _decode_optional(
-    presets: int = 0,
-    directory: int = 0,
+    presets: int | list[int] = 0,
+    directory: int | list[int] = 0,
     age_s: float = UNKNOWN_AGE_S,
     gone: tuple = (),
     paused: dict | None = None,
@@ -83,8 +97,8 @@
     Fields of later releases are ignored.
     """
     return {
-        "presets": int(presets),
-        "directory": int(directory),
+        "presets": _decode_position(presets),
+        "directory": _decode_position(directory),
         "directory_age_s": float(age_s),
         "gone": tuple(str(server) for server in gone),
         "paused": {
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -105,7 +105,7 @@
         configuration = admission.configuration
         body = {
             "configuration": to_mapping(configuration) if configuration else None,
-            "presets": to_mapping(admission.preset_collection),
+            "presets": admission.preset_collection.to_mapping(),
             "servers": [
                 to_mapping(entry) for entry in core.controller.servers.entries()
             ],
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -161,4 +161,5 @@
         hold_s=settings.hold_s,
         news_s=settings.news_s,
         seeds=settings.seeds,
+        retention=settings.retention,
     )
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
@@ -6,6 +6,7 @@
 
 from attrs import fields, frozen
 
+from briarrelay_core.agreement.outbox import Retention
 from briarrelay_core.ports.control import RouteSettingsChanged
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.routes.budget import RetryLimits
@@ -34,6 +35,7 @@
     :param news_s: seconds within which all instances must stop sending new requests
         to a server that leaves.
     :param seeds: peers to contact at the start.
+    :param retention: how long the audit record is kept after the store has it.
     """
 
     name: str
@@ -50,6 +52,7 @@
     hold_s: float
     news_s: float
     seeds: tuple[PeerAddress, ...] = ()
+    retention: Retention = Retention(keep_s=60.0, keep_bytes=4_000_000)
 
 
 @frozen(slots=True)
