Hold requests after a suspension until the store confirms what is allowed

Cause: a process that had been suspended served the requests that it found first with its old configuration: a revoked key was accepted (test_operator_faults, on real processes: 200 instead of 401), a leaving server could be used. The check for a suspension ran every 0.5 s. Change: the check runs before the events of each loop iteration; in the core, a second without activity counts too (a process stopped by a signal, whose clock goes on). Configuration and servers are read again at once; requests wait for both responses, at most 0.4 s, with their deadlines kept.

--- /dev/null
+++ b/features/properties/test_operator_faults.py
@@ -0,0 +1,152 @@
+"""Faults that operators of similar systems met, on real processes with stand-ins."""
+
+import signal
+import threading
+import time
+import unittest
+from http.client import HTTPConnection
+
+from standins.fleet import VIRTUAL_HOST, Fleet, call, configuration, event_ids
+
+
+class OperatorFaultsTest(unittest.TestCase):
+    def set_fault(self, fleet: Fleet, kind: str, **faults) -> None:
+        """Make every server of a kind, ``engine`` or ``desk``, fail at given rates."""
+        for name in fleet.server_names:
+            if name.startswith(kind):
+                fleet.send_command("trouble", name, trouble=faults)
+
+    def test_second_copy_of_a_response_on_a_reused_connection(self):
+        """Each response is preceded by a copy of the one before on its connection."""
+        with Fleet(engines=1, plain_servers=1, entries=1, subnet="1.20") as fleet:
+            self.set_fault(fleet, "desk", double=1.0)
+            for number in range(12):
+                attempt = f"copy-{number}"
+                response = call(
+                    fleet.instances[0], "/look/x", attempt, method="GET", body=b""
+                )
+                self.assertEqual(response.status, 200)
+                self.assertEqual(response.headers["x-response-seal"], f"seal.{attempt}")
+                self.assertTrue(response.body.startswith(attempt.encode()))
+
+    def test_requests_accepted_just_before_a_planned_stop_are_answered(self):
+        with Fleet(engines=2, plain_servers=1, entries=2, subnet="1.21") as fleet:
+            entry = fleet.instances[0]
+            responses = {}
+
+            def send(caller: int) -> None:
+                number = 0
+                while entry.process.poll() is None:
+                    number += 1
+                    attempt = f"s{caller}-{number}"
+                    if caller % 2:
+                        response = call(entry, "/book/x", attempt)
+                    else:
+                        response = call(entry, "/chat/x", attempt, tokens="1000,8")
+                    responses[attempt] = response
+
+            threads = [threading.Thread(target=send, args=(n,)) for n in range(8)]
+            for thread in threads:
+                thread.start()
+            time.sleep(1.0)
+            entry.process.send_signal(signal.SIGTERM)
+            self.assertEqual(entry.process.wait(12), 0)
+            for thread in threads:
+                thread.join()
+            ran = {run["attempt"] for run in fleet.runs()}
+            statuses = [response.status for response in responses.values()]
+            self.assertGreater(statuses.count(200), 50)
+            # a connection may be refused, or closed unread, when the process ends
+            for attempt, response in responses.items():
+                if response.status or attempt in ran:
+                    self.assertIn(response.status, (200, 503))
+                    self.assertTrue(response.is_complete)
+
+    def test_slow_stream_is_not_cut(self):
+        """Events are 0.5 s apart; a stream counts as lost after 0.8 s."""
+        with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.22") as fleet:
+            self.set_fault(fleet, "engine", slow=1.0)
+            response = call(fleet.instances[0], "/chat/x", "slow", tokens="1000,6")
+            self.assertEqual(event_ids(response), [1, 2, 3, 4, 5, 6])
+            self.assertTrue(response.is_complete)
+            self.assertEqual(len(fleet.runs()), 1)
+
+    def test_stalled_stream_that_trickles_is_ended(self):
+        with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.23") as fleet:
+            fleet.send_command("trouble", "engine-0", trouble={"trickle": 1.0})
+            for number in range(4):
+                response = call(
+                    fleet.instances[0], "/chat/x", f"t{number}", tokens="1000,3"
+                )
+                self.assertEqual(event_ids(response), [1, 2, 3])
+            self.set_fault(fleet, "engine", trickle=1.0)
+            started = time.monotonic()
+            response = call(
+                fleet.instances[0], "/chat/x", "all", tokens="1000,3", deadline_ms=3000
+            )
+            self.assertLess(time.monotonic() - started, 3.5)
+            self.assertNotEqual(response.status, 200)
+
+    def test_response_that_breaks_off_is_not_passed_on_as_complete(self):
+        with Fleet(engines=1, plain_servers=2, entries=1, subnet="1.24") as fleet:
+            entry = fleet.instances[0]
+            self.set_fault(fleet, "desk", half=1.0)
+            booking = call(entry, "/book/x", "half-book")
+            self.assertEqual(booking.status, 502)
+            self.assertEqual(len(fleet.runs()), 1)
+            self.set_fault(fleet, "engine", **{"break": 1.0})
+            stream = call(entry, "/chat/x", "half-chat", tokens="1000,5")
+            self.assertFalse(stream.status == 200 and stream.is_complete)
+
+    def test_work_of_a_server_that_stops_reporting_is_not_moved(self):
+        """The entry of the server disappears while it writes a stream."""
+        with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.25") as fleet:
+            responses = []
+            thread = threading.Thread(
+                target=lambda: responses.append(
+                    call(fleet.instances[0], "/chat/x", "quiet", tokens="1000,150")
+                )
+            )
+            thread.start()
+            time.sleep(0.5)
+            fleet.send_command("remove", fleet.runs()[0]["server"])
+            thread.join()
+            self.assertEqual(event_ids(responses[0]), list(range(1, 151)))
+            self.assertEqual(len(fleet.runs()), 1)
+
+    def test_suspended_process_does_not_act_on_a_revoked_key(self):
+        """A request with the key arrives before the process reads its revocation."""
+        with Fleet(engines=1, plain_servers=1, entries=2, subnet="1.26") as fleet:
+            entry = fleet.instances[0]
+            connection = HTTPConnection(entry.host, entry.front_port, timeout=8)
+            statuses = [self.book(connection, "before")]
+            entry.process.send_signal(signal.SIGSTOP)
+            self.send_booking(connection, "late")
+            fleet.put("keyed.op", "config", configuration(2, keys=("key-2",)))
+            time.sleep(3.0)
+            entry.process.send_signal(signal.SIGCONT)
+            response = connection.getresponse()
+            response.read()
+            statuses.append(response.status)
+            self.assertEqual(statuses, [200, 401])
+            self.assertEqual([run["attempt"] for run in fleet.runs()], ["before"])
+            self.assertEqual(self.book(connection, "after", "key-2"), 200)
+
+    def send_booking(self, connection, attempt: str, key: str = "key-1") -> None:
+        headers = {
+            "Host": VIRTUAL_HOST,
+            "X-Attempt-Id": attempt,
+            "X-Request-Deadline": "8000",
+            "Authorization": f"Bearer {key}",
+        }
+        connection.request("POST", "/book/x", b"x", headers)
+
+    def book(self, connection, attempt: str, key: str = "key-1") -> int:
+        self.send_booking(connection, attempt, key)
+        response = connection.getresponse()
+        response.read()
+        return response.status
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -6,12 +6,15 @@
 from briarrelay_core.ports.digest import SendDigest
 from briarrelay_core.ports.directory import (
     PeerAddress,
+    PollTopic,
     Topic,
     TopicChange,
     TopicFailed,
+    TopicPolled,
 )
 from briarrelay_core.ports.route import (
     AbortResponse,
+    CallerDisconnected,
     RelayEnd,
     RelayEvent,
     RelayFullResponse,
@@ -24,12 +27,16 @@
 )
 from briarrelay_core.reasons import RefusalReason
 from briarrelay_core.routes.budget import RetryLimits
+from briarrelay_core.routes.model import KeyHolder
 from properties.routeworld import (
     RouteWorld,
+    make_configuration,
     make_entry,
     start_response,
 )
 
+OTHER_HOLDER = KeyHolder(name="others", keys=("key-2",))
+
 
 class StreamTest(unittest.TestCase):
     def test_plain_response_to_a_resumed_stream_aborts_it(self):
@@ -209,7 +216,7 @@
         before = world.request("book", key="new-key")
         world.deliver(ProcessResumed(4.0))
         world.advance(0.3)
-        resumed = world.request("book", key="new-key")
+        resumed = world.request("book", key="new-key") + world.advance(0.3)
         world.deliver_changes(Topic.CONFIGURATION)
         world.advance(0.3)
         after = world.request("book", key="new-key")
@@ -226,6 +233,44 @@
             ],
         )
 
+    def test_request_is_held_until_the_store_confirms_what_it_allows(self):
+        """The configuration without the key arrives with the response to the check."""
+        world = RouteWorld()
+        polls = world.of_type(world.deliver(ProcessResumed(4.0)), PollTopic)
+        self.assertEqual(
+            {poll.topic for poll in polls}, {Topic.CONFIGURATION, Topic.SERVERS}
+        )
+        effects = world.request("book")
+        revoked = TopicChange("config", make_configuration(2, holders=(OTHER_HOLDER,)))
+        effects += world.deliver(TopicPolled(Topic.SERVERS, ()))
+        self.assertEqual(world.forwards(effects), [])
+        effects = world.deliver(TopicPolled(Topic.CONFIGURATION, (revoked,)))
+        answer = world.of_type(effects, SendErrorResponse)[0]
+        self.assertEqual(answer.outcome.reason, RefusalReason.UNAUTHORIZED)
+
+    def test_held_request_keeps_its_deadline_and_is_served_without_the_store(self):
+        world = RouteWorld()
+        world.deliver(ProcessResumed(4.0))
+        self.assertEqual(world.forwards(world.request("book", time_limit_s=2.0)), [])
+        forward = world.forwards(world.advance(0.5))[0]
+        self.assertAlmostEqual(forward.time_limit_s, 1.6, places=2)
+
+    def test_pause_without_activity_counts_as_a_suspension(self):
+        """The clock goes on while the process is stopped by a signal."""
+        world = RouteWorld()
+        world.advance(1.0)
+        world.now += 3.0
+        effects = world.request("book")
+        self.assertEqual(len(world.of_type(effects, PollTopic)), 2)
+        self.assertEqual(world.forwards(effects), [])
+
+    def test_held_request_of_a_caller_that_left_is_dropped(self):
+        world = RouteWorld()
+        world.deliver(ProcessResumed(4.0))
+        world.request("book")
+        world.deliver(CallerDisconnected(1))
+        self.assertEqual(world.forwards(world.advance(1.0)), [])
+
 
 class ManyPeersTest(unittest.TestCase):
     def test_every_peer_gets_digests_and_each_send_has_few_receivers(self):
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -14,6 +14,8 @@
 REGISTRATION_INTERVAL_S = 0.4
 EVENT_INTERVAL_S = 0.02
 FLOOD_INTERVAL_S = 0.002
+SLOW_INTERVAL_S = 0.5
+TRICKLE_INTERVAL_S = 0.1
 PAUSE_S = 1.0
 
 
@@ -27,6 +29,7 @@
         self.exchange = exchange
         self.attempt = attempt
         self.next_event = first_event
+        self.interval_s = EVENT_INTERVAL_S
 
 
 class ServerStandIn:
@@ -34,9 +37,10 @@
 
     :ivar announces_leaving: every response says that the server is shutting down.
     :ivar paused_at: times at which it asked for a pause of PAUSE_S.
+    :ivar last_replies: the last complete reply on each connection.
     :ivar fault_rates: probability of each fault (``shed``, ``pause``, ``cut``,
-        ``mute``, ``error``, ``flood`` for each request, ``break`` for each event of a
-        stream).
+        ``mute``, ``error``, ``flood``, ``half`` and ``double`` for each request,
+        ``slow`` and ``trickle`` for each stream, ``break`` for each of its events).
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         self.is_silent = False
         self.announces_leaving = False
         self.paused_at: list[float] = []
+        self.last_replies: dict[object, bytes] = {}
         self.started_at_ms = int(time.time() * 1000)
         self.running: list[RunningStream] = []
         self.reservations: dict[str, float] = {}
@@ -106,6 +111,10 @@
             exchange.abort()
         elif self.draw_fault("mute"):
             return
+        elif self.draw_fault("half"):
+            exchange.begin(200, headers)
+            exchange.send(attempt.encode())
+            self.loop.call_later(EVENT_INTERVAL_S, exchange.abort)
         elif self.draw_fault("flood"):
             kind = b"text/event-stream" if exchange.header("x-token-counts") else b"a/b"
             exchange.begin(200, [(b"Content-Type", kind), *headers])
@@ -117,9 +126,21 @@
         else:
             body = f"{attempt} {self.name}".encode() * 20
             self.loop.call_later(
-                EVENT_INTERVAL_S, lambda: exchange.reply(200, headers, body)
+                EVENT_INTERVAL_S, lambda: self.reply(exchange, headers, body)
             )
 
+    def reply(self, exchange, headers: list, body: bytes) -> None:
+        """Send a complete reply, perhaps after a second copy of the one before."""
+        if not exchange.is_open:
+            return
+        connection = exchange._connection
+        if self.draw_fault("double") and connection in self.last_replies:
+            connection.write(self.last_replies[connection])
+        lines = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body)]
+        lines += [name + b": " + value for name, value in headers]
+        self.last_replies[connection] = b"\r\n".join([*lines, b"", b""]) + body
+        exchange.reply(200, headers, body)
+
     def flood(self, exchange) -> None:
         """Send bytes that complete no event and no body, until the caller closes."""
         if exchange.is_open:
@@ -132,8 +153,19 @@
         self.running.append(run)
         count = int(exchange.header("x-token-counts").split(",")[1])
         exchange.begin(200, [(b"Content-Type", b"text/event-stream"), *headers])
+        if self.draw_fault("slow"):
+            run.interval_s = SLOW_INTERVAL_S
+        if self.draw_fault("trickle"):
+            self.trickle(run)
+            return
         self.loop.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
 
+    def trickle(self, run: RunningStream) -> None:
+        """Send a byte now and then that completes no event."""
+        if run in self.running and run.exchange.is_open:
+            run.exchange.send(b":")
+            self.loop.call_later(TRICKLE_INTERVAL_S, lambda: self.trickle(run))
+
     def send_event(self, run: RunningStream, count: int) -> None:
         if run not in self.running:
             return
@@ -157,7 +189,7 @@
             self.running.remove(run)
             run.exchange.end()
         else:
-            self.loop.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
+            self.loop.call_later(run.interval_s, lambda: self.send_event(run, count))
 
     def on_disconnect(self, exchange) -> None:
         self.running = [r for r in self.running if r.exchange is not exchange]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -38,7 +38,7 @@
     RouteRequest,
     ServerAnnouncement,
 )
-from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import AUDIT_STREAM, Recorder
 from briarrelay_core.routes.budget import RetryLimits, ServiceRetryBudget
 from briarrelay_core.routes.controller import RequestController
@@ -48,6 +48,7 @@
 from briarrelay_core.routes.peers import PeerExchange
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.responses import ResponseHandler
+from briarrelay_core.routes.resumption import MAX_HOLD_S, ResumptionGuard
 from briarrelay_core.routes.selection import ServerSelector
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.updates import UpdateHandler
@@ -58,6 +59,10 @@
 CHECK_PERIOD_S = 0.1
 """Seconds between checks for overdue requests and silent servers."""
 
+MAX_INACTIVE_S = 1.0
+"""Seconds without any activity after which the process counts as having been suspended;
+checks run every 0.1 s."""
+
 RECORD_PERIOD_S = 5.0
 """Seconds between appends of the audit record, in batches; each append is charged."""
 
@@ -93,6 +98,8 @@
     peers: PeerExchange = field(init=False)
     updates: UpdateHandler = field(init=False)
     stopping: GracefulStop = field(init=False)
+    resumption: ResumptionGuard = field(init=False)
+    _active_at: float | None = None
 
     def __attrs_post_init__(self):
         identity = self.identity
@@ -137,6 +144,7 @@
             self.news_s,
             self.outbox.on_log_returned,
         )
+        self.resumption = ResumptionGuard(self.updates.followers)
         self.stopping = GracefulStop(
             self.controller,
             self.peers,
@@ -169,11 +177,41 @@
 
     def handle(self, message, now: float) -> list:
         """Handle a message from the driver; return effects to carry out."""
-        return self._add_pending(self._dispatch(message, now), now)
+        effects = self._check_suspension(now)
+        effects += self._dispatch(message, now)
+        return self._add_pending(effects, now)
 
     def run_timers(self, now: float) -> list:
         """Run the timers that are due; return effects to carry out."""
-        return self._add_pending(self.timers.run_due(now), now)
+        effects = self._check_suspension(now)
+        effects += self.timers.run_due(now)
+        return self._add_pending(effects, now)
+
+    def _check_suspension(self, now: float) -> list:
+        """Detect that the process was suspended while its clock went on."""
+        inactive_s = now - self._active_at if self._active_at is not None else 0.0
+        self._active_at = now
+        return self._on_resumed(inactive_s, now) if inactive_s > MAX_INACTIVE_S else []
+
+    def _on_resumed(self, suspended_s: float, now: float) -> list:
+        fields = (("stood_s", f"{suspended_s:.2f}"),)
+        self.updates.mark_stale()
+        self.updates.update_staleness(now)
+        self.timers.at(now + MAX_HOLD_S, self._end_hold)
+        return [
+            LogEvent("warning", "woke_up", fields=fields),
+            *self.resumption.begin(),
+        ]
+
+    def _end_hold(self, now: float) -> list:
+        self.resumption.give_up()
+        return self._release_held(now)
+
+    def _release_held(self, now: float) -> list:
+        effects = []
+        for request in self.resumption.pop_released(now):
+            effects += self.controller.on_request(request, now)
+        return effects
 
     def _add_pending(self, effects: list, now: float) -> list:
         """Append queued memory releases, and a digest if load or servers changed."""
@@ -211,6 +249,9 @@
 
     @_dispatch.register
     def _(self, message: RouteRequest, now: float) -> list:
+        if self.resumption.is_active:
+            self.resumption.hold(message, now)
+            return [IncrementCounter("route.held")]
         return self.controller.on_request(message, now)
 
     @_dispatch.register
@@ -219,6 +260,8 @@
 
     @_dispatch.register
     def _(self, message: CallerDisconnected, now: float) -> list:
+        if self.resumption.discard(message.request_id):
+            return [IncrementCounter("route.caller_gone")]
         return self.controller.on_caller_disconnected(message, now)
 
     @_dispatch.register
@@ -265,7 +308,9 @@
 
     @_dispatch.register
     def _(self, message: TopicPolled, now: float) -> list:
-        return self.updates.on_polled(message, now)
+        effects = self.updates.on_polled(message, now)
+        self.resumption.confirm(message.topic)
+        return effects + self._release_held(now)
 
     @_dispatch.register
     def _(self, message: TopicExpired, now: float) -> list:
@@ -318,7 +363,4 @@
 
     @_dispatch.register
     def _(self, message: ProcessResumed, now: float) -> list:
-        fields = (("stood_s", f"{message.suspended_s:.2f}"),)
-        self.updates.mark_stale()
-        self.updates.update_staleness(now)
-        return [LogEvent("warning", "woke_up", fields=fields)]
+        return self._on_resumed(message.suspended_s, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -215,6 +215,7 @@
         if message.generation != follower.generation:
             return effects
         follower.on_polled(now)
+        self.update_staleness(now)
         return effects + self._apply(message.topic, list(message.changes), "store", now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/reactor.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/reactor.py
@@ -29,6 +29,7 @@
 
     :param clock: returns the time in seconds.
     :ivar timers: timers on this clock; what their callbacks return is ignored.
+    :ivar before_events: called before the events of each loop iteration.
     """
 
     channel = "wire"
@@ -40,6 +41,7 @@
         self._epoll = select.epoll()
         self._callbacks: dict[int, Callable[[int], None]] = {}
         self._deferred: list[Callable[[], None]] = []
+        self.before_events: Callable[[], None] = lambda: None
 
     def attach(self, poller: BasePoller) -> None:
         """Register the epoll set with a circuits poller."""
@@ -91,6 +93,7 @@
 
     @handler("_read")
     def _on_ready(self, _) -> None:
+        self.before_events()
         for fileno, events in self._epoll.poll(0, MAX_EVENTS_PER_ITERATION):
             callback = self._callbacks.get(fileno)
             if callback is not None:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -36,8 +36,8 @@
 SHUTDOWN_DELAY_S = 0.15
 """Seconds from the last request to the exit, in which final responses are sent."""
 
-SUSPEND_CHECK_S = 0.5
-"""Seconds between checks for a suspension, and for changed limits of callers."""
+LIMITS_CHECK_S = 0.5
+"""Seconds between checks for changed limits of callers."""
 
 MIN_SUSPEND_S = 0.3
 """Shortest suspension after which the core is notified that its state may be stale."""
@@ -86,10 +86,9 @@
             CloseIdleConnections, lambda _: self.routes.server.close_idle()
         )
         self._last_suspended_s = _suspended_s()
+        self.reactor.before_events = self._check_suspension
         self.reactor.timers.every(
-            SUSPEND_CHECK_S,
-            self._check_suspension_and_limits,
-            clock() + SUSPEND_CHECK_S,
+            LIMITS_CHECK_S, self._apply_limits, clock() + LIMITS_CHECK_S
         )
         self._reloader = SettingsReloader(self.host, settings, source)
         self._stop_event = eventfd(0)
@@ -107,13 +106,16 @@
         is_ready = self.host.core.is_ready
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
-    def _check_suspension_and_limits(self, _: float) -> list:
-        """Notify the core of a suspension, and apply the configured limits."""
+    def _check_suspension(self) -> None:
+        """Notify the core of a suspension, before it handles other messages."""
         total_s = _suspended_s()
         suspended_s = total_s - self._last_suspended_s
         self._last_suspended_s = total_s
         if suspended_s > MIN_SUSPEND_S:
             self.host.dispatch(ProcessResumed(suspended_s))
+
+    def _apply_limits(self, _: float) -> list:
+        """Apply the configured limits of callers' requests."""
         server = self.routes.server
         configuration = self.host.core.controller.admission.configuration
         if configuration is not None:
