Keep sums of peers' loads, and compare a sample of many servers

Cause: each decision added up the loads of all peers for every server, built and compared a candidate for each, and a waiting prompt did so every 0.1 s; each digest compared the versions of all peers. Change: peers' loads are summed when a digest changes them (compared with a plain sum by a property), 64 servers are compared, half of them local, chosen by instance and request, and all if none of these has room; a query of a peer that is ahead is scheduled when its digest says so.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -2,8 +2,11 @@
 
 import unittest
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from briarrelay_core.ports.control import DrainRequested, ExitProcess, ProcessResumed
-from briarrelay_core.ports.digest import SendDigest
+from briarrelay_core.ports.digest import LoadDigest, SendDigest, ServerLoad
 from briarrelay_core.ports.directory import (
     PeerAddress,
     PollTopic,
@@ -27,14 +30,27 @@
 )
 from briarrelay_core.reasons import RefusalReason
 from briarrelay_core.routes.budget import RetryLimits
+from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.model import KeyHolder
 from properties.routeworld import (
     RouteWorld,
+    engine_names,
     make_configuration,
     make_entry,
     start_response,
 )
 
+
+class CountingLoadTable(LoadTable):
+    """Counts how often the load of a server is read."""
+
+    __slots__ = ("count",)
+
+    def of(self, server: str, now: float) -> ServerLoad:
+        self.count += 1
+        return super().of(server, now)
+
+
 OTHER_HOLDER = KeyHolder(name="others", keys=("key-2",))
 
 
@@ -272,6 +288,100 @@
         self.assertEqual(world.forwards(world.advance(1.0)), [])
 
 
+class PeerLoadTest(unittest.TestCase):
+    """The sum of the loads that peers report, compared with a plain sum."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abc"),
+                st.dictionaries(
+                    st.sampled_from(["s1", "s2", "s3"]),
+                    st.builds(
+                        ServerLoad,
+                        read_s=st.sampled_from([0.0, 0.2, 3.0]),
+                        lead_requests=st.integers(0, 3),
+                        helper_requests=st.integers(0, 2),
+                        tokens=st.integers(0, 9_000),
+                        streams=st.sampled_from([(), ((0.2, 1.0),), ((0.8, 2.5),)]),
+                    ),
+                ),
+                st.sampled_from([0.0, 0.1, 0.7, 1.6]),
+                st.booleans(),
+            ),
+            max_size=14,
+        )
+    )
+    def test_sum_equals_that_over_the_newest_digests(self, steps):
+        table, newest, now = LoadTable(), {}, 100.0
+        for number, (peer, loads, seconds, is_forgotten) in enumerate(steps):
+            now += seconds
+            if is_forgotten:
+                table.forget_peer(peer)
+                newest.pop(peer, None)
+            else:
+                sender = PeerAddress(
+                    name=peer, host=peer, question_port=1, digest_port=2
+                )
+                digest = LoadDigest(
+                    sender=sender, incarnation=1, number=number, version=1, loads=loads
+                )
+                table.apply_digest(digest, now)
+                newest[peer] = (loads, now)
+            for server in ("s1", "s2", "s3"):
+                self.check_sum(table.of(server, now), server, newest, now)
+
+    def check_sum(self, total: ServerLoad, server: str, newest: dict, now: float):
+        current = [
+            (loads[server], now - at)
+            for loads, at in newest.values()
+            if server in loads and now - at <= 1.5
+        ]
+        read_s = sum(max(0.0, load.read_s - age) for load, age in current)
+        self.assertAlmostEqual(total.read_s, read_s)
+        for name in ("lead_requests", "helper_requests", "tokens"):
+            expected = sum(getattr(load, name) for load, _ in current)
+            self.assertEqual(getattr(total, name), expected)
+        weights = {}
+        for load, _ in current:
+            for limit, weight in load.streams:
+                weights[limit] = weights.get(limit, 0.0) + weight
+        self.assertEqual(dict(total.streams), weights)
+
+
+class SampleTest(unittest.TestCase):
+    """Placement among many engines."""
+
+    def test_placement_compares_a_bounded_number_of_engines(self):
+        world = RouteWorld(engines=200)
+        load = CountingLoadTable()
+        world.instance.controller.selector.load = load
+        for tokens in (5_000, 300_000):
+            load.count = 0
+            effects = world.request("file", prompt_tokens=tokens, time_limit_s=15.0)
+            self.assertEqual(len(world.forwards(effects)), 1)
+            self.assertLessEqual(load.count, 64)
+
+    def test_instances_choose_different_engines_from_the_same_load(self):
+        """Many instances decide before they receive each other's digests."""
+        leads = set()
+        for number in range(40):
+            world = RouteWorld(engines=200)
+            world.instance.controller.selector.name = f"entry-{number}"
+            leads.add(world.forwards(world.request("chat"))[0].server)
+        self.assertGreater(len(leads), 30)
+
+    def test_engine_outside_the_sample_is_found_if_the_others_are_full(self):
+        world = RouteWorld(engines=200)
+        load = world.instance.controller.load
+        names = engine_names(world)
+        for number, name in enumerate(names[:-1]):
+            for slot in range(8):
+                load.add(10_000 + 8 * number + slot, name, world.now)
+        forward = world.forwards(world.request("chat"))[0]
+        self.assertEqual(forward.server, names[-1])
+
+
 class ManyPeersTest(unittest.TestCase):
     def test_every_peer_gets_digests_and_each_send_has_few_receivers(self):
         world = RouteWorld()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -52,12 +52,73 @@
 
 
 def _merge_streams(streams: tuple, added: tuple) -> tuple:
+    if not streams or not added:
+        return streams or added
     merged = dict(streams)
     for limit, weight in added:
         merged[limit] = merged.get(limit, 0.0) + weight
     return tuple(merged.items())
 
 
+@define(slots=True, eq=False)
+class _PeerSum:
+    """Sum of the loads that peers reported for one server.
+
+    :param loads: load reported by each peer.
+    :param reads: by peer, the seconds of reading that it reported and when; only peers
+        that reported any.
+    :ivar _total: sum of `loads` without the reading, None after a change.
+    """
+
+    loads: dict[str, ServerLoad] = field(factory=dict)
+    reads: dict[str, tuple[float, float]] = field(factory=dict)
+    _total: ServerLoad | None = None
+
+    def set(self, peer: str, load: ServerLoad, now: float) -> None:
+        """Replace the load that a peer reported."""
+        self.loads[peer] = load
+        self._total = None
+        if load.read_s > 0:
+            self.reads[peer] = (load.read_s, now)
+        else:
+            self.reads.pop(peer, None)
+
+    def remove(self, peer: str) -> None:
+        """Remove the load that a peer reported."""
+        del self.loads[peer]
+        self.reads.pop(peer, None)
+        self._total = None
+
+    def added_to(self, own: ServerLoad, now: float) -> ServerLoad:
+        """Return the sum of this instance's load and those of peers."""
+        total = self._total
+        if total is None:
+            total = self._total = self._sum()
+        if own is NO_LOAD and not self.reads:
+            return total
+        read_s = own.read_s
+        for reported_s, received_at in self.reads.values():
+            read_s += max(0.0, reported_s - (now - received_at))
+        return ServerLoad(
+            read_s,
+            own.lead_requests + total.lead_requests,
+            own.helper_requests + total.helper_requests,
+            own.tokens + total.tokens,
+            _merge_streams(own.streams, total.streams),
+        )
+
+    def _sum(self) -> ServerLoad:
+        leads = helpers = tokens = 0
+        streams: dict[float, float] = {}
+        for load in self.loads.values():
+            leads += load.lead_requests
+            helpers += load.helper_requests
+            tokens += load.tokens
+            for limit, weight in load.streams:
+                streams[limit] = streams.get(limit, 0.0) + weight
+        return ServerLoad(0.0, leads, helpers, tokens, tuple(streams.items()))
+
+
 @define(slots=True)
 class LoadTable:
     """Load of every server, summed over this instance and its peers.
@@ -66,15 +127,18 @@
         notified.
     :ivar is_urgent: whether a long read was added, which must be announced to peers
         before they send more requests to its server.
-    :ivar _peers: by server and peer name, the peer's load there and when it was
-        received.
+    :ivar _peer_sums: loads that peers reported, by server.
     :ivar _digest_servers: servers in the last digest of each peer.
+    :ivar _received_at: time of the last digest of each peer.
+    :ivar _next_expiry: earliest time at which a digest may become too old.
     """
 
     _by_attempt: dict[int, list[AttemptLoad]] = field(factory=dict)
     _by_server: dict[str, list[AttemptLoad]] = field(factory=dict)
-    _peers: dict[str, dict[str, tuple[ServerLoad, float]]] = field(factory=dict)
+    _peer_sums: dict[str, _PeerSum] = field(factory=dict)
     _digest_servers: dict[str, tuple[str, ...]] = field(factory=dict)
+    _received_at: dict[str, float] = field(factory=dict)
+    _next_expiry: float = float("inf")
     is_changed: bool = False
     is_urgent: bool = False
 
@@ -131,18 +195,38 @@
     def apply_digest(self, digest: LoadDigest, now: float) -> None:
         """Replace the load that a peer reported by that in its new digest."""
         name = digest.sender.name
-        self.forget_peer(name)
+        sums = self._peer_sums
+        for server in self._digest_servers.get(name, ()):
+            if server not in digest.loads:
+                self._remove_peer_load(server, name)
         for server, load in digest.loads.items():
-            self._peers.setdefault(server, {})[name] = (load, now)
+            known = sums.get(server)
+            if known is None:
+                known = sums[server] = _PeerSum()
+            known.set(name, load, now)
         self._digest_servers[name] = tuple(digest.loads)
+        self._received_at[name] = now
+        self._next_expiry = min(self._next_expiry, now + PEER_STALE_S)
+
+    def _remove_peer_load(self, server: str, peer: str) -> None:
+        known = self._peer_sums[server]
+        known.remove(peer)
+        if not known.loads:
+            del self._peer_sums[server]
 
     def forget_peer(self, name: str) -> None:
         """Remove the load reported by a peer, as when it has stopped."""
         for server in self._digest_servers.pop(name, ()):
-            server_peers = self._peers[server]
-            del server_peers[name]
-            if not server_peers:
-                del self._peers[server]
+            self._remove_peer_load(server, name)
+        self._received_at.pop(name, None)
+
+    def _expire_digests(self, now: float) -> None:
+        """Forget the digests that are too old."""
+        outdated = [n for n, at in self._received_at.items() if now - at > PEER_STALE_S]
+        for name in outdated:
+            self.forget_peer(name)
+        oldest = min(self._received_at.values(), default=float("inf"))
+        self._next_expiry = oldest + PEER_STALE_S
 
     def reading_s(self, server: str, now: float) -> float:
         """Return seconds for which a server may be silent because it is reading.
@@ -180,17 +264,9 @@
 
     def of(self, server: str, now: float) -> ServerLoad:
         """Return the load of a server, summed over this instance and its peers."""
+        if now > self._next_expiry:
+            self._expire_digests(now)
         loads = self._by_server.get(server)
-        total = self._sum_loads(loads, now) if loads else NO_LOAD
-        for load, received_at in self._peers.get(server, {}).values():
-            age = now - received_at
-            if age > PEER_STALE_S:
-                continue
-            total = ServerLoad(
-                total.read_s + max(0.0, load.read_s - age),
-                total.lead_requests + load.lead_requests,
-                total.helper_requests + load.helper_requests,
-                total.tokens + load.tokens,
-                _merge_streams(total.streams, load.streams),
-            )
-        return total
+        own = self._sum_loads(loads, now) if loads else NO_LOAD
+        known = self._peer_sums.get(server)
+        return own if known is None else known.added_to(own, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -101,7 +101,8 @@
     :ivar _digest_number: sequence number of the last digest.
     :ivar _last_remote_at: time of the last digest to remote peers.
     :ivar _is_remote_pending: the last digest was not sent to remote peers.
-    :ivar _behind_since: time since which a peer has had newer configuration or presets.
+    :ivar _is_query_scheduled: a peer had a newer configuration or newer presets, and
+        will be queried unless the store is faster.
     """
 
     address: PeerAddress
@@ -120,7 +121,7 @@
     _is_send_scheduled: bool = False
     _last_remote_at: float = float("-inf")
     _is_remote_pending: bool = False
-    _behind_since: float | None = None
+    _is_query_scheduled: bool = False
 
     @property
     def instances(self) -> int:
@@ -182,7 +183,8 @@
         for report in digest.gone:
             effects += self.servers.apply_peer_gone(report, now)
         self.pauses.apply_peer_pauses(digest.paused, now)
-        return effects + self._query_if_behind(now)
+        self._check_behind(peer, now)
+        return effects
 
     def rank(self, now: float) -> int:
         """Return the number of peers with a recent digest whose names sort first."""
@@ -248,7 +250,10 @@
     def _receivers(self, now: float) -> list[_Peer]:
         """Return the receivers of the next digest; remote peers get fewer digests."""
         local = self._local_peers()
-        remote = [p for p in self._peers.values() if p not in local]
+        own_data_centre = self.address.data_centre
+        remote = [
+            p for p in self._peers.values() if p.address.data_centre != own_data_centre
+        ]
         remote = self._rotate(remote)
         if now - self._last_remote_at < REMOTE_SPACING_PER_PEER_S * len(remote) - 1e-6:
             self._is_remote_pending = bool(remote)
@@ -311,19 +316,19 @@
             self.on_changed(now)
         return [SendDigest(digest, peers)]
 
+    def _check_behind(self, peer: _Peer, now: float) -> None:
+        """Schedule a query if a peer is ahead, unless one is scheduled."""
+        if not self._is_query_scheduled and self._is_ahead(peer):
+            self._is_query_scheduled = True
+            self.timers.at(now + QUERY_DELAY_S, self._query_if_behind)
+
     def _query_if_behind(self, now: float) -> list:
-        """Query the most up-to-date peer if peers have been ahead for too long."""
+        """Query the most up-to-date peer if peers are still ahead."""
+        self._is_query_scheduled = False
         ahead = [p for p in self._peers.values() if self._is_ahead(p)]
         if not ahead:
-            self._behind_since = None
             return []
         newest = max(ahead, key=lambda peer: (peer.version, peer.presets))
-        if self._behind_since is None:
-            self._behind_since = now
-            self.timers.at(now + QUERY_DELAY_S, self._query_if_behind)
-        if now - self._behind_since < QUERY_DELAY_S - 1e-3:
-            return []
-        self._behind_since = None
         return [QueryPeer(newest.address)]
 
     def _is_ahead(self, peer: _Peer) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -1,6 +1,8 @@
 """Selects the server for a request by the load and health of each server."""
 
-from attrs import define
+from math import gcd
+
+from attrs import define, field
 
 from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.routes.load import LoadTable
@@ -22,6 +24,13 @@
 """Smallest target in seconds for the first event of a prompt; used when its own target
 has passed."""
 
+SAMPLE_SIZE = 64
+"""Largest number of servers that are compared for a request at first; a prompt has up
+to 16 helpers, and the best of many samples is close to the best of all."""
+
+MAX_AFFINITIES = 4_096
+"""Number of remembered affinities, above which they are computed again."""
+
 QUEUE_FACTOR = 2
 """Requests in flight allowed per slot of a plain service; its servers queue those that
 exceed their slots."""
@@ -33,6 +42,7 @@
 
     :param name: name of this instance.
     :param data_centre: data centre of this instance.
+    :ivar _affinity_distances: computed distances, by server.
     """
 
     name: str
@@ -40,6 +50,16 @@
     servers: ServerTable
     load: LoadTable
     observations: ServerObservations
+    _affinity_distances: dict[str, float] = field(factory=dict)
+
+    def _affinity_distance(self, server: str) -> float:
+        """Return a number in [0, 1) that is small if this instance prefers a server."""
+        known = self._affinity_distances.get(server)
+        if known is None:
+            if len(self._affinity_distances) >= MAX_AFFINITIES:
+                self._affinity_distances.clear()
+            known = self._affinity_distances[server] = unit_hash(self.name, server)
+        return known
 
     def candidates(self, routed: RoutedRequest, now: float) -> list[KnownServer]:
         """Return the servers that may get a request.
@@ -48,27 +68,10 @@
         reachable data centres are preferred, first those without a pause for a peer,
         then other healthy servers, then unhealthy ones.
         """
+        usable, untried, healthy = self._filter(routed, now)
+        suspects = self._suspect_data_centres(healthy, now)
+        reachable = [s for s in healthy if s.entry.data_centre not in suspects]
         pauses = self.observations.pauses
-        usable = [
-            server
-            for server in self.servers.of_service(routed.service, now)
-            if not pauses.is_paused(server.entry.name, now)
-        ]
-        skipped = routed.excluded.union(routed.tried)
-        untried = [s for s in usable if s.entry.name not in skipped]
-        request_id = str(routed.request.request_id)
-        healthy = [
-            server
-            for server in untried
-            if self.observations.health.admits(server.entry.name, request_id, now)
-        ]
-        reachable = [
-            server
-            for server in healthy
-            if not self.observations.reachability.is_suspect(
-                server.entry.data_centre, now
-            )
-        ]
         preferred = [
             server
             for server in reachable
@@ -76,8 +79,35 @@
         ]
         if healthy:
             return preferred or reachable or healthy
+        skipped = routed.excluded or routed.tried
         return untried if skipped or len(untried) == len(usable) else usable
 
+    def _filter(
+        self, routed: RoutedRequest, now: float
+    ) -> tuple[list[KnownServer], list[KnownServer], list[KnownServer]]:
+        """Return the usable servers, the untried ones, and the healthy ones of these."""
+        pauses = self.observations.pauses
+        health = self.observations.health
+        skipped = routed.excluded.union(routed.tried)
+        request_id = str(routed.request.request_id)
+        usable, untried, healthy = [], [], []
+        for server in self.servers.of_service(routed.service, now):
+            name = server.entry.name
+            if pauses.is_paused(name, now):
+                continue
+            usable.append(server)
+            if name in skipped:
+                continue
+            untried.append(server)
+            if health.admits(name, request_id, now):
+                healthy.append(server)
+        return usable, untried, healthy
+
+    def _suspect_data_centres(self, servers: list[KnownServer], now: float) -> set[str]:
+        reachability = self.observations.reachability
+        names = {server.entry.data_centre for server in servers}
+        return {name for name in names if reachability.is_suspect(name, now)}
+
     def resumes_in_s(
         self, routed: RoutedRequest, now: float, is_untried: bool = False
     ) -> float | None:
@@ -100,7 +130,33 @@
     def choose(
         self, routed: RoutedRequest, known: list[KnownServer], now: float
     ) -> Placement | None:
-        """Return the placement of a request on known servers, None if none has room."""
+        """Return the placement of a request on known servers, None if none has room.
+
+        Of many servers, a sample is compared first, and all if none of it has room. The
+        cost of a decision is then bounded, and instances that decide at the same moment
+        compare different servers instead of all choosing the same one.
+        """
+        sample = self._sample(routed, known)
+        placement = self._choose(routed, sample, now)
+        if placement is None and len(sample) < len(known):
+            return self._choose(routed, known, now)
+        return placement
+
+    def _sample(
+        self, routed: RoutedRequest, known: list[KnownServer]
+    ) -> list[KnownServer]:
+        """Return at most `SAMPLE_SIZE` servers, half of them of this data centre."""
+        if len(known) <= SAMPLE_SIZE:
+            return known
+        local = [s for s in known if s.entry.data_centre == self.data_centre]
+        remote = [s for s in known if s.entry.data_centre != self.data_centre]
+        seed = unit_hash(self.name, routed.request.request_id, len(routed.tried))
+        chosen = _pick(local, SAMPLE_SIZE // 2, seed)
+        return chosen + _pick(remote, SAMPLE_SIZE - len(chosen), seed)
+
+    def _choose(
+        self, routed: RoutedRequest, known: list[KnownServer], now: float
+    ) -> Placement | None:
         is_prompt = routed.is_prompt
         queue_factor = 1 if is_prompt else QUEUE_FACTOR
         candidates = [
@@ -110,7 +166,7 @@
                 server.entry.slots * queue_factor,
                 server.entry.data_centre == self.data_centre,
                 self.observations.slowdown.of(server.entry.name, now),
-                unit_hash(self.name, server.entry.name),
+                self._affinity_distance(server.entry.name),
             )
             for server in known
         ]
@@ -119,6 +175,21 @@
         return place_prompt(routed.profile, candidates, _make_prompt(routed, now))
 
 
+def _pick(servers: list[KnownServer], count: int, seed: float) -> list[KnownServer]:
+    """Return `count` of the servers, or all if there are fewer.
+
+    :param seed: in [0, 1); different seeds give different servers.
+    """
+    total = len(servers)
+    if total <= count:
+        return servers
+    # Steps of a length without a common divisor reach each server once.
+    start, step = int(seed * total), 1 + int(seed * total * 7_919) % (total - 1)
+    while gcd(step, total) > 1:
+        step += 1
+    return [servers[(start + index * step) % total] for index in range(count)]
+
+
 def is_too_large(routed: RoutedRequest, engines: int) -> bool:
     """Return whether a prompt exceeds the memory of a number of idle engines."""
     if not routed.is_prompt:
