Send digests and read the store less often in large deployments

Change: from 25 instances on, the spacing of digests grows up to twofold within and threefold between data centres (a reported load counts for 1.5 s; long reads are still announced at once), and so do the waits of reads that digests replace.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -17,7 +17,7 @@
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.timers import Timer, TimerService
 
-__all__ = ["TopicFollower"]
+__all__ = ["MAX_SKIP_S", "TopicFollower"]
 
 FIRST_BACKOFF_S = 0.15
 """Seconds before the first retry; the store responds within some milliseconds."""
@@ -35,8 +35,8 @@
 changes."""
 
 MAX_SKIP_S = 15.0
-"""Maximum seconds without a read of the topic by this instance; below the time for
-which the platform keeps records."""
+"""Seconds without a read of the topic by this instance after which it reads although
+peers report no changes."""
 
 
 @define(slots=True)
@@ -47,6 +47,7 @@
     :param wait_s: seconds that a long poll may wait for changes.
     :param read_delay_s: called with the offset of the next record and the time; returns
         the seconds for which reads by peers make a read unnecessary.
+    :param max_skip_s: seconds for which reads by peers replace own ones.
     :ivar is_listed: a listing has been completed.
     :ivar last_response_at: time of the platform's last response.
     :ivar failing_since: time of the first of the current consecutive failures, None
@@ -67,6 +68,7 @@
     pause_s: float
     wait_s: float
     read_delay_s: Callable[[int, float], float] | None = None
+    max_skip_s: float = MAX_SKIP_S
     is_listed: bool = False
     last_response_at: float = float("-inf")
     failing_since: float | None = None
@@ -190,7 +192,7 @@
         if self.read_delay_s is None:
             return self._send_request(now)
         delay_s = self.read_delay_s(self._next_offset, now)
-        if delay_s > 0 and now - self.last_response_at < MAX_SKIP_S:
+        if delay_s > 0 and now - self.last_response_at < self.max_skip_s:
             check_at = now + min(delay_s, PEER_CHECK_S)
             self._timer = self.timers.at(check_at, self._read_if_needed)
             return []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -61,6 +61,16 @@
 """Seconds for which the data read from the store may be older than a peer's before the
 peer is queried."""
 
+BASE_INSTANCES = 25
+"""Number of instances from which digests, and reads of the store that digests make
+less urgent, become rarer, so that their cost does not grow with the square of it."""
+
+MAX_SIZE_FACTOR = 3.0
+"""Largest factor by which they become rarer; a peer's load counts for 1.5 s."""
+
+MAX_LOCAL_FACTOR = 2.0
+"""The same for digests within the data centre."""
+
 MAX_RECEIVERS = 24
 """Maximum number of receivers of a digest, each for local and remote peers; bounds
 control traffic in large deployments."""
@@ -128,6 +138,11 @@
         """Number of known entry instances, including this one."""
         return 1 + sum(peer.last_digest_at is not None for peer in self._peers.values())
 
+    @property
+    def size_factor(self) -> float:
+        """Factor by which periodic work becomes rarer in a large deployment."""
+        return min(MAX_SIZE_FACTOR, max(1.0, self.instances / BASE_INSTANCES))
+
     def addresses(self) -> tuple[PeerAddress, ...]:
         """Return the addresses of all peers."""
         return tuple(peer.address for peer in self._peers.values())
@@ -237,7 +252,8 @@
             return []
         self._is_send_scheduled = True
         local = min(len(self._local_peers()), MAX_RECEIVERS)
-        spacing = max(MIN_SPACING_S, LOCAL_SPACING_PER_PEER_S * local)
+        factor = min(MAX_LOCAL_FACTOR, self.size_factor)
+        spacing = max(MIN_SPACING_S, factor * LOCAL_SPACING_PER_PEER_S * local)
         self.timers.at(max(now, self._last_sent_at + spacing), self._send_due)
         return []
 
@@ -255,7 +271,8 @@
             p for p in self._peers.values() if p.address.data_centre != own_data_centre
         ]
         remote = self._rotate(remote)
-        if now - self._last_remote_at < REMOTE_SPACING_PER_PEER_S * len(remote) - 1e-6:
+        spacing = self.size_factor * REMOTE_SPACING_PER_PEER_S * len(remote)
+        if now - self._last_remote_at < spacing - 1e-6:
             self._is_remote_pending = bool(remote)
             return self._rotate(local)
         self._last_remote_at = now
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -85,7 +85,7 @@
     def _filter(
         self, routed: RoutedRequest, now: float
     ) -> tuple[list[KnownServer], list[KnownServer], list[KnownServer]]:
-        """Return the usable servers, the untried ones, and the healthy ones of these."""
+        """Return the usable servers, the untried and the healthy ones among them."""
         pauses = self.observations.pauses
         health = self.observations.health
         skipped = routed.excluded.union(routed.tried)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -28,7 +28,7 @@
 from briarrelay_core.record.record import Entry
 from briarrelay_core.routes.admission import RouteAdmission
 from briarrelay_core.routes.controller import RequestController
-from briarrelay_core.routes.follower import TopicFollower
+from briarrelay_core.routes.follower import MAX_SKIP_S, TopicFollower
 from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.peers import PeerExchange
 from briarrelay_core.routes.presetrestorer import PresetRestorer
@@ -40,7 +40,9 @@
 __all__ = ["UpdateHandler"]
 
 CONFIGURATION_WAIT_S = 8.0
-"""Seconds that a long poll of the configuration waits; each read is charged."""
+"""Seconds that a long poll of the configuration waits; each read is charged. Multiplied
+by the size factor, since peers announce newer versions; below the store's limit of 30
+at its maximum."""
 
 READ_INTERVAL_FRACTION = 0.45
 """Interval between reads of the servers topic, as a fraction of the time within which a
@@ -48,7 +50,8 @@
 charged."""
 
 ENTRIES_PAUSE_S = 30.0
-"""Seconds between reads of the entries topic; digests announce new instances sooner."""
+"""Seconds between reads of the entries topic, multiplied by the size factor; digests
+announce new instances sooner."""
 
 PRESETS_WAIT_S = 25.0
 """Seconds that a long poll of the presets waits, below the store's limit of 30. Changes
@@ -278,6 +281,10 @@
     def update_staleness(self, now: float) -> None:
         """Update whether the configuration may be out of date."""
         follower = self.followers[Topic.CONFIGURATION]
+        factor = self.peers.size_factor
+        follower.wait_s = CONFIGURATION_WAIT_S * factor
+        self.followers[Topic.ENTRIES].pause_s = ENTRIES_PAUSE_S * factor
+        self.followers[Topic.SERVERS].max_skip_s = MAX_SKIP_S * factor
         self.admission.may_be_stale = follower.may_be_stale(now, STALE_AFTER_S)
 
     def _apply(
