--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -9,6 +9,7 @@
   briarrelay_bench relay-cost [--json]
   briarrelay_bench propagate [--json]
   briarrelay_bench control-cost [--instances N] [--engines N] [--json]
+  briarrelay_bench route-costs
   briarrelay_bench capacity
   briarrelay_bench table [--seeds LIST] [--duration S] [--jobs N]
   briarrelay_bench goals [--seeds LIST] [--duration S] [--jobs N] [--json]
@@ -53,6 +54,7 @@
 from briarrelay_bench.policytable import format_policies
 from briarrelay_bench.propagate import measure_propagation
 from briarrelay_bench.relay_cost import measure_relay_cost
+from briarrelay_bench.routecosts import format_route_costs
 from briarrelay_bench.routeexperiment import (
     ROUTE_DAYS,
     ROUTE_POLICIES,
@@ -142,6 +144,9 @@
     if options["settle"]:
         print(format_bench_comparison())
         return 0
+    if options["route-costs"]:
+        print(format_route_costs())
+        return 0
     if options["capacity"]:
         print(format_capacity(Size()))
         return 0
--- a/packages/briarrelay-bench/src/briarrelay_bench/unit_costs.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/unit_costs.py
@@ -30,7 +30,7 @@
 from briarrelay_daemon import peer_pb2
 from briarrelay_daemon.peercodec import decode_message, encode_message
 
-__all__ = ["UnitCost", "measure_unit_costs"]
+__all__ = ["UnitCost", "cpu_us", "measure_unit_costs"]
 
 ENGINES = 157
 REPEATS = 2_000
@@ -53,7 +53,11 @@
     bytes_sent: float = 0.0
 
 
-def _cpu_us(action: Callable[[int], object], repeats: int) -> float:
+def cpu_us(action: Callable[[int], object], repeats: int) -> float:
+    """Return the CPU time of a call in microseconds.
+
+    :param action: called with the number of the repeat, from 0.
+    """
     begin = process_time()
     for number in range(repeats):
         action(number)
@@ -93,7 +97,7 @@
     bodies = _claim_bodies(REPEATS)
     timed_fold, held_fold = ClaimFold(), ClaimFold()
     records = [LogRecord(offset, body) for offset, body in enumerate(bodies)]
-    us = 2 * _cpu_us(lambda n: timed_fold.apply(records[n]), 2 * REPEATS)
+    us = 2 * cpu_us(lambda n: timed_fold.apply(records[n]), 2 * REPEATS)
     held = 2 * _allocated_bytes(lambda n: held_fold.apply(records[n]), 2 * REPEATS)
     return UnitCost(
         "keyed call: claim and outcome", us, held, sum(map(len, bodies)) / REPEATS
@@ -132,14 +136,14 @@
     preset_bytes = len(_change(1, preset="peak").to_json())
     return [
         UnitCost(
-            "change of a workspace among 5,200", _cpu_us(patch, 5), 0, len(patch_body)
+            "change of a workspace among 5,200", cpu_us(patch, 5), 0, len(patch_body)
         ),
         UnitCost(
-            "change of preset among 5,200", _cpu_us(activate, 200), 0, preset_bytes
+            "change of preset among 5,200", cpu_us(activate, 200), 0, preset_bytes
         ),
         UnitCost(
             "snapshot of 5,200 workspaces",
-            _cpu_us(lambda n: fold.to_snapshot(), 3),
+            cpu_us(lambda n: fold.to_snapshot(), 3),
             0,
             len(snapshot),
         ),
@@ -165,7 +169,7 @@
         if number % 60 == 59:
             sent += len(recorder.pop_batch().to_json())
 
-    us = _cpu_us(add, 60 * 20)
+    us = cpu_us(add, 60 * 20)
     bytes_sent = sent / (60 * 20)
     held = _allocated_bytes(lambda number: add(60 * number), 1_000)
     return UnitCost("entry of the record", us, held, bytes_sent)
@@ -180,13 +184,13 @@
 
     raw = encode_message(digest).SerializeToString()
     return UnitCost(
-        "digest, written and read", _cpu_us(encode_and_decode, 100), 0, len(raw)
+        "digest, written and read", cpu_us(encode_and_decode, 100), 0, len(raw)
     )
 
 
 def _measure_blocks() -> UnitCost:
     timed_index, held_index = PrefixIndex(), PrefixIndex()
-    us = _cpu_us(lambda n: timed_index.add("engine-0001", (n,)), BLOCKS)
+    us = cpu_us(lambda n: timed_index.add("engine-0001", (n,)), BLOCKS)
     held = _allocated_bytes(
         lambda n: held_index.add("engine-0001", (2**40 + n,)), BLOCKS
     )
@@ -240,7 +244,7 @@
         core.handle(request, at)
         core.handle(CallerGone(request.request_id), at)
 
-    return UnitCost("prompt: admission, routing, end", _cpu_us(serve, REPEATS))
+    return UnitCost("prompt: admission, routing, end", cpu_us(serve, REPEATS))
 
 
 def measure_unit_costs() -> list[UnitCost]:
