Ignore the long poll after a check beside it found its records expired

Cause: the check beside a long poll now reports expired records, and the listing that follows would have run beside the old poll's loop, two requests for ever. Change: a listing after expired records ignores earlier requests by generation. Before: FollowerTest fails (the late read is applied and read on). After: passes.

--- a/features/properties/test_store_era.py
+++ b/features/properties/test_store_era.py
@@ -10,10 +10,20 @@
 from briarrelay_core.agreement.outbox import Outbox, Retention
 from briarrelay_core.identity import Identity
 from briarrelay_core.ports.digest import LoadDigest
-from briarrelay_core.ports.directory import EntryPublished, PeerAddress
+from briarrelay_core.ports.directory import (
+    EntryPublished,
+    ListTopic,
+    PeerAddress,
+    ReadTopic,
+    Topic,
+    TopicExpired,
+    TopicListed,
+    TopicRead,
+)
 from briarrelay_core.ports.log import AppendDone
 from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.record.record import Entry, parse_batch, verify_batches
+from briarrelay_core.routes.follower import TopicFollower
 from briarrelay_core.routes.storeera import StoreEra
 from briarrelay_core.timers import TimerService
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
@@ -271,6 +281,21 @@
         self.assertEqual(requeued.bodies, ("at 30.0", "at 80.0"))
 
 
+class FollowerTest(unittest.TestCase):
+    def test_one_request_is_in_flight_after_a_check_found_records_expired(self):
+        """The check was sent beside a long poll, whose response arrives later."""
+        follower = TopicFollower(Topic.CONFIGURATION, TimerService(), 0.0, 8.0)
+        follower.start(1.0)
+        _, effects = follower.on_listed(
+            TopicListed(Topic.CONFIGURATION, (), 5, False), 1.0
+        )
+        self.assertEqual(effects, [ReadTopic(Topic.CONFIGURATION, 5, 8.0)])
+        effects = follower.on_expired(TopicExpired(Topic.CONFIGURATION), 3.0)
+        self.assertIn(ListTopic(Topic.CONFIGURATION, generation=1), effects)
+        late = TopicRead(Topic.CONFIGURATION, (), 5)
+        self.assertEqual(follower.on_read(late, 4.0), ([], []))
+
+
 class EraOfResponsesTest(unittest.TestCase):
     def test_bad_eras_are_logged_once_and_change_nothing(self):
         era = StoreEra()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -85,13 +85,17 @@
         """Start to follow the topic."""
         return [self._list()]
 
-    def restart(self, now: float) -> list:
+    def restart(self) -> list:
         """List the topic again, since the store has returned to a copy.
 
         Responses to requests that were sent before are ignored.
         """
-        self.generation += 1
         self._is_listing_copy = self.is_listed
+        return self._list_anew()
+
+    def _list_anew(self) -> list:
+        """List the topic, and ignore the responses to earlier requests."""
+        self.generation += 1
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -152,13 +156,16 @@
         self.last_response_at = now
 
     def on_expired(self, expired: TopicExpired, now: float) -> list:
-        """List the topic again, since the store has not the records to read next."""
+        """List the topic again, since the store has not the records to read next.
+
+        The read may have been sent beside a long poll, which is then ignored.
+        """
         if expired.generation != self.generation:
             return []
         log_event = LogEvent(
             "warning", "topic_expired", fields=(("topic", self.topic.value),)
         )
-        return [log_event, *self._record_response(now), self._list()]
+        return [log_event, *self._record_response(now), *self._list_anew()]
 
     def on_failed(self, failed: TopicFailed, now: float) -> list:
         """Schedule a retry with exponential backoff."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -151,7 +151,7 @@
         if not is_new:
             return effects
         for follower in self.followers.values():
-            effects += follower.restart(now)
+            effects += follower.restart()
         # offsets of the new era are unrelated to those known so far
         self.peers.directory = EraPosition(self.era.value, 0)
         effects.append(PublishEntry(self.peers.address, True))
