--- a/packages/briarrelay-core/src/briarrelay_core/entry.py
+++ b/packages/briarrelay-core/src/briarrelay_core/entry.py
@@ -17,12 +17,13 @@
 from briarrelay_core.chats.responses import ResponseForwarder
 from briarrelay_core.context import Context
 from briarrelay_core.identity import Identity
-from briarrelay_core.membership.drain import DEFAULT_RECORD_WAIT_S, Drain
+from briarrelay_core.membership.drain import Drain
 from briarrelay_core.membership.gossip import Gossip
 from briarrelay_core.membership.membership import Membership
 from briarrelay_core.membership.peermessages import PeerMessageHandler
 from briarrelay_core.memory.reservations import ReservationCoordinator
 from briarrelay_core.messagehandlers import handle_message
+from briarrelay_core.ports.control import DEFAULT_RECORD_WAIT_S
 from briarrelay_core.ports.platform import (
     InstanceKind,
     LifecycleState,
--- a/packages/briarrelay-core/src/briarrelay_core/membership/drain.py
+++ b/packages/briarrelay-core/src/briarrelay_core/membership/drain.py
@@ -6,14 +6,14 @@
 from briarrelay_core.context import Context
 from briarrelay_core.membership.gossip import Gossip
 from briarrelay_core.membership.rendezvous import ranked
-from briarrelay_core.ports.control import ExitProcess
+from briarrelay_core.ports.control import DEFAULT_RECORD_WAIT_S, ExitProcess
 from briarrelay_core.ports.peer import HandOver, HandOverTaken, SendToPeer
 from briarrelay_core.ports.platform import LifecycleState
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import AUDIT_STREAM
 from briarrelay_core.timers import Timer
 
-__all__ = ["DEFAULT_RECORD_WAIT_S", "Drain"]
+__all__ = ["Drain"]
 
 CHECK_PERIOD_S = 0.2
 """Seconds between checks for requests in progress and unsent records."""
@@ -27,10 +27,6 @@
 MAX_HAND_OVER_RECORDS = 200
 """Maximum records in one message to a peer."""
 
-DEFAULT_RECORD_WAIT_S = 60.0
-"""Seconds for which a stop waits, after the last request, until the log or a peer has
-the records."""
-
 
 @define(slots=True)
 class Drain:
--- a/packages/briarrelay-core/src/briarrelay_core/ports/control.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/control.py
@@ -6,6 +6,7 @@
 from briarrelay_core.routes.budget import RetryLimits
 
 __all__ = [
+    "DEFAULT_RECORD_WAIT_S",
     "CloseIdleConnections",
     "DrainRequested",
     "ExitProcess",
@@ -13,6 +14,10 @@
     "RouteSettingsChanged",
 ]
 
+DEFAULT_RECORD_WAIT_S = 60.0
+"""Seconds for which a planned stop waits, after the last request, until the log or a
+peer has the records."""
+
 
 @frozen(slots=True)
 class DrainRequested:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
@@ -7,7 +7,7 @@
 from attrs import field, frozen, validators
 
 from briarrelay_core.mappings import MappingError, from_mapping
-from briarrelay_core.membership.drain import DEFAULT_RECORD_WAIT_S
+from briarrelay_core.ports.control import DEFAULT_RECORD_WAIT_S
 
 __all__ = ["Address", "SeedPeer", "Settings", "SettingsError", "read_settings"]
 
