Prefer local engines in large deployments, and trust older reports of reads

Loads of remote instances are known 1.1 s late, and a digest of the reader of the servers topic was older than the second for which its report counts, so others read as well. Change: digests within the data centre as often as before; an engine elsewhere costs more the larger the deployment; reports of reads count for 3 s (a reader that stops is still noticed by the age of its last read).

--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -46,8 +46,10 @@
 PEER_TIMEOUT_S = 4.0
 """Seconds without a digest after which a peer counts as gone."""
 
-DIRECTORY_REPORT_FRESH_S = 1.0
-"""Seconds after a digest for which its report on the servers topic is used."""
+DIRECTORY_REPORT_FRESH_S = 3.0
+"""Seconds after a digest for which its report on the servers topic is used; remote
+digests come each second or two in a large deployment. An instance that has stopped is
+noticed earlier, since its last read grows old."""
 
 RANK_DELAY_S = 0.05
 """Delay in seconds per rank before an instance takes over the reads of the servers
@@ -68,9 +70,6 @@
 MAX_SIZE_FACTOR = 3.0
 """Largest factor by which they become rarer; a peer's load counts for 1.5 s."""
 
-MAX_LOCAL_FACTOR = 2.0
-"""The same for digests within the data centre."""
-
 MAX_RECEIVERS = 24
 """Maximum number of receivers of a digest, each for local and remote peers; bounds
 control traffic in large deployments."""
@@ -252,8 +251,7 @@
             return []
         self._is_send_scheduled = True
         local = min(len(self._local_peers()), MAX_RECEIVERS)
-        factor = min(MAX_LOCAL_FACTOR, self.size_factor)
-        spacing = max(MIN_SPACING_S, factor * LOCAL_SPACING_PER_PEER_S * local)
+        spacing = max(MIN_SPACING_S, LOCAL_SPACING_PER_PEER_S * local)
         self.timers.at(max(now, self._last_sent_at + spacing), self._send_due)
         return []
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -16,6 +16,8 @@
 from briarrelay_core.routes.model import EngineProfile
 
 __all__ = [
+    "OLD_REPORT_COST",
+    "REMOTE_COST",
     "Candidate",
     "Placement",
     "Prompt",
@@ -62,6 +64,10 @@
 REMOTE_COST = 0.01
 """Cost of an engine in another data centre."""
 
+OLD_REPORT_COST = 0.025
+"""Further cost of such an engine for each unit by which the size factor exceeds 1;
+reports of its load are older in a large deployment."""
+
 AFFINITY_COST = 0.08
 """Cost of the engine that an instance prefers least. Each instance prefers different
 engines, because instances that chose the same ones before they received each other's
@@ -78,6 +84,7 @@
 
     :param slots: number of requests that it may have in flight.
     :param is_local: whether it is in this instance's data centre.
+    :param remote_cost: cost of choosing it if it is not.
     :param slowdown: observed time over expected time, 1 for a healthy server.
     :param affinity_distance: in [0, 1), small for the servers that this instance
         prefers.
@@ -89,6 +96,7 @@
     is_local: bool
     slowdown: float = 1.0
     affinity_distance: float = 0.0
+    remote_cost: float = REMOTE_COST
 
 
 @frozen(slots=True)
@@ -212,7 +220,7 @@
         * (load.read_s + 0.02 * load.lead_requests)
         * candidate.slowdown
     )
-    cost += 0.0 if candidate.is_local else REMOTE_COST
+    cost += 0.0 if candidate.is_local else candidate.remote_cost
     cost += AFFINITY_COST * candidate.affinity_distance
     shortest_limit_s = _shortest_limit(load)
     if prompt.limit_s and shortest_limit_s > 2 * prompt.limit_s:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -8,6 +8,8 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import (
+    OLD_REPORT_COST,
+    REMOTE_COST,
     Candidate,
     Placement,
     Prompt,
@@ -42,6 +44,7 @@
 
     :param name: name of this instance.
     :param data_centre: data centre of this instance.
+    :param size_factor: see :class:`briarrelay_core.routes.peers.PeerExchange`.
     :ivar _affinity_distances: computed distances, by server.
     """
 
@@ -50,6 +53,7 @@
     servers: ServerTable
     load: LoadTable
     observations: ServerObservations
+    size_factor: float = 1.0
     _affinity_distances: dict[str, float] = field(factory=dict)
 
     def _affinity_distance(self, server: str) -> float:
@@ -159,6 +163,7 @@
     ) -> Placement | None:
         is_prompt = routed.is_prompt
         queue_factor = 1 if is_prompt else QUEUE_FACTOR
+        remote_cost = REMOTE_COST + OLD_REPORT_COST * (self.size_factor - 1.0)
         candidates = [
             Candidate(
                 server.entry.name,
@@ -167,6 +172,7 @@
                 server.entry.data_centre == self.data_centre,
                 self.observations.slowdown.of(server.entry.name, now),
                 self._affinity_distance(server.entry.name),
+                remote_cost,
             )
             for server in known
         ]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -281,7 +281,7 @@
     def update_staleness(self, now: float) -> None:
         """Update whether the configuration may be out of date."""
         follower = self.followers[Topic.CONFIGURATION]
-        factor = self.peers.size_factor
+        factor = self.controller.selector.size_factor = self.peers.size_factor
         follower.wait_s = CONFIGURATION_WAIT_S * factor
         self.followers[Topic.ENTRIES].pause_s = ENTRIES_PAUSE_S * factor
         self.followers[Topic.SERVERS].max_skip_s = MAX_SKIP_S * factor
