--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -188,12 +188,10 @@
     def _on_topic_read(self, topic: Topic, now: float) -> list:
         if topic is Topic.PRESETS:
             return self.restorer.check(now)
-        return self._on_directory_read(topic, now)
+        return self._on_servers_read(now) if topic is Topic.SERVERS else []
 
-    def _on_directory_read(self, topic: Topic, now: float) -> list:
+    def _on_servers_read(self, now: float) -> list:
         """Announce a read of the servers topic, so that peers can skip theirs."""
-        if topic is not Topic.SERVERS:
-            return []
         self.peers.directory_at = now
         return self._check_long_polls(now) + self.peers.on_changed(now)
 
@@ -244,7 +242,10 @@
                 now + PUBLISH_PAUSE_S,
                 lambda _: [PublishEntry(self.peers.address, True)],
             )
-        return [] if is_undone else self.observe_era(message.era, now)
+        is_unanswered = message.era is None and not message.is_done
+        if is_undone or is_unanswered:
+            return []
+        return self.observe_era(message.era, now)
 
     def on_presets_replaced(self, message: PresetsReplaced, now: float) -> list:
         """Handle the response to an attempt to write the presets again."""
