--- a/packages/briarrelay-bench/src/briarrelay_bench/routeexperiment.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routeexperiment.py
@@ -42,6 +42,16 @@
 
     selector: ServerSelector
     uses_helpers: bool = False
+    size_factor: float = 1.0
+
+    @property
+    def name(self) -> str:
+        return self.selector.name
+
+    def resumes_in_s(
+        self, routed: RoutedRequest, now: float, is_untried: bool = False
+    ) -> float | None:
+        return self.selector.resumes_in_s(routed, now, is_untried)
 
     def candidates(self, routed: RoutedRequest, now: float) -> list[KnownServer]:
         return self.selector.candidates(routed, now)
