Rotate remote receivers by their own turn, and read digests together

Before: ManyPeersTest.test_each_remote_peer...: 2.0 s without a digest; bound 1.5, for which a load counts. After: passes.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from briarrelay_core.ports.control import DrainRequested, ExitProcess, ProcessResumed
-from briarrelay_core.ports.digest import LoadDigest, SendDigest, ServerLoad
+from briarrelay_core.ports.digest import (
+    DigestReceived,
+    LoadDigest,
+    SendDigest,
+    ServerLoad,
+)
 from briarrelay_core.ports.directory import (
     PeerAddress,
     PollTopic,
@@ -402,6 +407,31 @@
         self.assertEqual(len(reached_hosts), 120)
         self.assertLessEqual(max(len(digest.peers) for digest in digests), 48)
 
+    def test_each_remote_peer_gets_digests_before_the_last_one_is_too_old(self):
+        """The load changes all the time; a reported load counts for 1.5 s."""
+        world = RouteWorld()
+        for n in range(1, 78):
+            peer = PeerAddress(
+                name=f"entry-{n}",
+                host=f"10.8.0.{n}",
+                question_port=1,
+                digest_port=2,
+                data_centre="b" if n > 15 else "",
+            )
+            digest = LoadDigest(sender=peer, incarnation=1, number=1, version=1)
+            world.deliver(DigestReceived(digest))
+        last_at, gaps = {}, []
+        for step in range(600):
+            world.instance.controller.load.add(10_000 + step, "engine-1", world.now)
+            effects = world.deliver(TopicPolled(Topic.SERVERS, ()))
+            effects += world.advance(0.005)
+            for sent in world.of_type(effects, SendDigest):
+                for peer in sent.peers:
+                    gaps.append(world.now - last_at.get(peer.host, world.now))
+                    last_at[peer.host] = world.now
+        self.assertEqual(len(last_at), 77)
+        self.assertLessEqual(max(gaps), 1.5)
+
 
 class DrainTest(unittest.TestCase):
     """A graceful stop while a load balancer keeps sending new requests.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -67,7 +67,7 @@
 """Number of instances from which digests, and reads of the store that digests make
 less urgent, become rarer, so that their cost does not grow with the square of it."""
 
-MAX_SIZE_FACTOR = 3.0
+MAX_SIZE_FACTOR = 2.5
 """Largest factor by which they become rarer; a peer's load counts for 1.5 s."""
 
 MAX_RECEIVERS = 24
@@ -108,6 +108,7 @@
     :param directory: position after the newest server change that was read.
     :param directory_at: time of this instance's last read of the servers topic.
     :ivar _digest_number: sequence number of the last digest.
+    :ivar _remote_round: number of digests that were sent to remote peers.
     :ivar _last_remote_at: time of the last digest to remote peers.
     :ivar _is_remote_pending: the last digest was not sent to remote peers.
     :ivar _is_query_scheduled: a peer had a newer configuration or newer presets, and
@@ -128,6 +129,7 @@
     _digest_number: int = 0
     _last_sent_at: float = float("-inf")
     _is_send_scheduled: bool = False
+    _remote_round: int = 0
     _last_remote_at: float = float("-inf")
     _is_remote_pending: bool = False
     _is_query_scheduled: bool = False
@@ -268,21 +270,16 @@
         remote = [
             p for p in self._peers.values() if p.address.data_centre != own_data_centre
         ]
-        remote = self._rotate(remote)
-        spacing = self.size_factor * REMOTE_SPACING_PER_PEER_S * len(remote)
+        receivers = _rotate(local, self._digest_number)
+        count = min(MAX_RECEIVERS, len(remote))
+        spacing = self.size_factor * REMOTE_SPACING_PER_PEER_S * count
         if now - self._last_remote_at < spacing - 1e-6:
             self._is_remote_pending = bool(remote)
-            return self._rotate(local)
+            return receivers
         self._last_remote_at = now
         self._is_remote_pending = False
-        return self._rotate(local) + remote
-
-    def _rotate(self, peers: list[_Peer]) -> list[_Peer]:
-        """Return at most MAX_RECEIVERS of the peers, in rotation if there are more."""
-        if len(peers) <= MAX_RECEIVERS:
-            return peers
-        start = self._digest_number * MAX_RECEIVERS % len(peers)
-        return [*peers[start:], *peers[:start]][:MAX_RECEIVERS]
+        self._remote_round += 1
+        return receivers + _rotate(remote, self._remote_round)
 
     def _send_periodic(self, now: float) -> list:
         effects = []
@@ -363,3 +360,14 @@
         """Query one of the peers, in turn, while the store does not respond."""
         peers = self.addresses()
         return [QueryPeer(peers[attempt % len(peers)])] if peers else []
+
+
+def _rotate(peers: list[_Peer], turn: int) -> list[_Peer]:
+    """Return at most MAX_RECEIVERS of the peers, in rotation if there are more.
+
+    :param turn: increases by one with each call for these peers.
+    """
+    if len(peers) <= MAX_RECEIVERS:
+        return peers
+    start = turn * MAX_RECEIVERS % len(peers)
+    return [*peers[start:], *peers[:start]][:MAX_RECEIVERS]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -31,6 +31,10 @@
 MAX_DATAGRAMS_PER_ITERATION = 64
 """Datagrams read in one iteration of the loop."""
 
+READ_PAUSE_S = 0.02
+"""Seconds between reads of digests for each unit by which the size factor exceeds 1;
+in a large deployment a hundred arrive each second, and each would wake the process."""
+
 STATE_PATH = "/peer/knowledge"
 """Path at which an instance serves its configuration, presets and servers."""
 
@@ -72,8 +76,17 @@
             try:
                 data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
-                return  # no more datagrams
+                break  # no more datagrams
             self._receive(data)
+        pause_s = READ_PAUSE_S * (self._host.core.peers.size_factor - 1.0)
+        if pause_s > 0:
+            reactor = self._host.reactor
+            reactor.unwatch(self._sock)
+            reactor.timers.at(reactor.clock() + pause_s, self._resume_reading)
+
+    def _resume_reading(self, _: float) -> list:
+        self._host.reactor.watch(self._sock, READ, self._on_ready)
+        return []
 
     def _receive(self, data: bytes) -> None:
         try:
