--- a/features/properties/test_store_era.py
+++ b/features/properties/test_store_era.py
@@ -318,6 +318,15 @@
         self.assertIsNone(decode_era({}))
         self.assertEqual(decode_era({"store-era": " 7"}), 7)
 
+    @given(*[st.integers(0, 3)] * 4)
+    def test_positions_are_ordered_as_pairs(self, era, number, other_era, other):
+        first, second = EraPosition(era, number), EraPosition(other_era, other)
+        pairs = (era, number), (other_era, other)
+        self.assertEqual(first < second, pairs[0] < pairs[1])
+        self.assertEqual(first > second, pairs[0] > pairs[1])
+        self.assertEqual(first >= second, pairs[0] >= pairs[1])
+        self.assertEqual(first == second, pairs[0] == pairs[1])
+
     @given(st.integers(0, 9), st.integers(0, 9**9), st.integers(0, 9))
     def test_digests_carry_positions(self, era, number, other):
         sender = PeerAddress(name="p", host="10.0.0.1", question_port=1, digest_port=2)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/position.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/position.py
@@ -1,11 +1,14 @@
 """Positions in the platform's store, which may return to an earlier copy of itself."""
 
-from attrs import field, frozen, validators
+from functools import total_ordering
+
+from attrs import frozen
 
 __all__ = ["START", "EraPosition"]
 
 
-@frozen(slots=True, order=True)
+@total_ordering
+@frozen(slots=True)
 class EraPosition:
     """A number that holds within one era of the store.
 
@@ -15,8 +18,13 @@
     :param number: offset in a topic, or revision of the presets.
     """
 
-    era: int = field(default=0, validator=validators.ge(0))
+    era: int = 0
     number: int = 0
 
+    def __lt__(self, other: "EraPosition") -> bool:
+        if not isinstance(other, EraPosition):
+            return NotImplemented
+        return (self.era, self.number) < (other.era, other.number)
+
 
 START = EraPosition()
