Let a waiting request compare other engines each second

Cause: the sample of a request was the same while it waited, so free engines outside it were seen only when the whole sample was full.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -140,21 +140,25 @@
         cost of a decision is then bounded, and instances that decide at the same moment
         compare different servers instead of all choosing the same one.
         """
-        sample = self._sample(routed, known)
+        sample = self._sample(routed, known, now)
         placement = self._choose(routed, sample, now)
         if placement is None and len(sample) < len(known):
             return self._choose(routed, known, now)
         return placement
 
     def _sample(
-        self, routed: RoutedRequest, known: list[KnownServer]
+        self, routed: RoutedRequest, known: list[KnownServer], now: float
     ) -> list[KnownServer]:
-        """Return at most `SAMPLE_SIZE` servers, half of them of this data centre."""
+        """Return at most `SAMPLE_SIZE` servers, half of them of this data centre.
+
+        A request that waits compares others each second.
+        """
         if len(known) <= SAMPLE_SIZE:
             return known
         local = [s for s in known if s.entry.data_centre == self.data_centre]
         remote = [s for s in known if s.entry.data_centre != self.data_centre]
-        seed = unit_hash(self.name, routed.request.request_id, len(routed.tried))
+        attempt = (routed.request.request_id, len(routed.tried))
+        seed = unit_hash(self.name, *attempt, int(now))
         chosen = _pick(local, SAMPLE_SIZE // 2, seed)
         return chosen + _pick(remote, SAMPLE_SIZE - len(chosen), seed)
 
