Announce reads to all only where digests take turns of their receivers

With four instances the announcements only shifted the times of digests: they reach all peers anyway. Ruled out: load (virtual time).

--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -247,15 +247,16 @@
     def on_directory_read(self, now: float) -> list:
         """Record a read of the servers topic, and announce it to spare peers theirs.
 
-        If no peer has read lately, all of them learn of it at once. After a change,
-        when all read, the usual digests are enough.
+        If there are more peers than a digest has receivers, and none of them has read
+        lately, all learn of it at once. After a change, when all read, and with fewer
+        peers, the usual digests are enough.
         """
         newest = max(
             (peer.directory_at for peer in self._recent_peers(now)),
             default=float("-inf"),
         )
         self.directory_at = now
-        if now - newest < ANNOUNCE_AFTER_S:
+        if len(self._peers) <= MAX_RECEIVERS or now - newest < ANNOUNCE_AFTER_S:
             return self.on_changed(now)
         return self._send(now, self.addresses())
 
