Leave empty pauses out of digests, so that earlier releases read them

Cause: a twelfth field, also when empty, made earlier releases refuse every digest during a rolling update.

--- a/features/properties/test_store_era.py
+++ b/features/properties/test_store_era.py
@@ -1,7 +1,9 @@
 """The store returns to a copy some seconds old: nothing that is still true is lost."""
 
+import json
 import unittest
 
+from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -340,6 +342,21 @@
         )
         self.assertEqual(decode_digest(encode_digest(digest)), digest)
 
+    def test_digest_in_the_first_era_is_as_in_earlier_releases(self):
+        """They accept eleven fields, and positions without an era."""
+        sender = PeerAddress(name="p", host="10.0.0.1", question_port=1, digest_port=2)
+        digest = LoadDigest(
+            sender=sender,
+            incarnation=1,
+            number=1,
+            version=1,
+            presets=EraPosition(0, 5),
+        )
+        fields = json.loads(encode_digest(digest))
+        self.assertEqual((len(fields), fields[7:9]), (11, [5, 0]))
+        paused = evolve(digest, paused={"engine-1": 2.5})
+        self.assertEqual(decode_digest(encode_digest(paused)), paused)
+
     def test_digest_of_an_earlier_release_has_no_era(self):
         data = b'[["p","10.0.0.1",1,2,"a"],1,1,1,{},[],[],5,40,0.5,[]]'
         digest = decode_digest(data)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -19,32 +19,35 @@
 
 
 def encode_digest(digest: LoadDigest) -> bytes:
-    """Return a digest encoded as a datagram."""
-    return orjson.dumps(
-        [
-            _encode_address(digest.sender),
-            digest.incarnation,
-            digest.number,
-            digest.version,
-            {
-                name: [
-                    round(load.read_s, 4),
-                    load.lead_requests,
-                    load.helper_requests,
-                    load.tokens,
-                    [[limit, round(weight, 2)] for limit, weight in load.streams],
-                ]
-                for name, load in digest.loads.items()
-            },
-            digest.leaving,
-            [_encode_address(peer) for peer in digest.peers],
-            _encode_position(digest.presets),
-            _encode_position(digest.directory),
-            round(digest.directory_age_s, 3),
-            digest.gone,
-            digest.paused,
-        ]
-    )
+    """Return a digest encoded as a datagram.
+
+    Pauses are left out while there are none, so that earlier releases can read it.
+    """
+    fields = [
+        _encode_address(digest.sender),
+        digest.incarnation,
+        digest.number,
+        digest.version,
+        {
+            name: [
+                round(load.read_s, 4),
+                load.lead_requests,
+                load.helper_requests,
+                load.tokens,
+                [[limit, round(weight, 2)] for limit, weight in load.streams],
+            ]
+            for name, load in digest.loads.items()
+        },
+        digest.leaving,
+        [_encode_address(peer) for peer in digest.peers],
+        _encode_position(digest.presets),
+        _encode_position(digest.directory),
+        round(digest.directory_age_s, 3),
+        digest.gone,
+    ]
+    if digest.paused:
+        fields.append(digest.paused)
+    return orjson.dumps(fields)
 
 
 def decode_digest(data: bytes) -> LoadDigest:
