Log the parts of a prompt, and whether a server closed the connection

Both are in the request and send_lost lines. No decision depends on them yet.

Tests: PromptPartsTest, HttpCallTest (a timeout is told apart from a closed connection); neither could be written before, for want of the fields.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -190,7 +190,7 @@
     ) -> _RecordingSink:
         """Call a server that sends the given bytes and may then close."""
         sink = _RecordingSink(expected_id)
-        self.client.call(
+        self.last_call = self.client.call(
             self.address, "GET", "/", sink, timeout=1.0, force_new_connection=True
         )
         sock, _ = self.listener.accept()
@@ -238,6 +238,12 @@
     def test_truncated_response_is_lost(self):
         response = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"
         self.assertEqual(self.call(response, close=True).end, "lost")
+        self.assertTrue(self.last_call.is_closed_by_server)
+
+    def test_timeout_is_told_apart_from_a_closed_connection(self):
+        sink = self.call(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab")
+        self.assertEqual(sink.end, "lost")
+        self.assertFalse(self.last_call.is_closed_by_server)
 
     def test_response_without_length_ends_with_its_connection(self):
         sink = self.call(b"HTTP/1.1 200 OK\r\n\r\nab", close=True)
--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -8,12 +8,14 @@
 
 from briarrelay_core.ports.digest import LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_daemon.callerserver import RawExchange
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_platform.decode import (
     decode_configuration,
     decode_peer_address,
     decode_server,
 )
+from briarrelay_platform.dialect import MAX_PARTS, PlatformDialect
 from briarrelay_platform.fields import DecodeError
 from briarrelay_platform.records import (
     RecordError,
@@ -123,3 +125,28 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class PromptPartsTest(unittest.TestCase):
+    """The parts that a prompt shares with others, as a caller's header lists them."""
+
+    def read(self, value: bytes) -> tuple[str, ...]:
+        exchange = RawExchange(
+            method="POST",
+            target=b"/",
+            headers=[(b"X-Attempt-Id", b"a"), (b"X-Prompt-Prefix", value)],
+            body=b"",
+            keeps_alive=True,
+            connection=None,
+        )
+        return PlatformDialect().read_request(exchange, 1).prompt_parts
+
+    def test_last_part_belongs_to_the_request_alone(self):
+        self.assertEqual(self.read(b"5C1e:800, 91bd:410,e440:250"), ("5c1e", "91bd"))
+        self.assertEqual(self.read(b"e440:250"), ())
+
+    @given(st.binary(max_size=400))
+    def test_any_header_names_a_bounded_number_of_parts(self, value):
+        parts = self.read(value)
+        self.assertLessEqual(len(parts), MAX_PARTS)
+        self.assertTrue(all(parts))
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -43,6 +43,7 @@
         request does not specify it.
     :param prompt_tokens: 0 for requests other than prompts.
     :param resume_after: id of the last event that the caller received, empty for none.
+    :param prompt_parts: ids of the parts that its prompt shares with others, in order.
     """
 
     request_id: int
@@ -54,6 +55,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
 
 @frozen(slots=True, kw_only=True)
@@ -191,11 +193,13 @@
     """An attempt ended without a complete response.
 
     :param is_sent: False if the server cannot have received the request.
+    :param is_closed: the server closed or reset the connection; it did not time out.
     """
 
     attempt_id: int
     is_sent: bool
     problem: str = ""
+    is_closed: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -121,4 +121,5 @@
             ("gap_ms", f"{1000 * self.longest_gap_s:.0f}"),
             ("last_event", self.last_event),
             ("tokens", str(self.request.prompt_tokens)),
+            ("parts", ",".join(self.request.prompt_parts)),
         )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -256,7 +256,7 @@
         if routed is None:
             return []
         if message.is_sent:
-            return self._on_unusable(routed, message.problem, now)
+            return self._on_unusable(routed, message.problem, now, message.is_closed)
         attempt = self.controller.end_attempt(routed, now)
         self.controller.observations.health.record_failure(
             attempt.server, now, certain=True
@@ -264,32 +264,47 @@
         self.controller.observations.record_unreachable(attempt.server, now)
         routed.undelivered += 1
         return [
-            self._make_lost_log(routed, attempt, message.problem),
+            self._make_lost_log(routed, attempt, message.problem, message.is_closed),
             *self.controller.retry_or_give_up(
                 routed, RetryReason.SERVER_LOST, now, was_delivered=False
             ),
             *self.controller.place_waiting(now),
         ]
 
-    def _on_unusable(self, routed: RoutedRequest, problem: str, now: float) -> list:
-        """Handle an attempt that failed after the request may have run."""
+    def _on_unusable(
+        self,
+        routed: RoutedRequest,
+        problem: str,
+        now: float,
+        is_closed: bool = False,
+    ) -> list:
+        """Handle an attempt that failed after the request may have run.
+
+        :param is_closed: the server closed or reset the connection.
+        """
         attempt = self.controller.end_attempt(routed, now)
         routed.possible_runs += 1
         self.controller.observations.health.record_failure(attempt.server, now)
         return [
-            self._make_lost_log(routed, attempt, problem),
+            self._make_lost_log(routed, attempt, problem, is_closed),
             AbortAttempt(attempt.attempt_id),
             *self.controller.retry_or_give_up(routed, RetryReason.SERVER_LOST, now),
             *self.controller.place_waiting(now),
         ]
 
     def _make_lost_log(
-        self, routed: RoutedRequest, attempt: AttemptState, problem: str
+        self,
+        routed: RoutedRequest,
+        attempt: AttemptState,
+        problem: str,
+        is_closed: bool,
     ) -> LogEvent:
         fields = (
             ("server", attempt.server),
             ("problem", problem),
+            ("closed", "yes" if is_closed else "no"),
             ("events", str(attempt.events)),
+            ("parts", ",".join(routed.request.prompt_parts)),
         )
         return LogEvent("info", "send_lost", routed.request.caller_request_id, fields)
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -70,6 +70,8 @@
 
     :ivar is_over: the response is complete, or the call failed or was cancelled.
     :ivar problem: why the call failed, for logs.
+    :ivar is_closed_by_server: the call failed because the server closed or reset the
+        connection.
     """
 
     def __init__(self, client: "HttpClient", address: Address, sink: CallSink):
@@ -83,6 +85,7 @@
         self._reader = ResponseReader(sink)
         self.is_over = False
         self.problem = ""
+        self.is_closed_by_server = False
 
     def begin(self, connection: _Connection, message: bytes, timeout: float) -> None:
         """Send the encoded request on a connection."""
@@ -139,6 +142,7 @@
             if error.errno == errno.ENOTCONN:
                 connection.is_connected = False  # still connecting
                 return
+            self.is_closed_by_server = isinstance(error, ConnectionError)
             self._fail(f"writing failed: {error.strerror}")
             return
         if not self._has_sent:
@@ -154,6 +158,7 @@
         except BlockingIOError:
             return
         except OSError as error:
+            self.is_closed_by_server = isinstance(error, ConnectionResetError)
             self._fail(f"reading failed: {error.strerror}")
             return
         if not data:
@@ -177,6 +182,7 @@
             self._close()
             self._sink.on_end()
         else:
+            self.is_closed_by_server = True
             self._fail("connection closed before the response was complete")
 
     def _finish(self) -> None:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -155,7 +155,9 @@
     def on_lost(self, sent: bool) -> None:
         call = self.call
         attempt_id = self._forward.attempt_id
-        self._notify_core(ResponseLost(attempt_id, sent, call.problem))
+        self._notify_core(
+            ResponseLost(attempt_id, sent, call.problem, call.is_closed_by_server)
+        )
 
     def _notify_core(self, message) -> None:
         if not self.is_over:
