Show by a test that the silence of a sound server ends responses

What callers saw (LOST): a stream, read whole and begun, ends without an answer or a refusal; no fault of a server stands beside it.

Five of six cases end the response: the attempt is aborted first, and only then it turns out that the retry budget is used up, that the other engines are full, or that there is none (AbortAttempt, then AbortResponse; for a request without a first event and for a safe one SendErrorResponse 502). Moving to an engine that has room works.

--- /dev/null
+++ b/features/properties/test_silent_servers.py
@@ -0,0 +1,98 @@
+"""Responses of servers that are silent for about a second and then go on."""
+
+import unittest
+
+from briarrelay_core.ports.route import (
+    AbortAttempt,
+    AbortResponse,
+    RelayEnd,
+    RelayEvent,
+    RelayFullResponse,
+    ResponseComplete,
+    ResponseEvent,
+    ResponseHead,
+    ResponseKind,
+    SendErrorResponse,
+)
+from briarrelay_core.routes.budget import RetryLimits
+from properties.routeworld import RouteWorld, engine_names, start_response
+
+SILENCE_S = 1.3
+"""Silence in seconds of a server that goes on; longer than every timeout for a stream
+with short gaps, shorter than the time after which its caller disconnects."""
+
+NO_RETRIES = RetryLimits(ratio=0.0, slack=0.0)
+
+
+def fill_engines(world: RouteWorld, names: list[str]) -> None:
+    """Occupy all slots of some engines for good."""
+    for name in names:
+        for slot in range(8):
+            world.instance.controller.load.add(f"{name}-{slot}", name, world.now)
+
+
+class SilentServerTest(unittest.TestCase):
+    """Silence of a sound server never ends a response."""
+
+    def check_not_ended(self, world: RouteWorld, effects: list) -> None:
+        """Check that an attempt goes on and its caller still waits."""
+        for effect_class in (AbortAttempt, AbortResponse, SendErrorResponse):
+            self.assertEqual(world.of_type(effects, effect_class), [])
+
+    def finish_stream(self, world: RouteWorld, attempt_id: int) -> None:
+        """Let the server go on, and check that the caller gets the rest."""
+        effects = world.deliver(ResponseEvent(attempt_id, "2", b"2"))
+        effects += world.deliver(ResponseComplete(attempt_id))
+        self.assertEqual([e.data for e in world.of_type(effects, RelayEvent)], [b"2"])
+        self.assertEqual(len(world.of_type(effects, RelayEnd)), 1)
+
+    def test_stream_goes_on_when_no_retry_is_left(self):
+        world = RouteWorld()
+        world.instance.controller.budget.limits = NO_RETRIES
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        self.check_not_ended(world, world.advance(SILENCE_S))
+        self.finish_stream(world, sent.attempt_id)
+
+    def test_stream_goes_on_while_other_engines_are_full(self):
+        world = RouteWorld()
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        fill_engines(world, [n for n in engine_names(world) if n != sent.server])
+        self.check_not_ended(world, world.advance(SILENCE_S))
+        self.finish_stream(world, sent.attempt_id)
+
+    def test_stream_goes_on_when_no_other_engine_is_left(self):
+        world = RouteWorld(engines=1)
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        self.check_not_ended(world, world.advance(SILENCE_S))
+        self.finish_stream(world, sent.attempt_id)
+
+    def test_first_event_is_awaited_when_no_retry_is_left(self):
+        world = RouteWorld()
+        world.instance.controller.budget.limits = NO_RETRIES
+        (sent,) = world.forwards(world.request("chat"))
+        self.check_not_ended(world, world.advance(SILENCE_S))
+        start_response(world, sent.attempt_id)
+        self.finish_stream(world, sent.attempt_id)
+
+    def test_safe_request_is_answered_when_no_retry_is_left(self):
+        world = RouteWorld()
+        world.instance.controller.budget.limits = NO_RETRIES
+        (sent,) = world.forwards(world.request("look"))
+        self.check_not_ended(world, world.advance(SILENCE_S))
+        head = ResponseHead(
+            attempt_id=sent.attempt_id, kind=ResponseKind.SUCCESS, status=200
+        )
+        effects = world.deliver(head)
+        effects += world.deliver(ResponseComplete(sent.attempt_id))
+        self.assertEqual(len(world.of_type(effects, RelayFullResponse)), 1)
+
+    def test_stream_still_moves_when_another_engine_has_room(self):
+        world = RouteWorld()
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        (moved,) = world.forwards(world.advance(SILENCE_S))
+        self.assertNotEqual(moved.server, sent.server)
+        self.assertEqual(moved.resume_after, "1")
