Move a request from a silent server only when another can take it

What callers saw (LOST): a stream ended without an answer or a refusal because its sound server had been silent for about a second.

Cause: the silence check aborted the attempt first and asked afterwards. With the retry budget used up, or no engine, the stream was cut at once; with all engines full it was queued, and since its arrival lay longer back than the longest wait, the next check cut it. Class: giving up what works before what replaces it is known to work.

find_alternative decides without side effects (attempts, budget, eligible server with room, no deferral); only then move() aborts and sends. Engines that are dark for good are still left as soon as there is room.

Looked for elsewhere: the move before a caller disconnects had its own check of a placement, but none of the budget; it now uses the same function. Requests that may not be repeated were never moved.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/budget.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/budget.py
@@ -57,15 +57,19 @@
         self._requests.setdefault(service, _SlidingWindow()).times.append(now)
         self._requests[service].count(now, self.limits.window_s)
 
-    def withdraw(self, service: str, now: float) -> bool:
-        """Withdraw one retry from a service's budget; return whether one was left."""
+    def allows(self, service: str, now: float) -> bool:
+        """Return whether a service's budget has a retry left."""
         limits = self.limits
         requests = self._requests.setdefault(service, _SlidingWindow())
         retries = self._retries.setdefault(service, _SlidingWindow())
         ratio = min(limits.ratio, self.preset_ratio)
         allowed = ratio * requests.count(now, limits.window_s)
         allowed += limits.slack / max(1, self.instances)
-        if retries.count(now, limits.window_s) + 1 > GRANTED_FRACTION * allowed:
+        return retries.count(now, limits.window_s) + 1 <= GRANTED_FRACTION * allowed
+
+    def withdraw(self, service: str, now: float) -> bool:
+        """Withdraw one retry from a service's budget; return whether one was left."""
+        if not self.allows(service, now):
             return False
-        retries.times.append(now)
+        self._retries[service].times.append(now)
         return True
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -274,8 +274,52 @@
         :param was_delivered: whether the last attempt reached its server; only then
             does the retry use the retry budget.
         """
-        if not self._may_retry(routed, was_delivered, now):
+        if not self._may_retry(routed, routed.possible_runs, now):
             return self.give_up(routed, now)
+        if was_delivered and not self.budget.withdraw(routed.service, now):
+            return self.give_up(routed, now)
+        return self._log_retry(routed, reason, now) + self.place(routed, now)
+
+    def find_alternative(self, routed: RoutedRequest, now: float) -> Placement | None:
+        """Return where a request could be sent now instead of to its active server.
+
+        :returns: None if no further attempt is allowed, or no server has room.
+        """
+        if not self._may_retry(routed, routed.possible_runs + 1, now):
+            return None
+        if not self.budget.allows(routed.service, now):
+            return None
+        eligible_servers = self.selector.candidates(routed, now)
+        if not eligible_servers:
+            return None
+        placement = self.selector.choose(routed, eligible_servers, now)
+        if placement is None or should_defer(routed, placement, now):
+            return None
+        return placement
+
+    def move(
+        self,
+        routed: RoutedRequest,
+        placement: Placement,
+        reason: RetryReason,
+        now: float,
+    ) -> list:
+        """Abort the active attempt of a request and send the request elsewhere.
+
+        :param placement: from :meth:`find_alternative` at the same time.
+        """
+        attempt = self.end_attempt(routed, now)
+        routed.possible_runs += 1
+        self.budget.withdraw(routed.service, now)
+        return [
+            AbortAttempt(attempt.attempt_id),
+            *self._log_retry(routed, reason, now),
+            *self._start_attempt(routed, placement, now),
+        ]
+
+    def _log_retry(
+        self, routed: RoutedRequest, reason: RetryReason, now: float
+    ) -> list:
         fields = (
             ("reason", reason.value),
             ("server", routed.tried[-1]),
@@ -285,15 +329,16 @@
         )
         log_event = LogEvent("info", "retry", routed.request.caller_request_id, fields)
         self._record(routed, "retry", reason.value, now)
-        effects = [log_event, IncrementCounter(f"retried.{reason.value}")]
-        return effects + self.place(routed, now)
+        return [log_event, IncrementCounter(f"retried.{reason.value}")]
+
+    def _may_retry(self, routed: RoutedRequest, possible_runs: int, now: float) -> bool:
+        """Return whether a request may get another attempt, if the budget allows it.
 
-    def _may_retry(
-        self, routed: RoutedRequest, was_delivered: bool, now: float
-    ) -> bool:
-        if routed.possible_runs and not routed.route.is_repeatable:
+        :param possible_runs: attempts after which it may have run.
+        """
+        if possible_runs and not routed.route.is_repeatable:
             return False
-        if routed.possible_runs >= routed.route.attempts:
+        if possible_runs >= routed.route.attempts:
             return False
         if routed.undelivered > MAX_UNDELIVERED_ATTEMPTS:
             return False
@@ -302,9 +347,7 @@
             >= routed.route.attempts + MAX_REFUSED_ATTEMPTS
         ):
             return False
-        if routed.deadline - now < MIN_ATTEMPT_TIME_S:
-            return False
-        return not was_delivered or self.budget.withdraw(routed.service, now)
+        return routed.deadline - now >= MIN_ATTEMPT_TIME_S
 
     def end_attempt(self, routed: RoutedRequest, now: float) -> AttemptState:
         """End the active attempt of a request and release its load and memory."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -309,7 +309,10 @@
         return LogEvent("info", "send_lost", routed.request.caller_request_id, fields)
 
     def check_silence(self, now: float) -> list:
-        """Move repeatable requests from silent servers to other servers."""
+        """Move repeatable requests from silent servers to other servers.
+
+        A request without an alternative stays, since its server may only be slow.
+        """
         effects = []
         for routed in list(self.controller.requests.values()):
             attempt = routed.active_attempt
@@ -320,55 +323,41 @@
             timeout_s = _silence_timeout_s(routed, attempt)
             timeout_s += READING_FACTOR * self._read_allowance_s(attempt, now)
             silent_s = now - attempt.progress_at
+            caller_timeout_s = _caller_timeout_s(routed)
             if silent_s > timeout_s:
-                effects += self._on_silent(routed, now)
-            elif self._should_move(routed, silent_s, now):
+                self._record_silence(attempt, now)
                 effects += self._move(routed, now)
+            elif silent_s > MOVE_FRACTION * caller_timeout_s:
+                effects += self._move(routed, now, caller_timeout_s - silent_s)
         return effects
 
-    def _should_move(self, routed: RoutedRequest, silent_s: float, now: float) -> bool:
-        """Return whether a stream should move before its caller disconnects.
-
-        It moves after a silence of `MOVE_FRACTION` of the caller's timeout, and
-        only to an engine that is expected to send an event before that timeout.
-        """
-        caller_timeout_s = _caller_timeout_s(routed)
-        if silent_s <= MOVE_FRACTION * caller_timeout_s:
-            return False
-        selector = self.controller.selector
-        known = selector.candidates(routed, now)
-        placement = selector.choose(routed, known, now) if known else None
-        return (
-            placement is not None and placement.expected_s < caller_timeout_s - silent_s
-        )
-
     def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
         """Return seconds for which an attempt may be silent while its engines read."""
         load = self.controller.load
         names = (attempt.server, *(() if attempt.events else attempt.helpers))
         return max(load.reading_s(name, now) for name in names)
 
-    def _on_silent(self, routed: RoutedRequest, now: float) -> list:
-        request_controller = self.controller
-        attempt = routed.active_attempt
-        is_fully_silent = (
-            request_controller.observations.last_response_at.get(attempt.server, 0.0)
-            <= attempt.progress_at
-        )
-        request_controller.observations.health.record_failure(
-            attempt.server, now, certain=is_fully_silent
-        )
-        return self._move(routed, now)
+    def _record_silence(self, attempt: AttemptState, now: float) -> None:
+        """Count a silence as one failure of the server, however long it lasts."""
+        if attempt.silent_since == attempt.progress_at:
+            return
+        attempt.silent_since = attempt.progress_at
+        observations = self.controller.observations
+        last_response_at = observations.last_response_at.get(attempt.server, 0.0)
+        is_fully_silent = last_response_at <= attempt.progress_at
+        observations.health.record_failure(attempt.server, now, certain=is_fully_silent)
+
+    def _move(
+        self, routed: RoutedRequest, now: float, max_expected_s: float = float("inf")
+    ) -> list:
+        """Send a request to another server if one can take it now.
 
-    def _move(self, routed: RoutedRequest, now: float) -> list:
-        """Send a request to another server if the route allows another attempt."""
-        request_controller = self.controller
+        :param max_expected_s: seconds within which its first event must be expected.
+        """
         attempt = routed.active_attempt
-        if routed.possible_runs + 1 >= routed.route.attempts:
-            attempt.progress_at = now
+        placement = self.controller.find_alternative(routed, now)
+        if placement is None or placement.expected_s >= max_expected_s:
             return []
-        request_controller.end_attempt(routed, now)
-        routed.possible_runs += 1
         fields = (
             ("server", attempt.server),
             ("silent_s", f"{now - attempt.progress_at:.2f}"),
@@ -377,10 +366,7 @@
         )
         return [
             LogEvent("info", "server_silent", routed.request.caller_request_id, fields),
-            AbortAttempt(attempt.attempt_id),
-            *request_controller.retry_or_give_up(
-                routed, RetryReason.SERVER_SILENT, now
-            ),
+            *self.controller.move(routed, placement, RetryReason.SERVER_SILENT, now),
         ]
 
 
