Let an interrupted stream wait for an engine as long as its caller does

What callers saw: a stream whose engine was lost three seconds after the request came is cut at the next check if no engine has room at that moment, though an engine is free 0.5 s later and the caller waits 2 s.

Cause: the longest wait of a queued request counts from its arrival; it says when to refuse one that has not begun. A begun stream can't be refused, only cut. Class: one limit for two states.

remaining_wait_s counts from the last event for a begun stream, up to the caller's timeout; such a stream is not deferred on behalf of others either. The limits on waiting move to a module of their own (waiting.py), unchanged.

--- a/features/properties/test_route_waiting.py
+++ b/features/properties/test_route_waiting.py
@@ -28,14 +28,11 @@
     RouteRequest,
     SendErrorResponse,
 )
-from briarrelay_core.routes.deferral import (
-    DEFER_TARGET_FACTOR,
-    max_wait_s,
-    should_defer,
-)
+from briarrelay_core.routes.deferral import DEFER_TARGET_FACTOR, should_defer
 from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.requeststate import RoutedRequest
+from briarrelay_core.routes.waiting import max_wait_s
 from properties.routeworld import (
     PROFILE,
     RouteWorld,
--- a/features/properties/test_silent_servers.py
+++ b/features/properties/test_silent_servers.py
@@ -12,6 +12,7 @@
     ResponseEvent,
     ResponseHead,
     ResponseKind,
+    ResponseLost,
     SendErrorResponse,
 )
 from briarrelay_core.routes.budget import RetryLimits
@@ -96,3 +97,25 @@
         (moved,) = world.forwards(world.advance(SILENCE_S))
         self.assertNotEqual(moved.server, sent.server)
         self.assertEqual(moved.resume_after, "1")
+
+
+class InterruptedStreamTest(unittest.TestCase):
+    """A stream whose engine is lost waits for another one while its caller does."""
+
+    def test_stream_waits_for_room_on_another_engine(self):
+        """Its longest wait counts from the last event, not from its arrival."""
+        world = RouteWorld()
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        for number in range(2, 30):
+            world.advance(0.1)
+            world.deliver(ResponseEvent(sent.attempt_id, str(number), b"."))
+        others = [n for n in engine_names(world) if n != sent.server]
+        fill_engines(world, others)
+        effects = world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        effects += world.advance(0.5)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        for slot in range(8):
+            world.instance.controller.load.remove(f"{others[0]}-{slot}")
+        (moved,) = world.forwards(world.advance(0.2))
+        self.assertEqual((moved.server, moved.resume_after), (others[0], "29"))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -21,7 +21,7 @@
 from briarrelay_core.record.record import Entry, Recorder
 from briarrelay_core.routes.admission import NO_SERVER_RETRY_S, RouteAdmission
 from briarrelay_core.routes.budget import ServiceRetryBudget
-from briarrelay_core.routes.deferral import max_wait_s, should_defer
+from briarrelay_core.routes.deferral import should_defer
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
@@ -29,6 +29,7 @@
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
 from briarrelay_core.routes.servers import ServerTable
+from briarrelay_core.routes.waiting import remaining_wait_s
 
 __all__ = ["RequestController"]
 
@@ -134,7 +135,7 @@
         resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
         if resumes_in_s is None:
             return False
-        return now - routed.arrived_at + resumes_in_s < max_wait_s(routed)
+        return resumes_in_s < remaining_wait_s(routed, now)
 
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
@@ -514,9 +515,7 @@
         for routed in list(self.requests.values()):
             if now >= routed.deadline + RESPONSE_GRACE_S:
                 effects += self._on_deadline(routed, now)
-            elif routed.active_attempt is None and now - routed.arrived_at > max_wait_s(
-                routed
-            ):
+            elif routed.active_attempt is None and remaining_wait_s(routed, now) < 0:
                 effects += self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         return effects
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/deferral.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/deferral.py
@@ -9,12 +9,9 @@
 
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.requeststate import RoutedRequest
+from briarrelay_core.routes.waiting import max_wait_s
 
-__all__ = ["max_wait_s", "should_defer"]
-
-MAX_WAIT_FRACTION = 0.25
-"""Fraction of the time from a request's arrival to its deadline that it may wait for a
-free slot."""
+__all__ = ["should_defer"]
 
 DEFER_STREAM_COST = 0.5
 """Expected cost to other streams from which a prompt waits if it can still meet its
@@ -48,8 +45,11 @@
 
 
 def should_defer(routed: RoutedRequest, placement: Placement, now: float) -> bool:
-    """Return whether a prompt should wait although it could be placed now."""
-    if not routed.is_prompt:
+    """Return whether a prompt should wait although it could be placed now.
+
+    A stream that has begun never waits by choice, since its caller sees the pause.
+    """
+    if not routed.is_prompt or routed.is_head_relayed:
         return False
     waited_s = now - routed.arrived_at
     if waited_s >= max_wait_s(routed) - LAST_CHECKS_S:
@@ -59,12 +59,6 @@
     )
 
 
-def max_wait_s(routed: RoutedRequest) -> float:
-    """Return seconds after arrival at which a request without placement is refused."""
-    total_s = routed.deadline - routed.arrived_at
-    return min(max(routed.route.target_latency_s, MAX_WAIT_FRACTION * total_s), total_s)
-
-
 def _delays_others(
     routed: RoutedRequest, placement: Placement, waited_s: float
 ) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -20,6 +20,7 @@
 from briarrelay_core.routes.controller import RequestController
 from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
+from briarrelay_core.routes.waiting import caller_timeout_s
 
 __all__ = ["ResponseHandler"]
 
@@ -40,18 +41,6 @@
 """Multiple of the reading time queued on the server that is added to the silence
 timeout."""
 
-CALLER_MIN_TIMEOUT_S = 2.0
-"""Shortest silence in seconds after which a caller of a stream may disconnect, as the
-users' requirements state."""
-
-CALLER_TARGET_FACTOR = 4.0
-"""Multiple of the target latency for which a caller of a stream stays connected without
-an event."""
-
-CALLER_GAP_FACTOR = 8.0
-"""Multiple of the gap limit for which a caller of a stream stays connected without an
-event."""
-
 MOVE_FRACTION = 0.65
 """Fraction of the caller's timeout after which its stream moves to another server; the
 rest is left for reading the prompt again."""
@@ -323,12 +312,12 @@
             timeout_s = _silence_timeout_s(routed, attempt)
             timeout_s += READING_FACTOR * self._read_allowance_s(attempt, now)
             silent_s = now - attempt.progress_at
-            caller_timeout_s = _caller_timeout_s(routed)
+            leaves_after_s = caller_timeout_s(routed)
             if silent_s > timeout_s:
                 self._record_silence(attempt, now)
                 effects += self._move(routed, now)
-            elif silent_s > MOVE_FRACTION * caller_timeout_s:
-                effects += self._move(routed, now, caller_timeout_s - silent_s)
+            elif silent_s > MOVE_FRACTION * leaves_after_s:
+                effects += self._move(routed, now, leaves_after_s - silent_s)
         return effects
 
     def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
@@ -381,18 +370,6 @@
     )
 
 
-def _caller_timeout_s(routed: RoutedRequest) -> float:
-    """Return seconds of silence after which the caller of a stream disconnects."""
-    if routed.route.kind is not RouteKind.STREAM:
-        return float("inf")
-    target_s, gap_s = routed.route.target_latency_s, routed.route.gap_limit_s or 0.0
-    return max(
-        CALLER_MIN_TIMEOUT_S,
-        CALLER_TARGET_FACTOR * target_s,
-        CALLER_GAP_FACTOR * gap_s,
-    )
-
-
 def _is_newer(event_id: str, last: str) -> bool:
     """Return whether an event follows the last one that the caller received."""
     if not last:
