Keep the idle limit under which a caller's idle time began

Cause: the limit in force was compared with idle time that had begun under an earlier one. Class: a new rule applied to what began under the old one.

Each connection keeps the limit at the start of its idle time; the larger of the two applies. Other limits (header, body) bound what the caller still has to send and stay as they are.

Evidence: test_lower_idle_limit_... failed before (the second request never arrived), passes now.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from briarrelay_core.routes.model import CallerLimits
 from briarrelay_daemon.bytesresponse import BytesResponse
 from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.eventsplit import MAX_EVENT_BYTES, EventSplitter
@@ -115,6 +116,20 @@
         self.send(b"GET / HTTP/1.1\r\nX-A", seconds=1.2)
         self.assertIn(b" 408 ", self.receive()[:16])
 
+    def test_lower_idle_limit_does_not_apply_to_idle_time_that_began_before(self):
+        """The caller may still reuse its connection under the limit that it knows."""
+        self.server.limits = CallerLimits(idle_s=30.0)
+        self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        run_reactor(self.reactor, lambda: False, 0.6)
+        self.server.limits = CallerLimits(idle_s=0.5)
+        run_reactor(self.reactor, lambda: False, 0.6)
+        self.send(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n", lambda: len(self.requests) > 1)
+        self.assertEqual(self.requests[-1].target, b"/2")
+        self.requests[-1].reply(200, [], b"2")
+        run_reactor(self.reactor, lambda: not self.server._connections)
+        self.assertFalse(self.server._connections)
+
     def test_caller_disconnect_is_reported(self):
         self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
         self.sock.close()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -135,6 +135,7 @@
     :ivar timeout_started_at: start of the idle or header timeout: when the connection
         was accepted, the first byte of a request was received or the last response
         ended, whichever is latest.
+    :ivar idle_limit_s: limit on the idle time in seconds when that timeout started.
     """
 
     def __init__(self, server: "CallerServer", sock: socket.socket):
@@ -152,7 +153,7 @@
         self._partial_message = CallerMessage()
         self._queued_messages: deque[CallerMessage] = deque()
         self.has_pending_bytes = False
-        self.timeout_started_at = server.reactor.clock()
+        self._start_timeout()
         server.reactor.watch(sock, READ, self._on_ready)
 
     @property
@@ -221,7 +222,7 @@
         """Parse received bytes and pass on the first request that they complete."""
         if not self.has_pending_bytes:
             self.has_pending_bytes = True
-            self.timeout_started_at = self.server.reactor.clock()
+            self._start_timeout()
         if not self._partial_message.is_head_complete:
             self._partial_message.head_bytes += len(data)
         try:
@@ -322,13 +323,17 @@
         """Mark a response as complete and continue with the next request."""
         exchange.is_open = False
         self._exchange = None
-        self.timeout_started_at = self.server.reactor.clock()
+        self._start_timeout()
         if not exchange.keeps_alive:
             self._is_closing = True
             return
         if self._queued_messages or self._unparsed:
             self.server.reactor.defer(self._resume)
 
+    def _start_timeout(self) -> None:
+        self.timeout_started_at = self.server.reactor.clock()
+        self.idle_limit_s = self.server.limits.idle_s
+
     def _resume(self) -> None:
         """Process the requests received while the last one was answered."""
         self._dispatch_next()
@@ -415,6 +420,6 @@
             if connection.has_pending_bytes and not connection.is_head_complete:
                 if elapsed_s > self.limits.header_s:
                     connection.refuse(408, b"the header took too long; send it at once")
-            elif elapsed_s > self.limits.idle_s:
+            elif elapsed_s > max(self.limits.idle_s, connection.idle_limit_s):
                 connection.close()
         return []
