Answer requests that arrived unread when idle connections are closed

What callers saw in a planned stop: a request sent on an open connection just before the stop closes the idle ones ends without an answer; the unread bytes make the kernel reset the connection. The same for a pipelined request while the previous response is being finished, and at the idle timeout.

Cause: a connection counted as idle by what had been read from it.

is_idle also looks at bytes that wait in the socket or in the buffer; such a connection stays, its request is read and answered (with Connection: close once the process stops).

Evidence: two CallerServerTest cases failed before (the second request never arrived), pass now; test_planned_stop and test_corpus pass.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -130,6 +130,25 @@
         run_reactor(self.reactor, lambda: not self.server._connections)
         self.assertFalse(self.server._connections)
 
+    def test_request_that_has_arrived_unread_is_answered_when_idle_ones_close(self):
+        """Closing its connection would reset it without an answer."""
+        self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        run_reactor(self.reactor, lambda: False, 0.05)
+        self.sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.server.close_idle()
+        run_reactor(self.reactor, lambda: len(self.requests) > 1, 0.3)
+        self.assertEqual(self.requests[-1].target, b"/2")
+
+    def test_pipelined_request_is_answered_when_idle_ones_close(self):
+        template = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(template % 1, lambda: self.requests)
+        self.send(template % 2)
+        self.requests[0].reply(200, [], b"1")
+        self.server.close_idle()
+        run_reactor(self.reactor, lambda: len(self.requests) > 1, 0.3)
+        self.assertEqual(self.requests[-1].target, b"/2")
+
     def test_caller_disconnect_is_reported(self):
         self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
         self.sock.close()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -161,6 +161,16 @@
         """Whether a request is being answered."""
         return self._exchange is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or answered, or has arrived unread."""
+        if self.is_busy or self.has_pending_bytes or self._unparsed:
+            return False
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return True  # nothing to read, or the caller reset the connection
+
     @property
     def is_head_complete(self) -> bool:
         """Whether the header of the request that is being read is complete."""
@@ -408,7 +418,7 @@
     def close_idle(self) -> None:
         """Close the connections on which no request is being read or answered."""
         for connection in list(self._connections):
-            if not connection.is_busy and not connection.has_pending_bytes:
+            if connection.is_idle:
                 connection.close()
 
     def _check_timeouts(self, now: float) -> list:
@@ -421,5 +431,6 @@
                 if elapsed_s > self.limits.header_s:
                     connection.refuse(408, b"the header took too long; send it at once")
             elif elapsed_s > max(self.limits.idle_s, connection.idle_limit_s):
-                connection.close()
+                if connection.has_pending_bytes or connection.is_idle:
+                    connection.close()
         return []
