Perform the effects after one that fails

What callers would see: if performing one effect raises, the effects after it are dropped, among them the response to a caller, who then gets neither an answer nor a refusal.

An effect that raises is logged with its innermost calls (effect_failed) and counted (effect.failed); the others are performed. An effect class without a performer still raises.

Evidence: HostTest failed before with the ZeroDivisionError, passes now.

--- a/features/properties/test_daemon_io.py
+++ b/features/properties/test_daemon_io.py
@@ -2,11 +2,14 @@
 
 import socket
 import unittest
+from time import monotonic
 
 import orjson
 from hypothesis import given
 from hypothesis import strategies as st
+from logbook import Logger, TestHandler
 
+from briarrelay_core.outcomes import Failed
 from briarrelay_core.ports.peer import (
     Digest,
     Evidence,
@@ -17,9 +20,12 @@
     ReportEntry,
     ReserveMemory,
 )
+from briarrelay_core.ports.route import AbortAttempt, SendErrorResponse
+from briarrelay_core.reasons import FailureReason
 from briarrelay_daemon import peer_pb2
 from briarrelay_daemon.chatapi import sse_event_prefix, sse_text_event
 from briarrelay_daemon.engineport import EnginePort
+from briarrelay_daemon.host import Host
 from briarrelay_daemon.peercodec import (
     PeerCodecError,
     decode_message,
@@ -163,3 +169,28 @@
     def test_frame_of_the_request_is_dispatched(self):
         host = self.receive_line(b'{"r":"r1","a":2,"s":3,"k":"token","t":"x"}')
         self.assertEqual(host.dispatched[0].seq, 3)
+
+
+class _EffectsCore:
+    """Core whose effects are the messages that it is given."""
+
+    next_due = None
+
+    def handle(self, message, now: float) -> list:
+        return message
+
+
+class HostTest(unittest.TestCase):
+    def test_effect_that_fails_does_not_withhold_the_response_after_it(self):
+        counters, log = _RecordingHost(), TestHandler()
+        sent = []
+        host = Host(_EffectsCore(), Reactor(monotonic), counters, Logger("test"))
+        host.register(AbortAttempt, lambda effect: 1 // 0)
+        host.register(SendErrorResponse, sent.append)
+        response = SendErrorResponse(1, Failed(FailureReason.SERVER_LOST))
+        with log.applicationbound():
+            host.dispatch([AbortAttempt(7), response])
+        self.assertEqual(sent, [response])
+        self.assertEqual(counters.counter_names, ["effect.failed"])
+        self.assertEqual(log.records[0].kwargs["effect"], "AbortAttempt")
+        self.assertIn("ZeroDivisionError", log.records[0].kwargs["problem"])
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from time import monotonic, time
+from traceback import format_tb
 
 from logbook import Logger
 
@@ -12,6 +13,9 @@
 
 __all__ = ["Host", "SteadyClock"]
 
+MAX_TRACE_CALLS = 4
+"""Innermost calls of a failed effect that are logged."""
+
 
 class SteadyClock:
     """Unix seconds that never jump: wall time at the start plus monotonic time."""
@@ -63,9 +67,23 @@
     def _perform(self, effects: list) -> None:
         performers = self._performers
         for effect in effects:
-            performers[type(effect)](effect)
+            perform = performers[type(effect)]
+            try:
+                perform(effect)
+            except Exception as error:
+                # The effects after it may hold the response to a caller.
+                self._report_failure(effect, error)
         self._set_timer()
 
+    def _report_failure(self, effect, error: Exception) -> None:
+        self.counters.add("effect.failed")
+        self.logger.error(
+            "effect_failed",
+            effect=type(effect).__name__,
+            problem=f"{type(error).__name__}: {error}",
+            trace="".join(format_tb(error.__traceback__, -MAX_TRACE_CALLS)),
+        )
+
     def _set_timer(self) -> None:
         due = self.core.next_due
         timer = self._timer
