Keep the position of a stream over events without an id

What callers would see: a stream that breaks off after an event without an id begins again from its first event, so events come twice.

Cause: the empty id replaced the position of the last event.

Evidence: test_event_without_id_keeps_the_position failed before ('' != '1'), passes now.

--- a/features/properties/test_silent_servers.py
+++ b/features/properties/test_silent_servers.py
@@ -119,3 +119,12 @@
             world.instance.controller.load.remove(f"{others[0]}-{slot}")
         (moved,) = world.forwards(world.advance(0.2))
         self.assertEqual((moved.server, moved.resume_after), (others[0], "29"))
+
+    def test_event_without_id_keeps_the_position(self):
+        world = RouteWorld()
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        world.deliver(ResponseEvent(sent.attempt_id, "", b"no id"))
+        effects = world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        (moved,) = world.forwards(effects)
+        self.assertEqual(moved.resume_after, "1")
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -178,7 +178,7 @@
             effects.append(RelayHead(routed.request.request_id, attempt.attempt_id))
         if not _is_newer(message.event_id, routed.resume_after):
             return [*effects, IncrementCounter("route.event_repeated")]
-        routed.last_event = message.event_id
+        routed.last_event = message.event_id or routed.last_event
         effects.append(RelayEvent(routed.request.request_id, message.data))
         return effects
 
