End an attempt at once when its server switches protocols

Callers saw: nothing until the time limit of their request, since the attempt was neither complete nor lost; other sockets that were ready in the same round of the event loop waited for the next one.

Cause: httptools reports a 101 with Upgrade by HttpParserUpgrade, which is no HttpParserError; it left the reader and ended the round of the event loop.

Evidence: test_switch_of_protocols_ends_the_attempt failed before (error 'httptools.parser.errors.HttpParserUpgrade: 73'), passes after.

Conclusion: nobody asked for another protocol, so no response will come, and the attempt is lost.

--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -182,6 +182,16 @@
             self.run_until(lambda: self.ending, 0.5)
             self.assertEqual((self.ending, attempt.status), ("whole", status))
 
+    def test_switch_of_protocols_ends_the_attempt(self):
+        """Nobody asked for it, so there is no response to come."""
+        attempt, sock = self.start()
+        sock.sendall(
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+            b"Upgrade: other\r\n\r\n"
+        )
+        self.run_until(lambda: self.ending, 0.5)
+        self.assertEqual(self.ending, "lost")
+
     # A request body that is not sent to its end
 
     def test_unframed_response_that_is_reset_while_the_request_is_sent_is_lost(self):
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -7,7 +7,7 @@
 from termios import TIOCOUTQ
 
 from attrs import define, field
-from httptools import HttpParserError
+from httptools import HttpParserError, HttpParserUpgrade
 
 from briarrelay_daemon.reactor import READ, WRITE, Reactor
 from briarrelay_daemon.responsereader import CallSink, ResponseReader
@@ -172,6 +172,11 @@
                 self._fail(f"invalid HTTP response: {error}")
                 return
             reader.has_extra_bytes = True
+        except HttpParserUpgrade:
+            if not reader.is_complete:
+                self._fail("the server switched to another protocol")
+                return
+            reader.has_extra_bytes = True
         if reader.problem and not reader.is_complete:
             self._fail(reader.problem)
         if reader.is_complete and not self.is_over:
