Use a whole response of a server that closed with our request unread

Callers saw: 502 where the engine had answered, also where it had said with X-Not-Executed that the request may go elsewhere.

Cause: an engine that answers before it has read a long body, and closes, resets the connection. The failed write ended the call before what had been received was read.

The socket reports the reset once, to the write, so the end of what is read then is no end of an unframed response; ..._reset_while_the_request_is_sent_is_lost guards that.

Conclusion: what was received is read before the call fails, and counts only if it is complete by its length or chunks. On a connection on which nothing could be written nothing is read, since it can be no answer to this request.

--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -192,6 +192,13 @@
         self.run_until(lambda: self.ending, 0.5)
         self.assertEqual(self.ending, "lost")
 
+    def test_whole_response_counts_though_the_request_was_not_read(self):
+        """An engine that closes with unread bytes resets the connection."""
+        body = b"a" * 8_000_000
+        framed = b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+        self.assertEqual(self.play(framed, waits=False, body=body), "whole")
+        self.assertEqual(self.statuses, [503])
+
     # A request body that is not sent to its end
 
     def test_unframed_response_that_is_reset_while_the_request_is_sent_is_lost(self):
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -143,6 +143,8 @@
                 connection.is_connected = False  # still connecting
                 return
             self.is_closed_by_server = isinstance(error, ConnectionError)
+            if self._has_sent:
+                self._read_remaining()
             self._fail(f"writing failed: {error.strerror}")
             return
         if not self._has_sent:
@@ -164,6 +166,26 @@
         if not data:
             self._on_closed()
             return
+        self._parse(data)
+
+    def _read_remaining(self) -> None:
+        """Read what was received before writing failed.
+
+        The server may have answered and closed before it had read the whole request.
+        The end of these bytes is not the end of a response: the socket reports a reset
+        once, here to the failed write.
+        """
+        while not self.is_over:
+            try:
+                data = self._connection.sock.recv(READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Pass received bytes to the reader; the call ends with its response."""
         reader = self._reader
         try:
             reader.feed(data)
