Let a body in the identity transfer coding end with its connection

Callers saw: 502, the attempt counted as lost, though the answer had neither a length nor chunks and its connection had ended in order.

Cause: any Transfer-Encoding counted as chunks.

Evidence: test_plain_response_is_whole_at_its_end failed before in its subtests 'identity' ('lost' != 'whole'), passes after. Other codings stay lost, since their bytes are not the body (test_response_in_another_transfer_encoding...).

Conclusion: only the old name for 'as it is' is taken as no framing.

--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -144,6 +144,7 @@
             "kept alive for a time": PLAIN_HEAD + b"Keep-Alive: timeout=5\r\n",
             "closing": PLAIN_HEAD + b"Connection: close\r\n",
             "older version": PLAIN_HEAD.replace(b"1.1", b"1.0"),
+            "identity": PLAIN_HEAD + b"Transfer-Encoding: identity\r\n",
             "failure": b"HTTP/1.1 500 No\r\n" + SEAL,
             "refusal": b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\n" + SEAL,
             "after a copy": LATE_COPY + PLAIN_HEAD,
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
@@ -11,6 +11,10 @@
 """Most body bytes of responses that belong to other calls."""
 
 
+IDENTITY = "identity"
+"""Transfer coding that older servers give for a body that is sent as it is."""
+
+
 class CallSink:
     """Receives the events of a call; the methods do nothing unless overridden.
 
@@ -132,7 +136,6 @@
     @property
     def ends_at_close(self) -> bool:
         """Whether the response ends when the server closes the connection."""
-        has_length = "content-length" in self.headers or (
-            "transfer-encoding" in self.headers
-        )
+        coding = self.headers.get("transfer-encoding", IDENTITY)
+        has_length = "content-length" in self.headers or coding.lower() != IDENTITY
         return self._has_head and not self._is_skipped and not has_length
