End responses to HEAD with their head

Callers saw: no answer to a HEAD request until its time limit, then 502 or 504; and behind a refusal of our own to a HEAD request, its body, where a caller that keeps its connection expects the next response.

Cause: the response was parsed as one to GET, so the body that its length announces was awaited; without a length, the end of the connection.

Evidence: failed before, pass after: test_response_to_head_is_whole_at_its_head (('', b'') != ('whole', b'') with a length, in chunks and with neither) and test_response_to_head_has_no_body (response ended in '\r\n\r\nwhy').

Conclusion: the reader is told whether a body may follow; a body that follows all the same keeps the connection from being used again.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -77,6 +77,17 @@
         run_reactor(self.reactor, lambda: len(self.requests) > 1)
         self.assertEqual(self.requests[1].target, b"/2")
 
+    def test_response_to_head_has_no_body(self):
+        """The caller would take it for the start of its next response."""
+        self.send(b"HEAD / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(503, [], b"why")
+        response = self.receive()
+        self.assertIn(b" 503 ", response[:16])
+        self.assertTrue(response.endswith(b"\r\n\r\n"), response)
+        self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests[1:])
+        self.requests[1].reply(200, [], b"next")
+        self.assertTrue(self.receive().startswith(b"HTTP/1.1 200 "))
+
     def check_rejected(self, data: bytes, status: int):
         """Check that bytes get an error status and no request is handed on."""
         self.send(data)
--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -183,6 +183,19 @@
             self.run_until(lambda: self.ending, 0.5)
             self.assertEqual((self.ending, attempt.status), ("whole", status))
 
+    def test_response_to_head_is_whole_at_its_head(self):
+        """Its length is that of the body which is not sent."""
+        for framing in (
+            b"Content-Length: 9\r\n",
+            b"Transfer-Encoding: chunked\r\n",
+            b"",
+        ):
+            with self.subTest(framing):
+                attempt, sock = self.start(method="HEAD", body=b"")
+                sock.sendall(PLAIN_HEAD + framing + b"\r\n")
+                self.run_until(lambda: self.ending, 0.5)
+                self.assertEqual((self.ending, bytes(attempt.body)), ("whole", b""))
+
     def test_switch_of_protocols_ends_the_attempt(self):
         """Nobody asked for it, so there is no response to come."""
         attempt, sock = self.start()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -67,13 +67,15 @@
         return ""
 
     def reply(self, status: int, headers: list, body: bytes) -> None:
-        """Send a complete response.
+        """Send a complete response; without its body in reply to HEAD.
 
         :param headers: pairs of bytes, without Content-Length or Transfer-Encoding.
         """
         if not self.is_open or self.is_head_sent:
             return
         framing = (b"Content-Length", b"%d" % len(body))
+        if self.method == "HEAD":
+            body = b""
         self._connection.write(self._encode_head(status, [*headers, framing]) + body)
         self._connection.finish(self)
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -68,13 +68,20 @@
 class HttpCall:
     """One request and its response.
 
+    :param has_body: whether the response may have a body.
     :ivar is_over: the response is complete, or the call failed or was cancelled.
     :ivar problem: why the call failed, for logs.
     :ivar is_closed_by_server: the call failed because the server closed or reset the
         connection.
     """
 
-    def __init__(self, client: "HttpClient", address: Address, sink: CallSink):
+    def __init__(
+        self,
+        client: "HttpClient",
+        address: Address,
+        sink: CallSink,
+        has_body: bool = True,
+    ):
         self._client = client
         self._address = address
         self._sink = sink
@@ -82,7 +89,7 @@
         self._timer = None
         self._connect_timer = None
         self._has_sent = False
-        self._reader = ResponseReader(sink)
+        self._reader = ResponseReader(sink, has_body)
         self.is_over = False
         self.problem = ""
         self.is_closed_by_server = False
@@ -292,7 +299,7 @@
         force_new_connection: bool = False,
     ) -> HttpCall:
         """Start a call with an encoded request; see :meth:`call`."""
-        call = HttpCall(self, address, sink)
+        call = HttpCall(self, address, sink, not message.startswith(b"HEAD "))
         call.begin(
             self._acquire_connection(address, force_new_connection), message, timeout
         )
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
@@ -50,6 +50,7 @@
 class ResponseReader:
     """Passes the response to one call from the parser to a sink.
 
+    :param has_body: False for a HEAD request, whose response ends with its head.
     :ivar is_complete: the response has been read to its end.
     :ivar keeps_alive: the server keeps the connection open; recorded at the end of
         the response, since the parser only reports it there.
@@ -57,8 +58,9 @@
     :ivar problem: why the response is longer than any valid one, else empty.
     """
 
-    def __init__(self, sink: CallSink):
+    def __init__(self, sink: CallSink, has_body: bool = True):
         self._sink = sink
+        self._has_body = has_body
         self._pairs: list[tuple[bytes, bytes]] = []
         self._is_skipped = False
         self._has_head = False
@@ -114,13 +116,17 @@
         self.headers = headers
         self._sink.on_raw_headers(self._pairs)
         self._sink.on_head(status, headers)
+        if not self._has_body:
+            self._complete()
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
         if self._is_skipped:
             self._overhead_bytes -= len(data)
             self._skipped_bytes += len(data)
-        elif not self.is_complete:
+        elif self.is_complete:
+            self.has_extra_bytes = True
+        else:
             self._overhead_bytes = 0
             self._body_bytes += len(data)
             self._sink.on_data(data)
@@ -130,8 +136,11 @@
         if self._is_skipped:
             self._is_skipped = False
         elif not self.is_complete:
-            self.is_complete = True
-            self.keeps_alive = self.parser.should_keep_alive()
+            self._complete()
+
+    def _complete(self) -> None:
+        self.is_complete = True
+        self.keeps_alive = self.parser.should_keep_alive()
 
     @property
     def ends_at_close(self) -> bool:
