Count an unframed stream that ends before its first event as broken off

Callers saw: 200 with the engine's seal and an empty body, complete, where the engine had sent its head and ended.

Cause: the end of the connection counted as the end of the stream, since no event was begun.

Evidence: failed before, pass after: test_stream_that_ends_before_its_first_ event_is_lost and test_stream_cut_anywhere with cut=0 ('whole' != 'lost'). The tests that an empty stream is whole by its length or chunks, and a resumed one with nothing left by its end, passed before too.

Conclusion: a stream has at least one event, so an end without any is no end of a stream, unless the request resumes one. After a later event an ordered end can not be told from a crash; that stays open.

--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -234,7 +234,7 @@
     @settings(max_examples=150, deadline=None)
     @given(
         count=st.integers(1, 4),
-        cut=st.integers(1, 100),
+        cut=st.integers(0, 100),
         sizes=st.lists(st.integers(1, 40), max_size=8),
         resets=st.booleans(),
         waits=st.booleans(),
@@ -268,6 +268,19 @@
             )
             self.assertEqual(self.events, make_events(1))
 
+    def test_stream_that_ends_before_its_first_event_is_lost(self):
+        self.assertEqual(self.play(STREAM_HEAD + b"\r\n"), "lost")
+
+    def test_stream_without_events_is_whole_if_its_framing_says_so(self):
+        for rest in (
+            b"Content-Length: 0\r\n\r\n",
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ):
+            self.assertEqual(self.play(STREAM_HEAD + rest), "whole")
+
+    def test_resumed_stream_with_nothing_left_is_whole(self):
+        self.assertEqual(self.play(STREAM_HEAD + b"\r\n", resume_after="5"), "whole")
+
     def test_chunked_stream_that_ends_within_an_event_is_lost(self):
         head = STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
         self.assertEqual(self.play(head, b"5\r\nid: 1\r\n0\r\n\r\n"), "lost")
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -94,6 +94,11 @@
         self.problem = ""
         self.is_closed_by_server = False
 
+    @property
+    def ends_at_close(self) -> bool:
+        """Whether the response has neither a length nor chunks."""
+        return self._reader.ends_at_close
+
     def begin(self, connection: _Connection, message: bytes, timeout: float) -> None:
         """Send the encoded request on a connection."""
         reactor = self._client.reactor
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -107,6 +107,7 @@
         self._forward = forward
         self._exchange = exchange
         self._splitter: EventSplitter | None = None
+        self._has_event = False
         self.call: HttpCall | None = None
         self.is_over = False
         self.status = 0
@@ -135,6 +136,7 @@
             self.body += data
             return
         for event in self._splitter.feed(data):
+            self._has_event = True
             self._notify_core(
                 ResponseEvent(self._forward.attempt_id, event.event_id, event.data)
             )
@@ -143,14 +145,24 @@
             self.call.abort()
 
     def on_end(self) -> None:
-        if self._splitter is not None and self._splitter.has_partial_event:
-            self._notify_core(
-                ResponseLost(
-                    self._forward.attempt_id, True, "stream ended within an event"
-                )
-            )
+        attempt_id = self._forward.attempt_id
+        problem = self._find_early_end()
+        if problem:
+            self._notify_core(ResponseLost(attempt_id, True, problem))
         else:
-            self._notify_core(ResponseComplete(self._forward.attempt_id))
+            self._notify_core(ResponseComplete(attempt_id))
+
+    def _find_early_end(self) -> str:
+        """Return why a stream that has ended is not complete, else empty."""
+        if self._splitter is None:
+            return ""
+        if self._splitter.has_partial_event:
+            return "stream ended within an event"
+        # after an event that the caller has, nothing may be left
+        is_empty = not self._has_event and not self._forward.resume_after
+        if is_empty and self.call.ends_at_close:
+            return "stream ended with its connection before its first event"
+        return ""
 
     def on_lost(self, sent: bool) -> None:
         call = self.call
