Keep blank lines and comments of a stream with the event after them

Callers saw: a stream without its engine's last blank line, a body that is not the engine's; and where a stream broke off after a comment or blank lines, a new run from its first event on, so events came twice (the second from reading routes/responses.py, where an event without an id clears the position).

Cause: a block of comments or blank lines counted as an event without an id, and as progress of a stalled stream; what followed the last event was dropped.

Conclusion: only blocks with a field are events; the rest goes with the next event, or with the end.

--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -285,6 +285,31 @@
         head = STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
         self.assertEqual(self.play(head, b"5\r\nid: 1\r\n0\r\n\r\n"), "lost")
 
+    def test_body_of_a_stream_is_relayed_byte_for_byte(self):
+        """Blank lines and comments between events and after the last belong to it."""
+        first, second = make_events(2)
+        for name, body in {
+            "blank line first": b"\n" + first + second,
+            "blank line between": first + b"\n" + second,
+            "blank lines between": first + b"\n\n\n" + second,
+            "comment between": first + b": wait\n\n" + second,
+            "blank line last": first + second + b"\n",
+            "comment last": first + second + b": end\n\n",
+        }.items():
+            with self.subTest(name):
+                self.assertEqual(self.play(STREAM_HEAD + b"\r\n", body), "whole")
+                self.assertEqual(b"".join(self.events), body)
+
+    def test_comment_is_no_event(self):
+        """It has no id, so a stream that is lost after it would start over."""
+        attempt, sock = self.start()
+        sock.sendall(STREAM_HEAD + b"\r\n" + make_events(1)[0])
+        self.run_until(lambda: self.events)
+        for comment in (b": wait\n\n", b"\n\n", b":\n:\n\n"):
+            sock.sendall(comment)
+            self.run_until(lambda: False, 0.02)
+        self.assertEqual(self.events, make_events(1))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -149,8 +149,13 @@
         problem = self._find_early_end()
         if problem:
             self._notify_core(ResponseLost(attempt_id, True, problem))
-        else:
-            self._notify_core(ResponseComplete(attempt_id))
+            return
+        rest = self._splitter.rest if self._splitter is not None else b""
+        if not self._has_event:
+            self.body += rest
+        elif rest:
+            self._notify_core(ResponseEvent(attempt_id, "", rest))
+        self._notify_core(ResponseComplete(attempt_id))
 
     def _find_early_end(self) -> str:
         """Return why a stream that has ended is not complete, else empty."""
