Play unframed responses on real processes with stand-ins

The stand-ins' servers may answer with neither a length nor chunks (unframed), reset such an answer on the way (with half or break), or close in order inside an event (crumble).

--- a/features/properties/test_operator_faults.py
+++ b/features/properties/test_operator_faults.py
@@ -98,6 +98,55 @@
             stream = call(entry, "/chat/x", "half-chat", tokens="1000,5")
             self.assertFalse(stream.status == 200 and stream.is_complete)
 
+    def test_unframed_responses_are_whole_if_they_end_in_order(self):
+        """They end with their connection; the seal says whose they are."""
+        with Fleet(engines=2, plain_servers=2, entries=1, subnet="1.27") as fleet:
+            entry = fleet.instances[0]
+            self.set_fault(fleet, "engine", unframed=1.0)
+            self.set_fault(fleet, "desk", unframed=1.0)
+            for number in range(10):
+                stream = call(entry, "/chat/x", f"u-chat-{number}", tokens="1000,5")
+                self.assertEqual(event_ids(stream), [1, 2, 3, 4, 5])
+                booking = call(entry, "/book/x", f"u-book-{number}")
+                self.assertEqual(booking.body.count(b"u-book-%d " % number), 20)
+                for response in (stream, booking):
+                    self.assertEqual(response.status, 200)
+                    self.assertTrue(response.is_complete)
+            self.assertEqual(len(fleet.runs()), 20)
+            self.set_fault(fleet, "desk", unframed=1.0, error=1.0)
+            failed = call(entry, "/book/x", "u-error")
+            self.assertEqual((failed.status, failed.body), (500, b"failed"))
+
+    def test_unframed_responses_that_break_off_are_not_passed_on_as_complete(self):
+        with Fleet(engines=2, plain_servers=2, entries=1, subnet="1.28") as fleet:
+            entry = fleet.instances[0]
+            self.set_fault(fleet, "desk", unframed=1.0, half=1.0)
+            self.assertEqual(call(entry, "/book/x", "u-half").status, 502)
+            self.assertEqual(len(fleet.runs()), 1)
+            for faults in ({"break": 0.5}, {"crumble": 1.0}):
+                self.set_fault(fleet, "engine", unframed=1.0, **faults)
+                for number in range(4):
+                    attempt = f"u-{next(iter(faults))}-{number}"
+                    stream = call(entry, "/chat/x", attempt, tokens="1000,8")
+                    ids = event_ids(stream)
+                    self.assertEqual(ids, list(range(1, len(ids) + 1)))
+                    is_whole = stream.status == 200 and stream.is_complete
+                    self.assertEqual(is_whole, len(ids) == 8, stream)
+
+    def test_stream_that_crumbles_goes_on_at_another_engine(self):
+        with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.29") as fleet:
+            for name in ("engine-0", "engine-1"):
+                fleet.send_command("trouble", name, trouble={"unframed": 1.0})
+            fleet.send_command(
+                "trouble", "engine-0", trouble={"unframed": 1.0, "crumble": 1.0}
+            )
+            for number in range(6):
+                stream = call(
+                    fleet.instances[0], "/chat/x", f"c-{number}", tokens="1000,8"
+                )
+                self.assertEqual(event_ids(stream), list(range(1, 9)))
+                self.assertTrue(stream.is_complete)
+
     def test_work_of_a_server_that_stops_reporting_is_not_moved(self):
         """The entry of the server disappears while it writes a stream."""
         with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.25") as fleet:
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -10,6 +10,7 @@
 from briarrelay_daemon.responsereader import CallSink
 from briarrelay_daemon.settings import Address
 from standins.loop import StandInLoop, read_path
+from standins.unframed import UnframedExchange
 
 REGISTRATION_INTERVAL_S = 0.4
 EVENT_INTERVAL_S = 0.02
@@ -30,6 +31,7 @@
         self.attempt = attempt
         self.next_event = first_event
         self.interval_s = EVENT_INTERVAL_S
+        self.crumbles = server.draw_fault("crumble")
 
 
 class ServerStandIn:
@@ -39,8 +41,10 @@
     :ivar paused_at: times at which it asked for a pause of PAUSE_S.
     :ivar last_replies: the last complete reply on each connection.
     :ivar fault_rates: probability of each fault (``shed``, ``pause``, ``cut``,
-        ``mute``, ``error``, ``flood``, ``half`` and ``double`` for each request,
-        ``slow`` and ``trickle`` for each stream, ``break`` for each of its events).
+        ``mute``, ``error``, ``flood``, ``half``, ``double`` and ``unframed`` for each
+        request, ``slow``, ``trickle`` and ``crumble`` for each stream, ``break`` for
+        each of its events). An ``unframed`` response has neither a length nor chunks;
+        one that is to ``crumble`` closes in order inside an event.
     """
 
     def __init__(
@@ -106,6 +110,8 @@
 
     def execute(self, exchange, attempt: str, echo: list) -> None:
         self.group.record_run(self, exchange, attempt)
+        if self.draw_fault("unframed"):
+            exchange = UnframedExchange.replace(exchange)
         headers = [*echo, (b"X-Response-Seal", f"seal.{attempt}".encode())]
         if self.draw_fault("cut"):
             exchange.abort()
@@ -134,6 +140,9 @@
         if not exchange.is_open:
             return
         connection = exchange._connection
+        if isinstance(exchange, UnframedExchange):
+            exchange.reply(200, headers, body)
+            return
         if self.draw_fault("double") and connection in self.last_replies:
             connection.write(self.last_replies[connection])
         lines = [b"HTTP/1.1 200 OK", b"Content-Length: %d" % len(body)]
@@ -183,6 +192,11 @@
             self.running.remove(run)
             self.loop.call_later(0.01, run.exchange.abort)
             return
+        if run.crumbles and run.next_event > 1:
+            run.exchange.send(text[: len(text) // 2])
+            self.running.remove(run)
+            run.exchange.end()
+            return
         run.exchange.send(text)
         run.next_event += 1
         if run.next_event > count:
