Tell that the server closed the connection of an unframed stream

An engine that crashes after the head of a stream with neither a length nor chunks ends it as lost, but the loss did not say that the server had closed the connection, so it would not count as a crash.

Evidence: test_stream_that_ends_before_its_first_event_is_lost failed before (is_closed False), passes now; a stream whose framing ends it within an event stays apart (the server goes on).

--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -270,6 +270,7 @@
 
     def test_stream_that_ends_before_its_first_event_is_lost(self):
         self.assertEqual(self.play(STREAM_HEAD + b"\r\n"), "lost")
+        self.assertTrue(self.messages[-1].is_closed)
 
     def test_stream_without_events_is_whole_if_its_framing_says_so(self):
         for rest in (
@@ -284,6 +285,7 @@
     def test_chunked_stream_that_ends_within_an_event_is_lost(self):
         head = STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
         self.assertEqual(self.play(head, b"5\r\nid: 1\r\n0\r\n\r\n"), "lost")
+        self.assertFalse(self.messages[-1].is_closed)
 
     def test_body_of_a_stream_is_relayed_byte_for_byte(self):
         """Blank lines and comments between events and after the last belong to it."""
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -148,7 +148,8 @@
         attempt_id = self._forward.attempt_id
         problem = self._find_early_end()
         if problem:
-            self._notify_core(ResponseLost(attempt_id, True, problem))
+            is_closed = self.call.ends_at_close
+            self._notify_core(ResponseLost(attempt_id, True, problem, is_closed))
             return
         rest = self._splitter.rest if self._splitter is not None else b""
         if not self._has_event:
