--- /dev/null
+++ b/features/properties/test_unanswered_requests.py
@@ -0,0 +1,86 @@
+"""Whole requests that must get an answer although something fails on the way."""
+
+import errno
+import socket
+import unittest
+from time import monotonic
+
+from logbook import Logger, NullHandler
+
+from briarrelay_core.outcomes import Failed
+from briarrelay_core.ports.route import (
+    ForwardRequest,
+    ResponseLost,
+    RouteRequest,
+    SendErrorResponse,
+)
+from briarrelay_core.reasons import FailureReason
+from briarrelay_daemon.host import Host
+from briarrelay_daemon.metrics import Metrics
+from briarrelay_daemon.reactor import Reactor
+from briarrelay_daemon.routeport import RoutePort
+from briarrelay_platform.dialect import PlatformDialect
+from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
+
+REQUEST = b"GET /look/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+
+
+class _OneAttemptCore:
+    """Core that sends each request once and answers a lost attempt with an error."""
+
+    next_due = None
+
+    def __init__(self):
+        self.messages = []
+
+    def handle(self, message, now: float) -> list:
+        self.messages.append(message)
+        if isinstance(message, RouteRequest):
+            forward = ForwardRequest(
+                request_id=message.request_id,
+                attempt_id=1,
+                server="s",
+                host="127.0.0.1",
+                port=9,
+                time_limit_s=1.0,
+            )
+            return [forward]
+        if isinstance(message, ResponseLost):
+            return [SendErrorResponse(1, Failed(FailureReason.SERVER_LOST))]
+        return []
+
+
+class _NoSocketClient:
+    """Client that has no file descriptor left."""
+
+    def send(self, *_, **__):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+
+class RoutePortTest(unittest.TestCase):
+    def setUp(self):
+        self.reactor = Reactor(monotonic)
+        self.core = _OneAttemptCore()
+        host = Host(self.core, self.reactor, Metrics(), Logger("test"))
+        self.port = RoutePort(host, _NoSocketClient(), LOCAL_ADDRESS, PlatformDialect())
+        self.addCleanup(self.port.server._sock.close)
+        self.sock = socket.create_connection(("127.0.0.1", self.port.server.port))
+        self.sock.settimeout(0.5)
+        self.addCleanup(self.sock.close)
+
+    def exchange(self, data: bytes) -> bytes:
+        self.sock.sendall(data)
+        with NullHandler().applicationbound():
+            run_reactor(self.reactor, lambda: False, 0.2)
+        return self.sock.recv(65_536)
+
+    def test_request_with_unreadable_numbers_is_refused(self):
+        for header in (
+            b"X-Request-Deadline: \xb2",
+            b"X-Request-Deadline: " + b"9" * 5_000,
+            b"X-Token-Counts: \xb2,1",
+            b"X-Token-Counts: 1," + b"9" * 400,
+        ):
+            with self.subTest(header=header[:30]):
+                response = self.exchange(REQUEST + header + b"\r\n\r\n")
+                self.assertIn(b"HTTP/1.1 400", response)
