Answer requests that could not be sent for want of a descriptor

What callers saw: if opening a connection to a server raises (no descriptor is free, or the entry's port is none), the request never gets an answer, not at its deadline either, and its connection stays busy.

Cause: the effect failed without telling the core. At the deadline _remove_attempt read a property of the call that does not exist; the pending request had been removed by then, and the error response was never written.

The attempt is reported as lost and not sent, after the effects at hand; an attempt without a call can be aborted and removed.

Evidence: test_request_is_answered_when_no_connection_can_be_opened failed before (no response), passes now.

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -74,6 +74,11 @@
             run_reactor(self.reactor, lambda: False, 0.2)
         return self.sock.recv(65_536)
 
+    def test_request_is_answered_when_no_connection_can_be_opened(self):
+        self.assertIn(b"HTTP/1.1 502", self.exchange(REQUEST + b"\r\n"))
+        (lost,) = [m for m in self.core.messages if isinstance(m, ResponseLost)]
+        self.assertFalse(lost.is_sent)
+
     def test_request_with_unreadable_numbers_is_refused(self):
         for header in (
             b"X-Request-Deadline: \xb2",
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -177,6 +177,10 @@
             ResponseLost(attempt_id, sent, call.problem, call.is_closed_by_server)
         )
 
+    def report_unsent(self, problem: str) -> None:
+        """Report that the request could not be sent at all."""
+        self._notify_core(ResponseLost(self._forward.attempt_id, False, problem))
+
     def _notify_core(self, message) -> None:
         if not self.is_over:
             self._port.host.dispatch(message)
@@ -271,7 +275,7 @@
         if attempt is None:
             return
         attempt.is_over = True
-        if not attempt.call.is_over:
+        if attempt.call is not None and not attempt.call.is_over:
             attempt.call.cancel()
 
     # Backend servers
@@ -284,17 +288,27 @@
         attempt = _Attempt(self, effect, exchange)
         self._attempts[effect.attempt_id] = attempt
         pending.attempt_ids.append(effect.attempt_id)
-        attempt.call = self._client.send(
-            Address(effect.host, effect.port),
-            self.dialect.write_request(exchange, effect),
-            attempt,
-            timeout=effect.time_limit_s + 1.0,
-            force_new_connection=effect.needs_new_connection,
-        )
+        message = self.dialect.write_request(exchange, effect)
+        try:
+            attempt.call = self._client.send(
+                Address(effect.host, effect.port),
+                message,
+                attempt,
+                timeout=effect.time_limit_s + 1.0,
+                force_new_connection=effect.needs_new_connection,
+            )
+        except (OSError, OverflowError) as error:
+            # No descriptor is free, or the address is none. Nothing was sent.
+            problem = f"connecting failed: {error}"
+            self.host.reactor.defer(lambda: attempt.report_unsent(problem))
 
     def _abort_attempt(self, effect: AbortAttempt) -> None:
         attempt = self._attempts.get(effect.attempt_id)
-        if attempt is not None and not attempt.call.is_over:
+        if attempt is None:
+            return
+        if attempt.call is None:
+            attempt.is_over = True
+        elif not attempt.call.is_over:
             attempt.is_over = True
             attempt.call.cancel()
 
