Send responses that are longer than the buffer for slow callers

What callers saw: a complete response of over 1 MiB (bodies up to 16 MiB are accepted from servers) was never sent; the connection closed without a byte, although the caller was reading.

Cause: the limit on unsent bytes was checked after a response had been added and before the first attempt to send it.

The limit now applies to what was unsent before a write. At most one response lies beyond it.

Evidence: test_body_longer_than_the_buffer_reaches_the_caller failed before (0 of 3,000,000 bytes), passes now; test_http_connections passes.

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -15,6 +15,7 @@
     SendErrorResponse,
 )
 from briarrelay_core.reasons import FailureReason
+from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.metrics import Metrics
 from briarrelay_daemon.reactor import Reactor
@@ -89,3 +90,31 @@
             with self.subTest(header=header[:30]):
                 response = self.exchange(REQUEST + header + b"\r\n\r\n")
                 self.assertIn(b"HTTP/1.1 400", response)
+
+
+class LongResponseTest(unittest.TestCase):
+    def test_body_longer_than_the_buffer_reaches_the_caller(self):
+        reactor, requests, disconnected = Reactor(monotonic), [], []
+        server = CallerServer(
+            LOCAL_ADDRESS, reactor, requests.append, disconnected.append
+        )
+        self.addCleanup(server._sock.close)
+        sock = socket.create_connection(("127.0.0.1", server.port))
+        self.addCleanup(sock.close)
+        sock.sendall(REQUEST + b"\r\n")
+        run_reactor(reactor, lambda: requests)
+        requests[0].reply(200, [], b"x" * 3_000_000)
+        sock.setblocking(False)
+        received, end = 0, monotonic() + 3.0
+        while received < 3_000_000 and monotonic() < end:
+            run_reactor(reactor, lambda: True)
+            run_reactor(reactor, lambda: False, 0.01)
+            try:
+                data = sock.recv(1_000_000)
+            except BlockingIOError:
+                continue
+            if not data:
+                break
+            received += len(data)
+        self.assertGreaterEqual(received, 3_000_000)
+        self.assertEqual(disconnected, [])
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -28,7 +28,8 @@
 a caller that sends more is disconnected."""
 
 MAX_UNSENT_BYTES = 1_048_576
-"""Bytes of responses buffered for a slow caller before it is disconnected."""
+"""Bytes of responses buffered for a slow caller, from which the next write disconnects
+it; a complete response may be longer."""
 
 BACKLOG = 512
 """Length of the accept queue. If it is full, connections are dropped, which callers
@@ -300,10 +301,11 @@
         """Buffer bytes to send; the writes of one loop iteration are sent together."""
         if self.is_closed:
             return
-        self._unsent += data
         if len(self._unsent) > MAX_UNSENT_BYTES:
             self._disconnect()
-        elif not self._is_flush_scheduled and not self._watched_events & WRITE:
+            return
+        self._unsent += data
+        if not self._is_flush_scheduled and not self._watched_events & WRITE:
             self._is_flush_scheduled = True
             self.server.reactor.defer(self._flush)
 
