Keep timers and deferred callbacks after one that raises

What callers would see: after one exception in the periodic checks no deadline is kept any more; requests that wait or whose server is silent are never answered. After one in a deferred callback, the responses of other callers that were to be sent in the same iteration stay in their buffers for good, since their flush counts as scheduled.

Cause: a periodic timer was scheduled again only after its callback returned; the list of deferred callbacks was taken whole before the first one ran.

No such exception was found in the logs; this is the class of the effects that were dropped after one that failed.

Evidence: both FailingCallbackTest cases failed before, pass now; test_core_components and test_daemon_io pass.

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -15,6 +15,7 @@
     SendErrorResponse,
 )
 from briarrelay_core.reasons import FailureReason
+from briarrelay_core.timers import TimerService
 from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.metrics import Metrics
@@ -118,3 +119,29 @@
             received += len(data)
         self.assertGreaterEqual(received, 3_000_000)
         self.assertEqual(disconnected, [])
+
+
+class FailingCallbackTest(unittest.TestCase):
+    """A callback that raises does not take others with it."""
+
+    def test_deferred_callbacks_after_one_that_raises_still_run(self):
+        reactor, done = Reactor(monotonic), []
+        reactor.defer(lambda: 1 // 0)
+        reactor.defer(lambda: done.append("flushed"))
+        with self.assertRaises(ZeroDivisionError):
+            reactor.run_deferred()
+        reactor.run_deferred()
+        self.assertEqual(done, ["flushed"])
+
+    def test_periodic_timer_goes_on_after_a_call_that_raises(self):
+        timers, calls = TimerService(), []
+
+        def check(now: float) -> list:
+            calls.append(now)
+            return [1 // 0] if len(calls) == 1 else []
+
+        timers.every(0.1, check, 1.0)
+        with self.assertRaises(ZeroDivisionError):
+            timers.run_due(1.0)
+        timers.run_due(1.2)
+        self.assertEqual(calls, [1.0, 1.2])
--- a/packages/briarrelay-core/src/briarrelay_core/timers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/timers.py
@@ -60,11 +60,12 @@
         timer = Timer(start, callback)
 
         def run_and_reschedule(now: float) -> list:
-            effects = callback(now)
-            if not timer.cancelled:
-                timer.due = now + period
-                heappush(self._heap, (timer.due, next(self._order), timer))
-            return effects
+            try:
+                return callback(now)
+            finally:
+                if not timer.cancelled:
+                    timer.due = now + period
+                    heappush(self._heap, (timer.due, next(self._order), timer))
 
         timer.callback = run_and_reschedule
         heappush(self._heap, (start, next(self._order), timer))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/reactor.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/reactor.py
@@ -6,6 +6,7 @@
 """
 
 import select
+from collections import deque
 from collections.abc import Callable
 from os import eventfd, eventfd_read, eventfd_write
 from threading import Lock
@@ -101,11 +102,17 @@
         self.run_deferred()
 
     def run_deferred(self) -> None:
-        """Run the callbacks deferred to the end of this loop iteration."""
+        """Run the callbacks deferred to the end of this loop iteration.
+
+        Those after one that raises run in the next iteration.
+        """
         while self._deferred:
-            callbacks, self._deferred = self._deferred, []
-            for callback in callbacks:
-                callback()
+            callbacks, self._deferred = deque(self._deferred), []
+            try:
+                while callbacks:
+                    callbacks.popleft()()
+            finally:
+                self._deferred = [*callbacks, *self._deferred]
 
     @handler("generate_events")
     def _on_generate_events(self, event) -> None:
