Move a stream only to an engine that is expected to serve it in time

Cause: with no healthy engine left the candidates include the ejected ones, which is right for a request that is nowhere; and the time that the caller still waits was looked at only for silences shorter than the timeout.

find_alternative leaves out ejected engines. Every move asks for a first event within the time that the caller is expected to stay, counted from the last event that it received. A caller that stays longer may be served at any time.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -284,13 +284,19 @@
     def find_alternative(self, routed: RoutedRequest, now: float) -> Placement | None:
         """Return where a request could be sent now instead of to its active server.
 
-        :returns: None if no further attempt is allowed, or no server has room.
+        :returns: None if no further attempt is allowed, or no server that is not
+            ejected has room.
         """
         if not self._may_retry(routed, routed.possible_runs + 1, now):
             return None
         if not self.budget.allows(routed.service, now):
             return None
-        eligible_servers = self.selector.candidates(routed, now)
+        health = self.observations.health
+        eligible_servers = [
+            server
+            for server in self.selector.candidates(routed, now)
+            if not health.is_ejected(server.entry.name, now)
+        ]
         if not eligible_servers:
             return None
         placement = self.selector.choose(routed, eligible_servers, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -315,7 +315,7 @@
             leaves_after_s = caller_timeout_s(routed)
             if silent_s > timeout_s:
                 self._record_silence(attempt, now)
-                effects += self._move(routed, now)
+                effects += self._move(routed, now, _remaining_patience_s(routed, now))
             elif silent_s > MOVE_FRACTION * leaves_after_s:
                 effects += self._move(routed, now, leaves_after_s - silent_s)
         return effects
@@ -336,9 +336,7 @@
         is_fully_silent = last_response_at <= attempt.progress_at
         observations.health.record_failure(attempt.server, now, certain=is_fully_silent)
 
-    def _move(
-        self, routed: RoutedRequest, now: float, max_expected_s: float = float("inf")
-    ) -> list:
+    def _move(self, routed: RoutedRequest, now: float, max_expected_s: float) -> list:
         """Send a request to another server if one can take it now.
 
         :param max_expected_s: seconds within which its first event must be expected.
@@ -370,6 +368,16 @@
     )
 
 
+def _remaining_patience_s(routed: RoutedRequest, now: float) -> float:
+    """Return seconds for which the caller is expected to wait for an event.
+
+    A caller that is still there after the expected time may wait for any time.
+    """
+    begun_at = routed.last_event_at if routed.is_head_relayed else routed.arrived_at
+    remaining_s = begun_at + caller_timeout_s(routed) - now
+    return remaining_s if remaining_s > 0 else float("inf")
+
+
 def _is_newer(event_id: str, last: str) -> bool:
     """Return whether an event follows the last one that the caller received."""
     if not last:
