Let a stream return to an engine when the others refuse it

What callers saw (LOST): with two engines, a stream that was moved from a silent, sound engine to one that refused it as full (503, not run) was cut at once. The same with more engines after each of them had refused.

Cause: engines that a request was sent to are never used for it again; without another one it is ended as if there were no engine. That is right before a response has begun, since a refusal follows; a stream that has begun can only be cut.

A begun stream without an untried engine may go to one that it was sent to before the last, healthy ones first. The limits on attempts and the retry budget stay as they are; no further engine runs it.

Evidence: test_stream_returns_to_its_engine_... failed before (AbortResponse), passes now, with test_silent_servers, test_route_load, _machine, _waiting.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -70,9 +70,12 @@
 
         Servers that were tried, excluded or paused are left out. Healthy servers in
         reachable data centres are preferred, first those without a pause for a peer,
-        then other healthy servers, then unhealthy ones.
+        then other healthy servers, then unhealthy ones. A stream that has begun may
+        return to a server that it was sent to before the last one.
         """
         usable, untried, healthy = self._filter(routed, now)
+        if routed.is_head_relayed and not untried:
+            return self._earlier_servers(routed, usable, now)
         suspects = self._suspect_data_centres(healthy, now)
         reachable = [s for s in healthy if s.entry.data_centre not in suspects]
         pauses = self.observations.pauses
@@ -107,6 +110,16 @@
                 healthy.append(server)
         return usable, untried, healthy
 
+    def _earlier_servers(
+        self, routed: RoutedRequest, usable: list[KnownServer], now: float
+    ) -> list[KnownServer]:
+        """Return the servers that a stream may return to, healthy ones if there are."""
+        skipped = routed.excluded.union(routed.tried[-1:])
+        earlier = [s for s in usable if s.entry.name not in skipped]
+        health = self.observations.health
+        healthy = [s for s in earlier if not health.is_ejected(s.entry.name, now)]
+        return healthy or earlier
+
     def _suspect_data_centres(self, servers: list[KnownServer], now: float) -> set[str]:
         reachability = self.observations.reachability
         names = {server.entry.data_centre for server in servers}
