Answer requests whose response has not begun before the process ends

What callers saw: in a planned stop, a request that still waits for a slot, or for its server, 0.6 s before the end of the grace time ends with a closed connection instead of an answer. With a grace time of 8 s this needs a wait of about 5 s, that is, a time limit of 20 s or more, or a late retry.

Cause: the process ended without ending its requests.

Those that were not sent are refused (503, draining); those that were sent fail (502), or get the error response of a server if there is one.

Evidence: EndOfStopTest failed before (no answers), passes now.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -2,16 +2,23 @@
 
 import unittest
 
+from briarrelay_core.outcomes import Failed, NotRun
+from briarrelay_core.ports.control import DrainRequested, ExitProcess
+from briarrelay_core.ports.directory import Topic, TopicChange
 from briarrelay_core.ports.route import (
     AbortAttempt,
     AbortResponse,
     ForwardRequest,
     ResponseHead,
     ResponseKind,
+    SendErrorResponse,
 )
+from briarrelay_core.routes.model import RouteKind
 from properties.routeworld import (
     RouteWorld,
     engine_names,
+    make_configuration,
+    make_route,
     start_response,
 )
 
@@ -66,3 +73,31 @@
         world.instance.controller.load.add("busy", other, world.now, read_s=6.0)
         effects = world.advance(SILENCE_S)
         self.assertEqual(world.of_type(effects, AbortAttempt), [])
+
+
+class EndOfStopTest(unittest.TestCase):
+    """Requests whose response has not begun when the process ends get an answer."""
+
+    def test_unbegun_requests_are_answered_before_the_process_ends(self):
+        world = RouteWorld(engines=1, plain_servers=1)
+        routes = (
+            make_route("file", RouteKind.STREAM, "llm", timeout_s=60.0),
+            make_route("book", RouteKind.UNSAFE, "desk", timeout_s=60.0, attempts=1),
+        )
+        configuration = make_configuration(2, routes=routes)
+        world.deliver_changes(Topic.CONFIGURATION, TopicChange("config", configuration))
+        world.deliver(DrainRequested())
+        world.advance(2.5)
+        for slot in range(8):
+            world.instance.controller.load.add(f"s-{slot}", "engine-1", world.now)
+        self.assertEqual(world.forwards(world.request("file", time_limit_s=60.0)), [])
+        (sent,) = world.forwards(world.request("book", time_limit_s=60.0))
+        effects = world.advance(5.2)
+        self.assertEqual(len(world.of_type(effects, ExitProcess)), 1)
+        answers = {
+            e.request_id: type(e.outcome)
+            for e in world.of_type(effects, SendErrorResponse)
+        }
+        self.assertEqual(
+            answers, {sent.request_id - 1: NotRun, sent.request_id: Failed}
+        )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -525,6 +525,18 @@
                 effects += self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         return effects
 
+    def answer_unbegun(self, now: float) -> list:
+        """End the requests whose response has not begun, as the process ends."""
+        effects = []
+        for routed in list(self.requests.values()):
+            if routed.is_head_relayed:
+                continue
+            attempt = routed.active_attempt
+            if attempt is not None and attempt.is_sent:
+                routed.possible_runs += 1
+            effects += self.give_up(routed, now, RefusalReason.DRAINING)
+        return effects
+
     def _on_deadline(self, routed: RoutedRequest, now: float) -> list:
         attempt = routed.active_attempt
         if attempt is not None and attempt.is_sent:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/gracefulstop.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/gracefulstop.py
@@ -67,6 +67,7 @@
             ("in_progress", str(len(self.controller.requests))),
             ("record_waiting", str(self.outbox.queued_count(AUDIT_STREAM))),
         )
+        effects += self.controller.answer_unbegun(now)
         effects += self.append_record(now) + self.outbox.flush(now)
         effects.append(PublishEntry(self.peers.address, False))
         effects.append(LogEvent("info", "stop_due", fields=fields))
