Show by tests which moves of streams still give up what works

What callers see (LOST, class of the silent servers), not mended here:

- A stream whose prompt several engines hold moves before memory is granted for the move.
- A stream that was moved is refused (not run) when no retry is left: it is cut at once, although its caller waits.

Mending the first two needs an attempt that reserves while the old one goes on and that may count the old one's memory as free, with the release before the reservation.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -5,6 +5,7 @@
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.control import DrainRequested, ExitProcess
 from briarrelay_core.ports.directory import Topic, TopicChange
+from briarrelay_core.ports.memory import Reserve, ReserveResponse
 from briarrelay_core.ports.route import (
     AbortAttempt,
     AbortResponse,
@@ -13,6 +14,7 @@
     ResponseKind,
     SendErrorResponse,
 )
+from briarrelay_core.routes.budget import RetryLimits
 from briarrelay_core.routes.model import RouteKind
 from properties.routeworld import (
     RouteWorld,
@@ -50,6 +52,14 @@
         (returned,) = world.forwards(effects)
         self.assertEqual((returned.server, returned.resume_after), (sent.server, "1"))
 
+    def test_stream_is_not_cut_when_the_budget_is_used_up_by_the_move(self):
+        world = RouteWorld()
+        _, moved = self.move_stream(world)
+        world.instance.controller.budget.limits = RetryLimits(ratio=0.0, slack=0.0)
+        effects = refuse(world, moved.attempt_id)
+        effects += world.advance(0.3)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+
 
 class UselessMoveTest(unittest.TestCase):
     """A stream stays where no other engine is known to work in time."""
@@ -75,6 +85,44 @@
         self.assertEqual(world.of_type(effects, AbortAttempt), [])
 
 
+class SplitMoveTest(unittest.TestCase):
+    """A prompt that several engines hold together moves from a silent lead."""
+
+    def start(self, world: RouteWorld, tokens: int = 600_000) -> int:
+        effects = world.request("file", prompt_tokens=tokens, time_limit_s=15.0)
+        effects += self.grant(world, effects)
+        (sent,) = world.forwards(effects)
+        return sent.attempt_id
+
+    def grant(self, world: RouteWorld, effects: list, is_granted: bool = True) -> list:
+        answers = []
+        for reserve in world.of_type(effects, Reserve):
+            answers += world.deliver(
+                ReserveResponse(reserve.reservation_id, is_granted)
+            )
+        return answers
+
+    def test_stream_is_not_given_up_before_memory_is_granted(self):
+        world = RouteWorld(engines=8)
+        start_response(world, self.start(world))
+        effects = []
+        for _ in range(40):
+            step = world.advance(0.1)
+            effects += step + self.grant(world, step, is_granted=False)
+        self.assertEqual(world.of_type(effects, AbortAttempt), [])
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+
+    def test_stream_leaves_a_dark_lead_when_its_own_memory_is_all_that_is_missing(self):
+        """Four engines have room for two; the helpers of the first hold a part."""
+        world = RouteWorld(engines=4)
+        start_response(world, self.start(world, 900_000))
+        own = world.open_reservations
+        reserves = []
+        for _ in range(60):
+            reserves += world.of_type(world.advance(0.1), Reserve)
+        self.assertNotEqual({r.reservation_id for r in reserves} - own, set())
+
+
 class EndOfStopTest(unittest.TestCase):
     """Requests whose response has not begun when the process ends get an answer."""
 
