Refuse held requests when the process ends

What callers would see: a request that is held after a suspension (up to 0.4 s, until the store has been read) when a planned stop ends the process gets neither an answer nor a refusal.

Cause: held requests are not among the requests in progress that the stop counts, and nothing released them before the exit.

Once new requests are refused, the hold ends at each check; the answers leave in the 0.15 s before the exit.

Evidence: test_held_request_is_refused_when_the_process_ends failed before (no answer), passes now; test_route_machine and test_planned_stop pass.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -3,7 +3,7 @@
 import unittest
 
 from briarrelay_core.outcomes import Failed, NotRun
-from briarrelay_core.ports.control import DrainRequested, ExitProcess
+from briarrelay_core.ports.control import DrainRequested, ExitProcess, ProcessResumed
 from briarrelay_core.ports.directory import Topic, TopicChange
 from briarrelay_core.ports.memory import Reserve, ReserveResponse
 from briarrelay_core.ports.route import (
@@ -149,3 +149,15 @@
         self.assertEqual(
             answers, {sent.request_id - 1: NotRun, sent.request_id: Failed}
         )
+
+    def test_held_request_is_refused_when_the_process_ends(self):
+        """Requests are held after a suspension until the store has been read."""
+        world = RouteWorld()
+        world.deliver(DrainRequested())
+        world.advance(2.55)
+        world.deliver(ProcessResumed(0.5))
+        self.assertEqual(world.of_type(world.request("look"), SendErrorResponse), [])
+        effects = world.advance(0.1)
+        self.assertEqual(len(world.of_type(effects, ExitProcess)), 1)
+        (answer,) = world.of_type(effects, SendErrorResponse)
+        self.assertIsInstance(answer.outcome, NotRun)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -235,7 +235,11 @@
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
         effects += self.controller.place_waiting(now)
-        return effects + self.stopping.check(now)
+        effects += self.stopping.check(now)
+        if self.controller.admission.is_closing:
+            # Held requests are refused; nothing would answer them after the exit.
+            effects += self._end_hold(now)
+        return effects
 
     def _append_audit_batch(self, now: float) -> list:
         batch = self.recorder.pop_batch()
