Reproduce requests that crash each engine that begins to write on them (red)

Users saw engines crash one after another: a part of some prompts ends each engine that begins to write an answer. The new world simulates instances with digests between them and engines that close their connections on such a part and are back after 2 s as a new incarnation.

Each request crashes an engine per attempt, at every instance, for as long as such requests come.

--- /dev/null
+++ b/features/properties/crashworld.py
@@ -0,0 +1,205 @@
+"""Simulation of several route instances whose engines crash on certain requests."""
+
+from functools import partial
+
+from attrs import define, field
+
+from briarrelay_core.outcomes import Failed, NotRun
+from briarrelay_core.ports.route import (
+    AbortAttempt,
+    AbortResponse,
+    ForwardRequest,
+    RelayEnd,
+    RelayHead,
+    ResponseComplete,
+    ResponseEvent,
+    ResponseHead,
+    ResponseKind,
+    ResponseLost,
+    RouteRequest,
+    SendErrorResponse,
+)
+from briarrelay_core.ports.telemetry import LogEvent
+from properties.directoryworld import DirectoryWorld
+from properties.routeworld import HOST, KEY
+
+CLOSED = "connection closed before the response was complete"
+
+DOWN_S = 2.0
+"""Seconds after a crash until an engine is back as a new incarnation."""
+
+CRASH_AFTER_S = (0.05, 0.15)
+"""Shortest and longest time in seconds from sending a request to its first event."""
+
+EVENT_SPACING_S = 0.05
+"""Seconds between the events of a response."""
+
+
+@define(slots=True, eq=False)
+class CallerView:
+    """What a simulated caller sees of its request.
+
+    :param sent_at: times at which the request was forwarded to an engine.
+    :param outcome: ``done``, ``cut``, or the reason of an error response; empty while
+        the request is in progress.
+    :param is_not_run: the error response promises that the request did not run.
+    """
+
+    request: RouteRequest
+    instance: int
+    at: float
+    sent_at: list[float] = field(factory=list)
+    has_begun: bool = False
+    outcome: str = ""
+    is_not_run: bool = False
+
+
+class CrashWorld(DirectoryWorld):
+    """Drives instances whose engines crash when they begin to answer certain requests.
+
+    :param bad_parts: parts of prompts on which an engine crashes.
+    :param event_count: number of events of a response.
+    :ivar views: what callers see, by request id.
+    :ivar crashes: time and engine of each crash.
+    """
+
+    def __init__(
+        self,
+        instance_count: int,
+        server_count: int,
+        seed: int = 0,
+        bad_parts: tuple[str, ...] = (),
+        event_count: int = 4,
+    ):
+        self.bad_parts = set(bad_parts)
+        self.event_count = event_count
+        self.views: dict[int, CallerView] = {}
+        self.crashes: list[tuple[float, str]] = []
+        self.logs: list[tuple[float, int, LogEvent]] = []
+        self._attempts: dict[tuple[int, int], tuple[str, CallerView]] = {}
+        self._down: set[str] = set()
+        super().__init__(instance_count, server_count, seed)
+        for n in range(server_count):
+            self.update(f"engine-{n}", data_centre="abc"[n % 3], born=1.0)
+
+    # Callers
+
+    def send(self, n: int, parts: tuple[str, ...], route: str = "chat") -> CallerView:
+        """Deliver a prompt to an instance."""
+        request_id = len(self.views) + 1
+        request = RouteRequest(
+            request_id=request_id,
+            caller_request_id=f"attempt-{request_id}",
+            host=HOST,
+            path=f"/{route}/x",
+            key=KEY,
+            time_limit_s=8.0,
+            prompt_tokens=5_000,
+            output_tokens=500,
+            prompt_parts=parts,
+        )
+        view = CallerView(request, n, self.now)
+        self.views[request_id] = view
+        self.deliver(n, request)
+        return view
+
+    def forwarded(self, part: str, since: float) -> list[float]:
+        """Return the times from `since` at which requests with a part were sent."""
+        return sorted(
+            at
+            for view in self.views.values()
+            if part in view.request.prompt_parts
+            for at in view.sent_at
+            if at > since
+        )
+
+    def events_logged(self, event: str) -> list[tuple[float, int, dict]]:
+        """Return time, instance and fields of the log lines of an event."""
+        return [
+            (at, n, dict(line.fields))
+            for at, n, line in self.logs
+            if line.event == event
+        ]
+
+    # Engines
+
+    def crash(self, engine: str) -> None:
+        """Let an engine close its connections; it is back after `DOWN_S`."""
+        if engine in self._down:
+            return
+        self._down.add(engine)
+        self.crashes.append((self.now, engine))
+        for key, (server, _) in list(self._attempts.items()):
+            if server == engine:
+                del self._attempts[key]
+                lost = ResponseLost(key[1], True, CLOSED, is_closed=True)
+                self.schedule(0.001, partial(self.deliver, key[0], lost))
+        self.schedule(DOWN_S, partial(self._return, engine))
+
+    def _return(self, engine: str) -> None:
+        self._down.discard(engine)
+        self.update(engine, born=self.now)
+
+    def run_effects(self, n: int, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, ForwardRequest):
+                self._forward(n, effect)
+            elif isinstance(effect, AbortAttempt):
+                self._attempts.pop((n, effect.attempt_id), None)
+            elif isinstance(effect, RelayHead):
+                self.views[effect.request_id].has_begun = True
+            elif isinstance(effect, RelayEnd):
+                self.views[effect.request_id].outcome = "done"
+            elif isinstance(effect, AbortResponse):
+                self.views[effect.request_id].outcome = "cut"
+            elif isinstance(effect, SendErrorResponse):
+                view = self.views[effect.request_id]
+                view.outcome = effect.outcome.reason.value
+                view.is_not_run = isinstance(effect.outcome, NotRun)
+                assert view.is_not_run or isinstance(effect.outcome, Failed)
+            elif isinstance(effect, LogEvent):
+                self.logs.append((self.now, n, effect))
+        super().run_effects(n, effects)
+
+    def _forward(self, n: int, effect: ForwardRequest) -> None:
+        if effect.server in self._down:
+            lost = ResponseLost(
+                effect.attempt_id, False, "connecting failed: ECONNREFUSED"
+            )
+            self.schedule(0.001, partial(self.deliver, n, lost))
+            return
+        view = self.views[effect.request_id]
+        view.sent_at.append(self.now)
+        self._attempts[n, effect.attempt_id] = (effect.server, view)
+        self.schedule(
+            self.random.uniform(*CRASH_AFTER_S),
+            partial(self._write, n, effect.attempt_id, 1),
+        )
+
+    def _write(self, n: int, attempt_id: int, number: int) -> None:
+        """Let an engine write one event of a response, or crash instead."""
+        if (n, attempt_id) not in self._attempts:
+            return
+        engine, view = self._attempts[n, attempt_id]
+        if self.bad_parts & set(view.request.prompt_parts):
+            self.crash(engine)
+            return
+        if number == 1:
+            head = ResponseHead(
+                attempt_id=attempt_id,
+                kind=ResponseKind.SUCCESS,
+                status=200,
+                is_stream=True,
+            )
+            self.deliver(n, head)
+        if number > self.event_count:
+            del self._attempts[n, attempt_id]
+            self.deliver(n, ResponseComplete(attempt_id))
+            return
+        self.deliver(n, ResponseEvent(attempt_id, str(number), b"x"))
+        self.schedule(EVENT_SPACING_S, partial(self._write, n, attempt_id, number + 1))
+
+
+def make_part(number: int) -> str:
+    """Return the id of a part of a prompt."""
+    return f"{number:016x}"
