Keep prompts with a part that crashes engines from the engines

Callers lost answers because certain prompts crash each engine that begins to write on them, as many engines as the route has attempts, at every instance, for as long as such prompts come. Nothing connected one crash with the next: each request was judged alone, and health counts failures of engines, not of what was sent to them.

Each shared part of a prompt now gets strikes: an engine closed the connection before the first event. Strikes count in sequence, so that many engines lost at one moment count once, and a first event clears the parts of its prompt. Four strikes quarantine a part: requests with it are refused as prompt_quarantined (503 if nothing was sent, else the usual failure), those at engines without an event are aborted and not retried. Digests carry crashes, quarantines and what has been cleared; all peers get new ones at once. While a part is suspect, one request with it is sent at a time, and a digest tells the peers, so that bursts do not spend engines.

The first part of all prompts shares each crash. It needs eight strikes if an engine has written on it before, or if a suspect part later in prompts explains its crashes.

--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -6,10 +6,19 @@
 from briarrelay_core.ports.position import START, EraPosition
 
 __all__ = [
+    "MAX_CRASH_REPORTS",
+    "MAX_PARTS",
+    "MAX_PART_CHARS",
+    "MAX_PROBE_S",
+    "MAX_QUARANTINE_REPORTS",
+    "MAX_REPORT_SERVERS",
+    "MAX_WRITTEN_REPORTS",
     "UNKNOWN_AGE_S",
+    "CrashReport",
     "DigestReceived",
     "LoadDigest",
     "PeerResponse",
+    "QuarantineReport",
     "QueryPeer",
     "SendDigest",
     "ServerLoad",
@@ -19,6 +28,28 @@
 UNKNOWN_AGE_S = 1e6
 """Maximum age in seconds; also the age of a directory that was never read."""
 
+MAX_CRASH_REPORTS = 32
+"""Most crashes that a digest reports."""
+
+MAX_PARTS = 32
+"""Most parts of the prompt of a crash report."""
+
+MAX_PART_CHARS = 128
+"""Longest id of a part of a prompt."""
+
+MAX_PROBE_S = 3.0
+"""Longest time in seconds for which a request with a suspect part keeps others with it
+from engines."""
+
+MAX_QUARANTINE_REPORTS = 16
+"""Most quarantined parts that a digest reports."""
+
+MAX_REPORT_SERVERS = 8
+"""Most engines named as the reason for a quarantine."""
+
+MAX_WRITTEN_REPORTS = 32
+"""Most parts that a digest reports as sound."""
+
 
 @frozen(slots=True)
 class ServerLoad:
@@ -40,6 +71,37 @@
     streams: tuple[tuple[float, float], ...] = ()
 
 
+@frozen(slots=True, kw_only=True)
+class CrashReport:
+    """An engine closed the connection of an attempt before the first event.
+
+    :param server: the engine's incarnation, ``name@born``.
+    :param parts: shared parts of the request's prompt.
+    :param sent_age_s: seconds since the request was sent.
+    :param lost_age_s: seconds since the connection was closed.
+    """
+
+    server: str
+    parts: tuple[str, ...]
+    sent_age_s: float
+    lost_age_s: float
+
+
+@frozen(slots=True, kw_only=True)
+class QuarantineReport:
+    """A part of prompts is quarantined, since it crashes engines.
+
+    :param remaining_s: seconds until the quarantine lapses.
+    :param since_age_s: seconds since the attempt of the first counted strike was sent.
+    :param servers: engines that it crashed, as ``name@born``.
+    """
+
+    part: str
+    remaining_s: float
+    since_age_s: float
+    servers: tuple[str, ...] = ()
+
+
 @frozen(slots=True, kw_only=True)
 class LoadDigest:
     """State that an entry instance sends to its peers; the newest replaces the others.
@@ -57,6 +119,11 @@
         ``name@born``.
     :param paused: seconds for which backend servers asked the sender for no further
         requests, by name.
+    :param crashes: engines that closed connections to the sender lately.
+    :param quarantined: parts of prompts that the sender keeps from engines.
+    :param probed: seconds for which peers hold requests with parts that are suspected,
+        since the sender has sent one.
+    :param written: seconds since an engine wrote on a part that was reported struck.
     """
 
     sender: PeerAddress
@@ -71,6 +138,10 @@
     directory_age_s: float = UNKNOWN_AGE_S
     gone: tuple[str, ...] = ()
     paused: dict[str, float] = field(factory=dict)
+    crashes: tuple[CrashReport, ...] = ()
+    quarantined: tuple[QuarantineReport, ...] = ()
+    written: dict[str, float] = field(factory=dict)
+    probed: dict[str, float] = field(factory=dict)
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/reasons.py
+++ b/packages/briarrelay-core/src/briarrelay_core/reasons.py
@@ -31,6 +31,7 @@
     LOG_UNAVAILABLE = "log_unavailable"
     CLAIM_VOIDED = "claim_voided"
     DUPLICATE_REQUEST = "duplicate_request"
+    PROMPT_QUARANTINED = "prompt_quarantined"
 
     @property
     def status(self) -> int:
@@ -137,5 +138,9 @@
         "Send again with the same key after Retry-After seconds."
     ),
     RefusalReason.CLAIM_VOIDED: "Send again with a new key; this one never ran.",
+    RefusalReason.PROMPT_QUARANTINED: (
+        "Send without the part named in the detail, which crashed engines, or again "
+        "after Retry-After seconds."
+    ),
     RefusalReason.DUPLICATE_REQUEST: "Use a request id that is not in progress.",
 }
--- a/packages/briarrelay-core/src/briarrelay_core/record/record.py
+++ b/packages/briarrelay-core/src/briarrelay_core/record/record.py
@@ -39,8 +39,10 @@
     """One event in the record.
 
     :param at: time of the event, in Unix seconds.
-    :param kind: ``request``, ``refusal``, ``retry``, ``change`` or ``order``.
-    :param subject: id of the request or change, or the engine or lease of an order.
+    :param kind: ``request``, ``refusal``, ``retry``, ``change``, ``order`` or
+        ``quarantine``.
+    :param subject: id of the request, change or quarantined part, or the engine or
+        lease of an order.
     :param outcome: outcome or reason of the event.
     :param why: explanation of the outcome.
     """
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -25,6 +25,7 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
+from briarrelay_core.routes.quarantine import PROBE_JITTER_S, PromptQuarantine
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
@@ -53,6 +54,11 @@
 which a slot becomes free."""
 
 
+QUARANTINE_RETRY_S = 30.0
+"""Smallest Retry-After in seconds for a prompt with a quarantined part; only operators
+or a new release of the engines can change that."""
+
+
 @define(slots=True, eq=False)
 class RequestController:
     """Processes each request of this instance from its arrival to its response.
@@ -74,6 +80,7 @@
     observations: ServerObservations
     selector: ServerSelector
     admission: RouteAdmission = field(factory=RouteAdmission)
+    quarantine: PromptQuarantine = field(factory=PromptQuarantine)
     requests: dict[int, RoutedRequest] = field(factory=dict)
     attempts: dict[int, RoutedRequest] = field(factory=dict)
     _waiting: dict[int, RoutedRequest] = field(factory=dict)
@@ -112,6 +119,9 @@
         """
         if routed.deadline - now < MIN_ATTEMPT_TIME_S:
             return self.give_up(routed, now)
+        part = self.quarantine.find(routed.prompt_parts, now)
+        if part:
+            return self._give_up_quarantined(routed, part, now)
         eligible_servers = self.selector.candidates(routed, now)
         if eligible_servers and is_too_large(routed, len(eligible_servers)):
             return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
@@ -120,7 +130,11 @@
             if eligible_servers
             else None
         )
-        if placement is not None and not should_defer(routed, placement, now):
+        if (
+            placement is not None
+            and not should_defer(routed, placement, now)
+            and not self._must_wait_for_suspect(routed, now)
+        ):
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
         if not eligible_servers and not self._can_wait_for_pause(routed, now):
@@ -130,6 +144,65 @@
         self._waiting[routed.request.request_id] = routed
         return [IncrementCounter("route.waited")]
 
+    def _must_wait_for_suspect(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a request with suspect parts has to wait for another.
+
+        Of requests with the same suspect part, one after another is sent, until an
+        engine writes on it or it is quarantined.
+        """
+        suspects = self.quarantine.suspects(routed.prompt_parts)
+        if not suspects:
+            return False
+        share = unit_hash(self.selector.name, routed.request.caller_request_id, "probe")
+        jitter_s = PROBE_JITTER_S * self.selector.size_factor * share
+        if not self.quarantine.may_probe(suspects, routed.arrived_at, jitter_s, now):
+            return True
+        return any(
+            not suspects.isdisjoint(other.prompt_parts)
+            for other in self.attempts.values()
+            if not other.active_attempt.events
+        )
+
+    def record_crash(
+        self, routed: RoutedRequest, attempt: AttemptState, now: float
+    ) -> list:
+        """Record that an engine closed the connection before the first event."""
+        server = f"{attempt.server}@{attempt.server_born}"
+        parts = routed.prompt_parts
+        effects = self.quarantine.record_crash(parts, server, attempt.sent_at, now)
+        return effects + self.end_quarantined(now)
+
+    def end_quarantined(self, now: float) -> list:
+        """End the requests with parts that were quarantined since the last call.
+
+        A request whose response has begun goes on.
+        """
+        effects = []
+        for part in self.quarantine.pop_new():
+            entry = Entry(
+                at=round(now, 3),
+                kind="quarantine",
+                subject=part,
+                outcome="quarantined",
+                why=",".join(self.quarantine.servers_of(part)),
+            )
+            self.recorder.add(entry)
+            for routed in list(self.requests.values()):
+                attempt = routed.active_attempt
+                if part not in routed.prompt_parts:
+                    continue
+                if attempt is None or not attempt.events:
+                    if attempt is not None and attempt.is_sent:
+                        routed.possible_runs += 1
+                    effects += self._give_up_quarantined(routed, part, now)
+        return effects
+
+    def _give_up_quarantined(
+        self, routed: RoutedRequest, part: str, now: float
+    ) -> list:
+        routed.quarantined_part = part
+        return self.give_up(routed, now, RefusalReason.PROMPT_QUARANTINED)
+
     def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
         """Return whether a paused server is expected to take a request in its time."""
         resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
@@ -154,6 +227,9 @@
             progress_at=now,
         )
         self.attempts[attempt_id] = routed
+        suspects = self.quarantine.suspects(routed.prompt_parts)
+        if suspects:
+            self.quarantine.record_probe(suspects, placement.expected_s, now)
         self.observations.pauses.record_send(placement.lead, now)
         self._add_load(routed, placement, attempt_id, now)
         if not placement.memory_shares:
@@ -398,8 +474,10 @@
             )
             return self._fail(routed, Failed(failure_reason), now)
         retry_after_s = self._retry_after(routed, reason, now)
+        part = routed.quarantined_part
+        detail = f"part {part} of the prompt." if part else ""
         return self._refuse_admitted(
-            routed, NotRun(reason, retry_after=retry_after_s), now
+            routed, NotRun(reason, retry_after=retry_after_s, detail=detail), now
         )
 
     def _retry_after(
@@ -410,6 +488,8 @@
         While every server is paused, it is the time until one of them resumes.
         """
         jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
+        if reason is RefusalReason.PROMPT_QUARANTINED:
+            return QUARANTINE_RETRY_S * jitter
         resumes_in_s = self.selector.resumes_in_s(routed, now)
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
@@ -493,13 +573,16 @@
     def _record(
         self, routed: RoutedRequest, kind: str, outcome: str, now: float
     ) -> None:
+        reasons = list(routed.tried)
+        if routed.quarantined_part:
+            reasons.append(f"part {routed.quarantined_part}")
         entry = Entry(
             at=round(now, 3),
             kind=kind,
             subject=routed.request.caller_request_id,
             workspace=routed.workspace,
             outcome=outcome,
-            why=",".join(routed.tried),
+            why=",".join(reasons),
         )
         self.recorder.add(entry)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -134,6 +134,7 @@
             load,
             servers,
             observations.pauses,
+            self.controller.quarantine,
         )
         for seed in self.seeds:
             self.peers.add(seed)
@@ -215,7 +216,12 @@
 
     def _add_pending(self, effects: list, now: float) -> list:
         """Append queued memory releases, and a digest if load or servers changed."""
+        effects += self.controller.end_quarantined(now)
         effects += self.reservations.pop_effects()
+        quarantine = self.controller.quarantine
+        if quarantine.has_urgent_change:
+            quarantine.has_urgent_change = False
+            effects += self.peers.announce(now)
         load = self.controller.load
         servers = self.controller.servers
         if servers.has_urgent_change:
@@ -234,6 +240,7 @@
         )
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
+        effects += self.controller.quarantine.expire(now)
         effects += self.controller.place_waiting(now)
         effects += self.stopping.check(now)
         if self.controller.admission.is_closing:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -19,6 +19,7 @@
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
+from briarrelay_core.routes.quarantine import PromptQuarantine
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
@@ -79,6 +80,11 @@
 control traffic in large deployments."""
 
 
+ANNOUNCE_SPACING_S = 0.05
+"""Minimum interval in seconds between digests that announce crashes to all peers; it
+grows with the size of the deployment."""
+
+
 @define(slots=True)
 class _Peer:
     """Another entry instance, with the values of its last digest.
@@ -117,6 +123,7 @@
     :ivar _is_remote_pending: the last digest was not sent to remote peers.
     :ivar _is_query_scheduled: a peer had a newer configuration or newer presets, and
         will be queried unless the store is faster.
+    :ivar _last_announced_at: time of the last digest that announced crashes.
     """
 
     address: PeerAddress
@@ -125,6 +132,7 @@
     load: LoadTable
     servers: ServerTable
     pauses: PauseTable
+    quarantine: PromptQuarantine = field(factory=PromptQuarantine)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -137,6 +145,8 @@
     _last_remote_at: float = float("-inf")
     _is_remote_pending: bool = False
     _is_query_scheduled: bool = False
+    _last_announced_at: float = float("-inf")
+    _is_announcement_scheduled: bool = False
 
     @property
     def instances(self) -> int:
@@ -203,6 +213,7 @@
         for report in digest.gone:
             effects += self.servers.apply_peer_gone(report, now)
         self.pauses.apply_peer_pauses(digest.paused, now)
+        effects += self.quarantine.apply_digest(digest, now)
         self._check_behind(peer, now)
         return effects
 
@@ -277,6 +288,23 @@
         self.timers.at(max(now, self._last_sent_at + spacing), self._send_due)
         return []
 
+    def announce(self, now: float) -> list:
+        """Send a digest to all peers, soon if one was announced just before."""
+        if self._is_announcement_scheduled:
+            return []
+        due = self._last_announced_at + ANNOUNCE_SPACING_S * self.size_factor
+        if now < due:
+            self._is_announcement_scheduled = True
+            self.timers.at(due, self._announce_due)
+            return []
+        self._last_announced_at = now
+        return self._send(now, self.addresses())
+
+    def _announce_due(self, now: float) -> list:
+        self._is_announcement_scheduled = False
+        self._last_announced_at = now
+        return self._send(now, self.addresses())
+
     def _local_peers(self) -> list[_Peer]:
         own_data_centre = self.address.data_centre
         return [
@@ -346,6 +374,10 @@
             loads=self.load.own_loads(now),
             leaving=self.servers.leaving_servers(now),
             paused=self.pauses.own_pauses(now),
+            crashes=self.quarantine.own_crashes(now),
+            quarantined=self.quarantine.own_quarantines(now),
+            written=self.quarantine.own_written(now),
+            probed=self.quarantine.own_probes(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -65,6 +65,7 @@
     :param last_event: id of the last event relayed, empty for none.
     :param failed_attempt_id: attempt whose error response may be relayed, 0 for
         none.
+    :param quarantined_part: part of its prompt for which it ended, empty for none.
     """
 
     request: RouteRequest
@@ -83,6 +84,7 @@
     is_head_relayed: bool = False
     last_event: str = ""
     failed_attempt_id: int = 0
+    quarantined_part: str = ""
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
@@ -97,6 +99,11 @@
         """Whether an engine has to read a prompt for it."""
         return self.profile is not None and self.request.prompt_tokens > 0
 
+    @property
+    def prompt_parts(self) -> tuple[str, ...]:
+        """Shared parts of its prompt, if engines process it."""
+        return self.request.prompt_parts if self.profile is not None else ()
+
     @property
     def weight(self) -> float:
         """Cost of a late response, relative to a short prompt."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -171,7 +171,7 @@
         attempt.events += 1
         effects = []
         if attempt.events == 1:
-            self._on_first_event(routed, now)
+            effects += self._on_first_event(routed, now)
         if not routed.is_head_relayed:
             routed.is_head_relayed = True
             routed.first_event_at = now
@@ -182,7 +182,7 @@
         effects.append(RelayEvent(routed.request.request_id, message.data))
         return effects
 
-    def _on_first_event(self, routed: RoutedRequest, now: float) -> None:
+    def _on_first_event(self, routed: RoutedRequest, now: float) -> list:
         attempt = routed.active_attempt
         self.controller.load.mark_read(attempt.attempt_id)
         taken_s = now - attempt.sent_at
@@ -190,6 +190,7 @@
             attempt.server, attempt.expected_s, taken_s, now
         )
         self.controller.observations.health.record_success(attempt.server)
+        return self.controller.quarantine.record_written(routed.prompt_parts, now)
 
     def on_done(self, message: ResponseComplete, now: float) -> list:
         """Handle the end of a complete response."""
@@ -274,9 +275,16 @@
         attempt = self.controller.end_attempt(routed, now)
         routed.possible_runs += 1
         self.controller.observations.health.record_failure(attempt.server, now)
-        return [
+        effects = [
             self._make_lost_log(routed, attempt, problem, is_closed),
             AbortAttempt(attempt.attempt_id),
+        ]
+        if is_closed and not attempt.events:
+            effects += self.controller.record_crash(routed, attempt, now)
+        if routed.request.request_id not in self.controller.requests:
+            return [*effects, *self.controller.place_waiting(now)]
+        return [
+            *effects,
             *self.controller.retry_or_give_up(routed, RetryReason.SERVER_LOST, now),
             *self.controller.place_waiting(now),
         ]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -4,9 +4,24 @@
 second.
 """
 
+from math import isfinite
+
 import orjson
 
-from briarrelay_core.ports.digest import UNKNOWN_AGE_S, LoadDigest, ServerLoad
+from briarrelay_core.ports.digest import (
+    MAX_CRASH_REPORTS,
+    MAX_PART_CHARS,
+    MAX_PARTS,
+    MAX_PROBE_S,
+    MAX_QUARANTINE_REPORTS,
+    MAX_REPORT_SERVERS,
+    MAX_WRITTEN_REPORTS,
+    UNKNOWN_AGE_S,
+    CrashReport,
+    LoadDigest,
+    QuarantineReport,
+    ServerLoad,
+)
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.route import MAX_PAUSE_S
@@ -14,6 +29,10 @@
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
 
 
+MAX_TEXT_CHARS = 200
+"""Longest name of an engine's incarnation in a report of a crash."""
+
+
 class DigestError(ValueError):
     """A datagram is not a digest of a known version."""
 
@@ -21,7 +40,8 @@
 def encode_digest(digest: LoadDigest) -> bytes:
     """Return a digest encoded as a datagram.
 
-    Pauses are left out while there are none, so that earlier releases can read it.
+    Pauses, crashes and quarantines are left out while there are none, so that earlier
+    releases can read it.
     """
     fields = [
         _encode_address(digest.sender),
@@ -45,8 +65,13 @@
         round(digest.directory_age_s, 3),
         digest.gone,
     ]
-    if digest.paused:
+    has_reports = (
+        digest.crashes or digest.quarantined or digest.written or digest.probed
+    )
+    if digest.paused or has_reports:
         fields.append(digest.paused)
+    if has_reports:
+        fields.append(_encode_reports(digest))
     return orjson.dumps(fields)
 
 
@@ -93,6 +118,7 @@
     age_s: float = UNKNOWN_AGE_S,
     gone: tuple = (),
     paused: dict | None = None,
+    reports: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -108,9 +134,89 @@
             str(server): min(MAX_PAUSE_S, max(0.0, float(pause_s)))
             for server, pause_s in (paused or {}).items()
         },
+        **(_decode_reports(*reports) if reports else {}),
     }
 
 
+def _encode_reports(digest: LoadDigest) -> list:
+    """Encode what the sender knows of crashes and of the parts that cause them."""
+    return [
+        [
+            [crash.server, crash.parts, crash.sent_age_s, crash.lost_age_s]
+            for crash in digest.crashes
+        ],
+        [
+            [report.part, report.remaining_s, report.since_age_s, report.servers]
+            for report in digest.quarantined
+        ],
+        digest.written,
+        digest.probed,
+    ]
+
+
+def _decode_reports(
+    crashes: list, quarantined: list, written: dict, probed: dict, *_
+) -> dict:
+    return {
+        "crashes": tuple(
+            CrashReport(
+                server=_decode_text(server),
+                parts=tuple(_decode_part(part) for part in parts[:MAX_PARTS]),
+                sent_age_s=_decode_seconds(sent_age_s),
+                lost_age_s=_decode_seconds(lost_age_s),
+            )
+            for server, parts, sent_age_s, lost_age_s in crashes[:MAX_CRASH_REPORTS]
+        ),
+        "quarantined": tuple(
+            QuarantineReport(
+                part=_decode_part(part),
+                remaining_s=_decode_seconds(remaining_s),
+                since_age_s=_decode_seconds(since_age_s),
+                servers=tuple(
+                    _decode_text(server) for server in servers[:MAX_REPORT_SERVERS]
+                ),
+            )
+            for part, remaining_s, since_age_s, servers in quarantined[
+                :MAX_QUARANTINE_REPORTS
+            ]
+        ),
+        "written": _decode_part_times(written),
+        "probed": {
+            part: min(MAX_PROBE_S, left_s)
+            for part, left_s in _decode_part_times(probed).items()
+        },
+    }
+
+
+def _decode_part_times(times: dict) -> dict[str, float]:
+    return {
+        _decode_part(part): _decode_seconds(seconds)
+        for part, seconds in list(times.items())[:MAX_WRITTEN_REPORTS]
+    }
+
+
+def _decode_part(value: str) -> str:
+    """Return the id of a part of a prompt."""
+    if not 0 < len(_decode_text(value)) <= MAX_PART_CHARS:
+        raise ValueError("id of a part out of bounds")
+    return value
+
+
+def _decode_text(value: str) -> str:
+    if not isinstance(value, str) or len(value) > MAX_TEXT_CHARS:
+        raise ValueError("not a short text")
+    return value
+
+
+def _decode_seconds(value: float) -> float:
+    """Return a number of seconds, at least 0."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError("not a number")
+    if not isfinite(value) or value < 0:
+        raise ValueError("seconds out of bounds")
+    return min(UNKNOWN_AGE_S, float(value))
+
+
 def _encode_address(address: PeerAddress) -> list:
     return [
         address.name,
