--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -51,6 +51,7 @@
 from briarrelay_core.routes.resumption import MAX_HOLD_S, ResumptionGuard
 from briarrelay_core.routes.selection import ServerSelector
 from briarrelay_core.routes.servers import ServerTable
+from briarrelay_core.routes.silence import SilenceChecker
 from briarrelay_core.routes.updates import UpdateHandler
 from briarrelay_core.timers import TimerService
 
@@ -95,6 +96,7 @@
     reservations: Reservations = field(init=False)
     controller: RequestController = field(init=False)
     responses: ResponseHandler = field(init=False)
+    silence: SilenceChecker = field(init=False)
     peers: PeerExchange = field(init=False)
     updates: UpdateHandler = field(init=False)
     stopping: GracefulStop = field(init=False)
@@ -127,6 +129,7 @@
         self.reservations.on_granted = self.controller.on_granted
         self.reservations.on_denied = self.controller.on_denied
         self.responses = ResponseHandler(self.controller)
+        self.silence = SilenceChecker(self.controller)
         self.peers = PeerExchange(
             self.address,
             identity.incarnation,
@@ -235,9 +238,7 @@
     def _run_checks(self, now: float) -> list:
         self.updates.update_staleness(now)
         self.controller.budget.instances = self.peers.instances
-        effects = self.responses.check_silence(now) + self.controller.expire_requests(
-            now
-        )
+        effects = self.silence.check(now) + self.controller.expire_requests(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
         effects += self.controller.quarantine.expire(now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -1,4 +1,4 @@
-"""Handles responses of backend servers, and attempts without a response in time."""
+"""Handles responses of backend servers."""
 
 from attrs import define
 
@@ -18,37 +18,10 @@
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.reasons import RetryReason
 from briarrelay_core.routes.controller import RequestController
-from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
-from briarrelay_core.routes.waiting import caller_timeout_s
 
 __all__ = ["ResponseHandler"]
 
-FIRST_EVENT_SLACK_S = 0.35
-"""Seconds allowed for the first event of a stream in addition to `FIRST_EVENT_FACTOR`
-times the expected time."""
-
-FIRST_EVENT_FACTOR = 2.0
-"""Multiple of the expected time allowed for the first event of a stream."""
-
-MIN_GAP_TIMEOUT_S = 0.8
-"""Shortest pause in seconds between events after which a stream counts as lost."""
-
-GAP_TIMEOUT_FACTOR = 2.5
-"""Multiple of the route's gap limit after which a stream counts as lost."""
-
-READING_FACTOR = 1.5
-"""Multiple of the reading time queued on the server that is added to the silence
-timeout."""
-
-MOVE_FRACTION = 0.65
-"""Fraction of the caller's timeout after which its stream moves to another server; the
-rest is left for reading the prompt again."""
-
-SAFE_TIMEOUT_FACTOR = 3.0
-"""Multiple of the target latency after which a request on a safe route counts as
-lost."""
-
 
 @define(slots=True, eq=False)
 class ResponseHandler:
@@ -305,86 +278,6 @@
         )
         return LogEvent("info", "send_lost", routed.request.caller_request_id, fields)
 
-    def check_silence(self, now: float) -> list:
-        """Move repeatable requests from silent servers to other servers.
-
-        A request without an alternative stays, since its server may only be slow.
-        """
-        effects = []
-        for routed in list(self.controller.requests.values()):
-            attempt = routed.active_attempt
-            if attempt is None or not attempt.is_sent:
-                continue
-            if not routed.route.is_repeatable:
-                continue
-            timeout_s = _silence_timeout_s(routed, attempt)
-            timeout_s += READING_FACTOR * self._read_allowance_s(attempt, now)
-            silent_s = now - attempt.progress_at
-            leaves_after_s = caller_timeout_s(routed)
-            if silent_s > timeout_s:
-                self._record_silence(attempt, now)
-                effects += self._move(routed, now, _remaining_patience_s(routed, now))
-            elif silent_s > MOVE_FRACTION * leaves_after_s:
-                effects += self._move(routed, now, leaves_after_s - silent_s)
-        return effects
-
-    def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
-        """Return seconds for which an attempt may be silent while its engines read."""
-        load = self.controller.load
-        names = (attempt.server, *(() if attempt.events else attempt.helpers))
-        return max(load.reading_s(name, now) for name in names)
-
-    def _record_silence(self, attempt: AttemptState, now: float) -> None:
-        """Count a silence as one failure of the server, however long it lasts."""
-        if attempt.silent_since == attempt.progress_at:
-            return
-        attempt.silent_since = attempt.progress_at
-        observations = self.controller.observations
-        last_response_at = observations.last_response_at.get(attempt.server, 0.0)
-        is_fully_silent = last_response_at <= attempt.progress_at
-        observations.health.record_failure(attempt.server, now, certain=is_fully_silent)
-
-    def _move(self, routed: RoutedRequest, now: float, max_expected_s: float) -> list:
-        """Send a request to another server if one can take it now.
-
-        :param max_expected_s: seconds within which its first event must be expected.
-        """
-        attempt = routed.active_attempt
-        placement = self.controller.find_alternative(routed, now)
-        if placement is None or placement.expected_s >= max_expected_s:
-            return []
-        fields = (
-            ("server", attempt.server),
-            ("silent_s", f"{now - attempt.progress_at:.2f}"),
-            ("expected_s", f"{attempt.expected_s:.2f}"),
-            ("events", str(attempt.events)),
-        )
-        return [
-            LogEvent("info", "server_silent", routed.request.caller_request_id, fields),
-            *self.controller.move(routed, placement, RetryReason.SERVER_SILENT, now),
-        ]
-
-
-def _silence_timeout_s(routed: RoutedRequest, attempt: AttemptState) -> float:
-    """Return seconds of silence after which an attempt counts as lost."""
-    if routed.route.kind is not RouteKind.STREAM:
-        return SAFE_TIMEOUT_FACTOR * routed.route.target_latency_s
-    if not attempt.events:
-        return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * attempt.expected_s
-    return max(
-        MIN_GAP_TIMEOUT_S, GAP_TIMEOUT_FACTOR * (routed.route.gap_limit_s or 0.0)
-    )
-
-
-def _remaining_patience_s(routed: RoutedRequest, now: float) -> float:
-    """Return seconds for which the caller is expected to wait for an event.
-
-    A caller that is still there after the expected time may wait for any time.
-    """
-    begun_at = routed.last_event_at if routed.is_head_relayed else routed.arrived_at
-    remaining_s = begun_at + caller_timeout_s(routed) - now
-    return remaining_s if remaining_s > 0 else float("inf")
-
 
 def _is_newer(event_id: str, last: str) -> bool:
     """Return whether an event follows the last one that the caller received."""
