Count a failure of a silent server once per timeout, not once per silence

Each further timeout without a byte counts again, and as certain if the server sent nothing at all meanwhile, as before the fix.

Evidence: test_engine_is_ejected_again_while_it_stays_silent failed before (4.3 s of 6 s not ejected; bound 1 s), passes now.

--- a/features/properties/test_silent_servers.py
+++ b/features/properties/test_silent_servers.py
@@ -99,6 +99,23 @@
         self.assertEqual(moved.resume_after, "1")
 
 
+class DarkEngineTest(unittest.TestCase):
+    """An engine that stays silent gets no new requests, whoever waits for it."""
+
+    def test_engine_is_ejected_again_while_it_stays_silent(self):
+        world = RouteWorld(engines=1)
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        world.advance(1.0)
+        health = world.instance.controller.observations.health
+        self.assertTrue(health.is_ejected(sent.server, world.now))
+        admitted_s = 0.0
+        for _ in range(60):
+            world.advance(0.1)
+            admitted_s += 0.0 if health.is_ejected(sent.server, world.now) else 0.1
+        self.assertLess(admitted_s, 1.0)
+
+
 class InterruptedStreamTest(unittest.TestCase):
     """A stream whose engine is lost waits for another one while its caller does."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -25,8 +25,8 @@
         once the request has been sent.
     :param kind: kind of the response's head, None before it arrives.
     :param events: events received in this attempt.
-    :param silent_since: value of `progress_at` at the last silence that was counted as
-        a failure of the server.
+    :param silence_counted_at: time at which its silence was last counted as a failure
+        of the server.
     """
 
     attempt_id: int
@@ -41,7 +41,7 @@
     status: int = 0
     is_stream: bool = False
     events: int = 0
-    silent_since: float | None = None
+    silence_counted_at: float = float("-inf")
 
     @property
     def is_sent(self) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -60,7 +60,7 @@
             silent_s = now - attempt.progress_at
             leaves_after_s = caller_timeout_s(routed)
             if silent_s > timeout_s:
-                self._record_silence(attempt, now)
+                self._record_silence(attempt, timeout_s, now)
                 effects += self._move(routed, now, _remaining_patience_s(routed, now))
             elif silent_s > MOVE_FRACTION * leaves_after_s:
                 effects += self._move(routed, now, leaves_after_s - silent_s)
@@ -72,14 +72,17 @@
         names = (attempt.server, *(() if attempt.events else attempt.helpers))
         return max(load.reading_s(name, now) for name in names)
 
-    def _record_silence(self, attempt: AttemptState, now: float) -> None:
-        """Count a silence as one failure of the server, however long it lasts."""
-        if attempt.silent_since == attempt.progress_at:
+    def _record_silence(
+        self, attempt: AttemptState, timeout_s: float, now: float
+    ) -> None:
+        """Count each `timeout_s` of silence as a failure of the server."""
+        since = max(attempt.progress_at, attempt.silence_counted_at)
+        if now - since <= timeout_s:
             return
-        attempt.silent_since = attempt.progress_at
+        attempt.silence_counted_at = now
         observations = self.controller.observations
         last_response_at = observations.last_response_at.get(attempt.server, 0.0)
-        is_fully_silent = last_response_at <= attempt.progress_at
+        is_fully_silent = last_response_at <= since
         observations.health.record_failure(attempt.server, now, certain=is_fully_silent)
 
     def _move(self, routed: RoutedRequest, now: float, max_expected_s: float) -> list:
