Look for other servers for few silent requests at a time

At most 20 searches of a check may fail; those looked at longest ago come first, so that each gets its turn.

Evidence: ManySilentStreamsTest failed before (100 searches in a check, bound 20), passes now.

--- a/features/properties/test_silent_servers.py
+++ b/features/properties/test_silent_servers.py
@@ -1,6 +1,8 @@
 """Responses of servers that are silent for about a second and then go on."""
 
 import unittest
+from collections import Counter
+from unittest.mock import patch
 
 from briarrelay_core.ports.route import (
     AbortAttempt,
@@ -16,6 +18,7 @@
     SendErrorResponse,
 )
 from briarrelay_core.routes.budget import RetryLimits
+from briarrelay_core.routes.controller import RequestController
 from properties.routeworld import RouteWorld, engine_names, start_response
 
 SILENCE_S = 1.3
@@ -116,6 +119,26 @@
         self.assertLess(admitted_s, 1.0)
 
 
+class ManySilentStreamsTest(unittest.TestCase):
+    def test_each_check_searches_for_few_streams_and_all_get_their_turn(self):
+        """A search compares dozens of engines, and a check is due each 0.1 s."""
+        world = RouteWorld(engines=20)
+        for _ in range(100):
+            (sent,) = world.forwards(world.request("chat"))
+            start_response(world, sent.attempt_id)
+        fill_engines(world, engine_names(world))
+        searched = []
+
+        def find_alternative(_, routed, now: float) -> None:
+            searched.append((round(now, 3), routed.request.request_id))
+
+        with patch.object(RequestController, "find_alternative", find_alternative):
+            world.advance(2.0)
+        checks = Counter(at for at, _ in searched)
+        self.assertLessEqual(max(checks.values()), 20)
+        self.assertEqual(len({request_id for _, request_id in searched}), 100)
+
+
 class InterruptedStreamTest(unittest.TestCase):
     """A stream whose engine is lost waits for another one while its caller does."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -27,6 +27,8 @@
     :param events: events received in this attempt.
     :param silence_counted_at: time at which its silence was last counted as a failure
         of the server.
+    :param searched_at: time at which another server was last looked for, since this one
+        is silent.
     """
 
     attempt_id: int
@@ -42,6 +44,7 @@
     is_stream: bool = False
     events: int = 0
     silence_counted_at: float = float("-inf")
+    searched_at: float = float("-inf")
 
     @property
     def is_sent(self) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -36,6 +36,10 @@
 """Multiple of the target latency after which a request on a safe route counts as
 lost."""
 
+MAX_FAILED_SEARCHES = 20
+"""Requests of a check for which no other server is found before the rest waits for the
+next check; a search compares dozens of servers."""
+
 
 @define(slots=True, eq=False)
 class SilenceChecker:
@@ -46,9 +50,30 @@
     def check(self, now: float) -> list:
         """Move repeatable requests from silent servers to other servers.
 
-        A request without an alternative stays, since its server may only be slow.
+        A request without an alternative stays, since its server may only be slow. The
+        requests for which a server was looked for last come last.
         """
-        effects = []
+        silent = sorted(
+            self._find_silent(now),
+            key=lambda found: found[0].active_attempt.searched_at,
+        )
+        effects, failed_searches = [], 0
+        for routed, max_expected_s in silent:
+            routed.active_attempt.searched_at = now
+            moved = self._move(routed, now, max_expected_s)
+            effects += moved
+            failed_searches += not moved
+            if failed_searches == MAX_FAILED_SEARCHES:
+                break
+        return effects
+
+    def _find_silent(self, now: float) -> list[tuple[RoutedRequest, float]]:
+        """Return the requests that should move, and the time for their first event.
+
+        That time is the largest one in seconds within which a server has to be expected
+        to send it.
+        """
+        found = []
         for routed in list(self.controller.requests.values()):
             attempt = routed.active_attempt
             if attempt is None or not attempt.is_sent:
@@ -61,10 +86,10 @@
             leaves_after_s = caller_timeout_s(routed)
             if silent_s > timeout_s:
                 self._record_silence(attempt, timeout_s, now)
-                effects += self._move(routed, now, _remaining_patience_s(routed, now))
+                found.append((routed, _remaining_patience_s(routed, now)))
             elif silent_s > MOVE_FRACTION * leaves_after_s:
-                effects += self._move(routed, now, leaves_after_s - silent_s)
-        return effects
+                found.append((routed, leaves_after_s - silent_s))
+        return found
 
     def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
         """Return seconds for which an attempt may be silent while its engines read."""
