Count a stream's own memory as free when it looks for other engines

The search leaves out the load of the attempt that would be given up, and move() sends the releases before the reservations that need the memory.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -375,7 +375,8 @@
         ]
         if not eligible_servers:
             return None
-        placement = self.selector.choose(routed, eligible_servers, now)
+        with self.load.without(routed.active_attempt.attempt_id):
+            placement = self.selector.choose(routed, eligible_servers, now)
         if placement is None or should_defer(routed, placement, now):
             return None
         return placement
@@ -396,6 +397,8 @@
         self.budget.withdraw(routed.service, now)
         return [
             AbortAttempt(attempt.attempt_id),
+            # Its memory is released first, since the placement may need it.
+            *self.reservations.pop_effects(),
             *self._log_retry(routed, reason, now),
             *self._start_attempt(routed, placement, now),
         ]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -1,5 +1,8 @@
 """Load of each backend server, from this instance's attempts and peers' digests."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from attrs import define, field
 
 from briarrelay_core.ports.digest import LoadDigest, ServerLoad
@@ -186,6 +189,18 @@
             self._remove_from_server(load)
             self.is_changed = True
 
+    @contextmanager
+    def without(self, attempt_id: int) -> Iterator[None]:
+        """Leave out the load of an attempt within the context."""
+        loads = self._by_attempt.get(attempt_id, [])
+        for load in loads:
+            self._remove_from_server(load)
+        try:
+            yield
+        finally:
+            for load in loads:
+                self._by_server.setdefault(load.server, []).append(load)
+
     def _remove_from_server(self, load: AttemptLoad) -> None:
         server_loads = self._by_server[load.server]
         server_loads.remove(load)
