Let a begun stream wait for the retry budget as long as its caller does

What callers saw: a stream that was moved and then refused (503, not run), or whose engine was lost, is cut at once if no retry is left at that moment.

Cause: the budget's answer was taken as final; for a request that has not begun a refusal follows, a stream that has begun can only be cut.

Nothing is sent before the budget allows it.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -122,6 +122,8 @@
         part = self.quarantine.find(routed.prompt_parts, now)
         if part:
             return self._give_up_quarantined(routed, part, now)
+        if routed.awaited_retry is not None:
+            return self._retry_when_allowed(routed, now)
         eligible_servers = self.selector.candidates(routed, now)
         if eligible_servers and is_too_large(routed, len(eligible_servers)):
             return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
@@ -354,7 +356,18 @@
         if not self._may_retry(routed, routed.possible_runs, now):
             return self.give_up(routed, now)
         if was_delivered and not self.budget.withdraw(routed.service, now):
-            return self.give_up(routed, now)
+            if not routed.is_head_relayed:
+                return self.give_up(routed, now)
+            routed.awaited_retry = reason
+            return self.place(routed, now)
+        return self._log_retry(routed, reason, now) + self.place(routed, now)
+
+    def _retry_when_allowed(self, routed: RoutedRequest, now: float) -> list:
+        """Retry a begun stream once the budget allows it; until then it is queued."""
+        if not self.budget.withdraw(routed.service, now):
+            self._waiting[routed.request.request_id] = routed
+            return []
+        reason, routed.awaited_retry = routed.awaited_retry, None
         return self._log_retry(routed, reason, now) + self.place(routed, now)
 
     def find_alternative(self, routed: RoutedRequest, now: float) -> Placement | None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from briarrelay_core.ports.route import ResponseKind, RouteRequest
+from briarrelay_core.reasons import RetryReason
 from briarrelay_core.routes.model import EngineProfile, Route
 from briarrelay_core.routes.placement import Placement
 
@@ -64,6 +65,8 @@
     :param attempt_count: attempts so far.
     :param undelivered: attempts that never reached their server.
     :param possible_runs: attempts after which the request may have run.
+    :param awaited_retry: reason of a retry that the budget does not allow yet, else
+        None.
     :param is_head_relayed: whether the caller has received the head of the response.
     :param last_event: id of the last event relayed, empty for none.
     :param failed_attempt_id: attempt whose error response may be relayed, 0 for
@@ -84,6 +87,7 @@
     attempt_count: int = 0
     undelivered: int = 0
     possible_runs: int = 0
+    awaited_retry: RetryReason | None = None
     is_head_relayed: bool = False
     last_event: str = ""
     failed_attempt_id: int = 0
