Avoid an engine that closed several connections at one moment

Callers' requests were sent to an engine after this instance, or its peers, had seen it crash: a closed connection is one of three failures to eject, and the digests named no crash. Three callers of streams on one engine could so be followed by a fourth.

Two connections that one incarnation closes within 0.3 s, seen here or in the crash reports of peers, mean that its process ended. It is avoided for 2 s, unless no other engine is healthy, it responds, or its entry appears with another start. One closed connection still means little: it may have been idle.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -169,9 +169,9 @@
         self, routed: RoutedRequest, attempt: AttemptState, now: float
     ) -> list:
         """Record that an engine closed the connection before the first event."""
-        server = f"{attempt.server}@{attempt.server_born}"
-        parts = routed.prompt_parts
-        effects = self.quarantine.record_crash(parts, server, attempt.sent_at, now)
+        effects = self.quarantine.record_crash(
+            routed.prompt_parts, attempt.incarnation, attempt.sent_at, now
+        )
         return effects + self.end_quarantined(now)
 
     def end_quarantined(self, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -138,6 +138,7 @@
             servers,
             observations.pauses,
             self.controller.quarantine,
+            observations.crashes,
         )
         for seed in self.seeds:
             self.peers.add(seed)
@@ -241,6 +242,7 @@
         effects = self.silence.check(now) + self.controller.expire_requests(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
+        self.controller.observations.crashes.expire(now)
         effects += self.controller.quarantine.expire(now)
         effects += self.controller.place_waiting(now)
         effects += self.stopping.check(now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -1,7 +1,8 @@
-"""Observations of backend servers from own requests: failures, speed, reachability."""
+"""Observations of backend servers: failures, crashes, speed, reachability."""
 
 from attrs import define, field
 
+from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
 from briarrelay_core.routes.servers import ServerTable
@@ -23,6 +24,7 @@
     slowdown: SlowdownTable = field(factory=SlowdownTable)
     reachability: ReachabilityTable = field(factory=ReachabilityTable)
     pauses: PauseTable = field(factory=PauseTable)
+    crashes: CrashTable = field(factory=CrashTable)
     last_response_at: dict[str, float] = field(factory=dict)
 
     def record_response(self, server: str, now: float) -> None:
@@ -31,6 +33,7 @@
         known = self.servers.get(server)
         if known is not None:
             self.reachability.record_response(known.entry.data_centre)
+            self.crashes.record_response(server, known.entry.born)
 
     def record_unreachable(self, server: str, now: float) -> None:
         """Record that no connection to a server could be made."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -4,6 +4,8 @@
 it has read the servers topic, and the backend servers that are leaving or gone.
 """
 
+from collections import Counter
+
 from attrs import define, field
 
 from briarrelay_core.ports.digest import (
@@ -17,6 +19,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import PromptQuarantine
@@ -133,6 +136,7 @@
     servers: ServerTable
     pauses: PauseTable
     quarantine: PromptQuarantine = field(factory=PromptQuarantine)
+    crashes: CrashTable = field(factory=CrashTable)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -214,9 +218,19 @@
             effects += self.servers.apply_peer_gone(report, now)
         self.pauses.apply_peer_pauses(digest.paused, now)
         effects += self.quarantine.apply_digest(digest, now)
+        self._apply_crashes(digest, now)
         self._check_behind(peer, now)
         return effects
 
+    def _apply_crashes(self, digest: LoadDigest, now: float) -> None:
+        """Apply a peer's reports of connections that servers closed."""
+        counts = Counter(crash.server for crash in digest.crashes)
+        for crash in digest.crashes:
+            at = now - crash.lost_age_s
+            name = digest.sender.name
+            count = counts[crash.server]
+            self.crashes.apply_peer_report(name, crash.server, count, at)
+
     def rank(self, now: float) -> int:
         """Return the number of peers with a recent digest whose names sort first."""
         return sum(p.address.name < self.address.name for p in self._recent_peers(now))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -47,6 +47,11 @@
     silence_counted_at: float = float("-inf")
     searched_at: float = float("-inf")
 
+    @property
+    def incarnation(self) -> str:
+        """The server's incarnation, ``name@born``."""
+        return f"{self.server}@{self.server_born}"
+
     @property
     def is_sent(self) -> bool:
         """Whether the request has left for the server; its memory is reserved first."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -252,6 +252,8 @@
             self._make_lost_log(routed, attempt, problem, is_closed),
             AbortAttempt(attempt.attempt_id),
         ]
+        if is_closed:
+            self.controller.observations.crashes.record_closed(attempt.incarnation, now)
         if is_closed and not attempt.events:
             effects += self.controller.record_crash(routed, attempt, now)
         if routed.request.request_id not in self.controller.requests:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -95,6 +95,7 @@
         """Return the usable servers, the untried and the healthy ones among them."""
         pauses = self.observations.pauses
         health = self.observations.health
+        crashes = self.observations.crashes
         skipped = routed.excluded.union(routed.tried)
         request_id = str(routed.request.request_id)
         usable, untried, healthy = [], [], []
@@ -106,6 +107,8 @@
             if name in skipped:
                 continue
             untried.append(server)
+            if crashes.is_crashed(name, server.entry.born, now):
+                continue
             if health.admits(name, request_id, now):
                 healthy.append(server)
         return usable, untried, healthy
