Let servers fall silent for a second in stand-ins and soak, and go on

A sound server may fall silent for a second or so and go on; that is no trouble. The stand-ins' servers can rest: they read and send nothing, keep their connections and then go on with everything that came, also with requests whose callers have left. Servers in trouble also answer unframed at times, and the soak's proxies pass a reset on as a reset; they made an ordered end of it, which would complete an unframed answer.

--- a/features/properties/test_operator_faults.py
+++ b/features/properties/test_operator_faults.py
@@ -71,6 +71,39 @@
             self.assertTrue(response.is_complete)
             self.assertEqual(len(fleet.runs()), 1)
 
+    def test_answers_of_servers_that_fall_silent_for_a_second_are_whole(self):
+        """They go on with everything, also with what they were sent meanwhile."""
+        with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.30") as fleet:
+            entry = fleet.instances[0]
+            responses = {}
+
+            def send(kind: str, number: int, **arguments) -> None:
+                attempt = f"{kind}-{number}"
+                responses[attempt] = call(entry, f"/{kind}/x", attempt, **arguments)
+
+            sends = [("chat", n, {"tokens": "1000,60"}) for n in range(4)]
+            sends += [("book", n, {}) for n in range(4)]
+            threads = [
+                threading.Thread(target=send, args=(kind, n), kwargs=arguments)
+                for kind, n, arguments in sends
+            ]
+            for thread in threads[:4]:
+                thread.start()
+            time.sleep(0.5)
+            for name in fleet.server_names:
+                fleet.send_command("rest", name, seconds=1.2, after_s=0.0)
+            for thread in threads[4:]:
+                thread.start()
+            for thread in threads:
+                thread.join()
+            for attempt, response in responses.items():
+                self.assertEqual(response.status, 200, attempt)
+                self.assertTrue(response.is_complete, attempt)
+                if attempt.startswith("chat"):
+                    self.assertEqual(event_ids(response), list(range(1, 61)))
+            bookings = [r["attempt"] for r in fleet.runs() if r["path"] == "/book/x"]
+            self.assertEqual(sorted(bookings), [f"book-{n}" for n in range(4)])
+
     def test_stalled_stream_that_trickles_is_ended(self):
         with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.23") as fleet:
             fleet.send_command("trouble", "engine-0", trouble={"trickle": 1.0})
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -119,6 +119,22 @@
     return violations
 
 
+def find_cut_answers(sent: list[SentRequest]) -> list[str]:
+    """Return the requests whose answer was broken off or replaced by a failure.
+
+    A refusal is neither, nor is an end at the caller's time limit.
+    """
+    return [
+        f"{request.attempt}: {request.kind} cut, status {request.response.status}"
+        for request in sent
+        if request.ended_at - request.started_at < request.timeout_s
+        and (
+            request.response.status in (0, 502)
+            or (request.response.status == 200 and not request.response.is_complete)
+        )
+    ]
+
+
 def _check(request: SentRequest, runs: list[dict], was_paused: bool) -> list[str]:
     violations = []
     response = request.response
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -20,7 +20,7 @@
     :param stalled: directions that are no longer read: ``up`` from the caller,
         ``down`` from the server.
     :param queued: data held back, as due time, direction and bytes; empty bytes end
-        the connection.
+        the connection in order, and None resets it.
     """
 
     caller: socket.socket
@@ -134,7 +134,7 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            data = None
         due = time.monotonic() + self.delay_s
         pair.queued.append((due, direction, data))
         if not data:
@@ -146,6 +146,9 @@
             _, direction, data = pair.queued.pop(0)
             sink = pair.server if direction == "up" else pair.caller
             if not data:
+                if data is None:
+                    _reset_on_close(pair.caller)
+                    _reset_on_close(pair.server)
                 self._close_pair(pair)
                 return
             try:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -2,6 +2,7 @@
 
 Usage:
   run.py [--seeds=LIST] [--seconds=S] [--entries=N] [--report=FILE] [--plots=FOLDER]
+         [--rests-only]
 
 Options:
   --seeds=LIST    seeds by commas, or FIRST-LAST [default: 1]
@@ -9,6 +10,7 @@
   --entries=N     entry instances [default: 3]
   --report=FILE   append one line of JSON for each seed
   --plots=FOLDER  draw what callers got beside the faults, one SVG for each seed
+  --rests-only    let servers fall silent for a second or so; no answer may be cut
 """
 
 import json
@@ -26,7 +28,7 @@
 
 from standins.fleet import EntryInstance, Fleet, configuration, post  # noqa: E402
 
-from soak.callers import Callers, Pause, find_violations  # noqa: E402
+from soak.callers import Callers, Pause, find_cut_answers, find_violations  # noqa: E402
 from soak.plots import draw_seed  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
 
@@ -43,6 +45,9 @@
 ACTIVATION_EVENTS = {"configuration_in_force": "version", "preset_in_force": "revision"}
 """Log events of an activation, and the version field of each, which may only rise."""
 
+REST_S = (0.8, 1.5)
+"""Shortest and longest silence in seconds of a server that is sound."""
+
 MIN_SUCCESS_RATIO = 0.7
 """Fraction of requests after recovery that must succeed; fault rates are zero then."""
 
@@ -51,6 +56,7 @@
 class Soak:
     """One seeded run: a fleet behind proxies, callers, and faults that may overlap.
 
+    :param rests_only: servers fall silent for a second or so; no other fault happens.
     :ivar faults: names of the injected faults, in order.
     :ivar fault_times: seconds from the start and name of each fault.
     :ivar outcomes: seconds from the start and response status of each request.
@@ -64,6 +70,7 @@
     seed: int
     seconds: float
     entries: int
+    rests_only: bool = False
     fleet: Fleet | None = None
     proxies: list[Proxy] = field(factory=list)
     faults: list[str] = field(factory=list)
@@ -116,7 +123,7 @@
         run_start = time.monotonic()
         end = run_start + self.seconds
         while time.monotonic() < end:
-            fault = rng.choice(FAULTS)
+            fault = rest_servers if self.rests_only else rng.choice(FAULTS)
             self.faults.append(fault.__name__)
             self.fault_times.append((time.monotonic() - run_start, fault.__name__))
             fault(self, rng)
@@ -133,6 +140,8 @@
         self.outcomes = [
             (s.started_at - run_start, s.response.status) for s in callers.sent
         ]
+        if self.rests_only:
+            violations += find_cut_answers(callers.sent)
         return violations + self._check_recovery(callers) + self._check_versions()
 
     def _end_faults(self) -> None:
@@ -276,10 +285,12 @@
 def trouble_server(soak: Soak, rng: random.Random) -> None:
     """Make a server abort, break off, reject, ignore or fail some of its requests.
 
-    It may also ask for a pause, or answer with bytes that never end.
+    It may also ask for a pause, or answer with bytes that never end, and its responses
+    may have neither a length nor chunks.
     """
-    kinds = ("cut", "break", "shed", "pause", "mute", "error", "flood")
+    kinds = ("cut", "break", "shed", "pause", "mute", "error", "flood", "crumble")
     rates = {rng.choice(kinds): rng.choice((0.05, 0.3))}
+    rates["unframed"] = rng.choice((0.0, 0.5))
     soak.fleet.send_command(
         "trouble", rng.choice(soak.fleet.server_names), trouble=rates
     )
@@ -291,6 +302,17 @@
     soak.fleet.send_command("silent", name, is_silent=rng.random() < 0.5)
 
 
+def rest_servers(soak: Soak, rng: random.Random) -> None:
+    """Let servers fall silent and go on, at the same time or one after another."""
+    names = rng.sample(soak.fleet.server_names, rng.randint(1, 3))
+    is_series = rng.random() < 0.5
+    after_s = 0.0
+    for name in names:
+        seconds = rng.uniform(*REST_S)
+        soak.fleet.send_command("rest", name, seconds=seconds, after_s=after_s)
+        after_s += seconds if is_series else 0.0
+
+
 def leave_server(soak: Soak, rng: random.Random) -> None:
     """Make a server announce its shutdown, or let the leaving one start again."""
     if soak.leaving_server:
@@ -347,6 +369,8 @@
     trouble_server,
     trouble_server,
     mute_server,
+    rest_servers,
+    rest_servers,
     leave_server,
     configure,
     choose_preset,
@@ -368,7 +392,12 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed_count = 0
     for seed in read_seeds(options["--seeds"]):
-        soak = Soak(seed, float(options["--seconds"]), int(options["--entries"]))
+        soak = Soak(
+            seed,
+            float(options["--seconds"]),
+            int(options["--entries"]),
+            rests_only=options["--rests-only"],
+        )
         violations = soak.run()
         failed_count += bool(violations)
         print(
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -39,6 +39,8 @@
 
     :ivar announces_leaving: every response says that the server is shutting down.
     :ivar paused_at: times at which it asked for a pause of PAUSE_S.
+    :ivar resting_until: time of the loop's clock until which it is silent.
+    :ivar held: callbacks that wait until then, in order.
     :ivar last_replies: the last complete reply on each connection.
     :ivar fault_rates: probability of each fault (``shed``, ``pause``, ``cut``,
         ``mute``, ``error``, ``flood``, ``half``, ``double`` and ``unframed`` for each
@@ -62,6 +64,8 @@
         self.is_silent = False
         self.announces_leaving = False
         self.paused_at: list[float] = []
+        self.resting_until = 0.0
+        self.held: list = []
         self.last_replies: dict[object, bytes] = {}
         self.started_at_ms = int(time.time() * 1000)
         self.running: list[RunningStream] = []
@@ -84,10 +88,38 @@
             "born": self.started_at_ms,
         }
 
+    def rest(self, seconds: float) -> None:
+        """Fall silent for some seconds, then go on with everything that came."""
+        now = self.loop.reactor.clock()
+        self.resting_until = max(self.resting_until, now + seconds)
+        self.loop.call_later(seconds, self.go_on)
+
+    def go_on(self) -> None:
+        """Run what was held, unless the server is to rest on."""
+        if self.loop.reactor.clock() >= self.resting_until:
+            held, self.held = self.held, []
+            for callback in held:
+                callback()
+
+    def when_awake(self, callback) -> None:
+        """Run a callback, or hold it while the server is silent."""
+        if self.held or self.loop.reactor.clock() < self.resting_until:
+            self.held.append(callback)
+        else:
+            callback()
+
+    def call_later(self, seconds: float, callback) -> None:
+        """Call after a delay, or later if the server is silent then."""
+        self.loop.call_later(seconds, lambda: self.when_awake(callback))
+
     def draw_fault(self, name: str) -> bool:
         return self.group.random.random() < self.fault_rates.get(name, 0.0)
 
     def on_request(self, exchange) -> None:
+        """Handle a request, also one whose caller has left while it was held."""
+        self.when_awake(lambda: self.handle(exchange))
+
+    def handle(self, exchange) -> None:
         path = read_path(exchange)
         if path == "/api/order":
             self.handle_order(exchange)
@@ -120,7 +152,7 @@
         elif self.draw_fault("half"):
             exchange.begin(200, headers)
             exchange.send(attempt.encode())
-            self.loop.call_later(EVENT_INTERVAL_S, exchange.abort)
+            self.call_later(EVENT_INTERVAL_S, exchange.abort)
         elif self.draw_fault("flood"):
             kind = b"text/event-stream" if exchange.header("x-token-counts") else b"a/b"
             exchange.begin(200, [(b"Content-Type", kind), *headers])
@@ -131,7 +163,7 @@
             exchange.reply(500, headers, b"failed")
         else:
             body = f"{attempt} {self.name}".encode() * 20
-            self.loop.call_later(
+            self.call_later(
                 EVENT_INTERVAL_S, lambda: self.reply(exchange, headers, body)
             )
 
@@ -154,7 +186,7 @@
         """Send bytes that complete no event and no body, until the caller closes."""
         if exchange.is_open:
             exchange.send(b"a" * 65_536)
-            self.loop.call_later(FLOOD_INTERVAL_S, lambda: self.flood(exchange))
+            self.call_later(FLOOD_INTERVAL_S, lambda: self.flood(exchange))
 
     def start_stream(self, exchange, attempt: str, headers: list) -> None:
         first_event = int(exchange.header("last-event-id") or 0) + 1
@@ -167,13 +199,13 @@
         if self.draw_fault("trickle"):
             self.trickle(run)
             return
-        self.loop.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
+        self.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
 
     def trickle(self, run: RunningStream) -> None:
         """Send a byte now and then that completes no event."""
         if run in self.running and run.exchange.is_open:
             run.exchange.send(b":")
-            self.loop.call_later(TRICKLE_INTERVAL_S, lambda: self.trickle(run))
+            self.call_later(TRICKLE_INTERVAL_S, lambda: self.trickle(run))
 
     def send_event(self, run: RunningStream, count: int) -> None:
         if run not in self.running:
@@ -182,7 +214,7 @@
             self.running.remove(run)
             return
         if self.is_silent:
-            self.loop.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
+            self.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
             return
         text = (
             f"id: {run.next_event}\ndata: {run.attempt} {run.next_event}\n\n".encode()
@@ -190,7 +222,7 @@
         if self.draw_fault("break"):
             run.exchange.send(text[: len(text) // 2])
             self.running.remove(run)
-            self.loop.call_later(0.01, run.exchange.abort)
+            self.call_later(0.01, run.exchange.abort)
             return
         if run.crumbles and run.next_event > 1:
             run.exchange.send(text[: len(text) // 2])
@@ -203,7 +235,7 @@
             self.running.remove(run)
             run.exchange.end()
         else:
-            self.loop.call_later(run.interval_s, lambda: self.send_event(run, count))
+            self.call_later(run.interval_s, lambda: self.send_event(run, count))
 
     def on_disconnect(self, exchange) -> None:
         self.running = [r for r in self.running if r.exchange is not exchange]
@@ -256,7 +288,7 @@
         if self.servers.get(server.name) is not server:
             return
         self.register(server, orjson.dumps(server.make_registration()))
-        self.loop.call_later(
+        server.call_later(
             REGISTRATION_INTERVAL_S, lambda: self.register_periodically(server)
         )
 
@@ -285,6 +317,9 @@
             server.fault_rates = command["trouble"]
         elif path == "/standin/silent":
             server.is_silent = command["is_silent"]
+        elif path == "/standin/rest":
+            seconds = command["seconds"]
+            self.loop.call_later(command["after_s"], lambda: server.rest(seconds))
         elif path == "/standin/leave":
             server.announces_leaving = command["is_leaving"]
         elif path == "/standin/drain":
