Check in the soak's tests that silent servers cut no answer

Evidence: fails. Each log has server_silent after 0.46 to 0.97 s of silence and then the outcome cut or server_lost, without a retry between.

Conclusion: check_silence ends the attempt at a server that would have gone on, also where no other attempt is granted.

--- a/features/properties/test_soak.py
+++ b/features/properties/test_soak.py
@@ -5,6 +5,8 @@
 from soak.run import Soak
 
 SEEDS = (3, 11)
+REST_SEEDS = (4, 6)
+REST_DURATION_S = 10.0
 FAULT_DURATION_S = 8.0
 
 
@@ -16,6 +18,14 @@
                 self.assertEqual(soak.run(), [], soak.faults)
                 self.assertGreater(soak.served, 50)
 
+    def test_servers_that_fall_silent_cut_no_answer(self):
+        violations = []
+        for seed in REST_SEEDS:
+            soak = Soak(seed, REST_DURATION_S, entries=3, rests_only=True)
+            violations += soak.run()
+            self.assertGreater(soak.served, 50)
+        self.assertEqual(violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
