Let engines crash on a prompt part in stand-ins, and send prompt prefixes

Callers send X-Prompt-Prefix with a part that all share, parts between and one of their own. An engine that begins to answer a prompt with one of the given parts, other than the last, closes its connections without a further byte, refuses new ones and is back after two seconds under the same or a new id; the store drops its entry after 1.2 s. The soak's proxies refuse connections while their target does.

--- a/features/properties/test_operator_faults.py
+++ b/features/properties/test_operator_faults.py
@@ -104,6 +104,25 @@
             bookings = [r["attempt"] for r in fleet.runs() if r["path"] == "/book/x"]
             self.assertEqual(sorted(bookings), [f"book-{n}" for n in range(4)])
 
+    def test_engine_that_crashed_serves_again(self):
+        """It closes its connections without a byte, and is back after two seconds."""
+        with Fleet(engines=1, plain_servers=1, entries=1, subnet="1.31") as fleet:
+            entry = fleet.instances[0]
+            fleet.crash_on("dead01")
+            before = call(entry, "/chat/x", "before", tokens="900,3")
+            crashing = call(
+                entry, "/chat/x", "bad", tokens="900,3", middle_parts=("dead01",)
+            )
+            self.assertEqual(event_ids(crashing), [])
+            self.assertFalse(crashing.status == 200 and crashing.is_complete)
+            self.assertEqual([c["attempt"] for c in fleet.crashes()], ["bad"])
+            fleet.wait(
+                lambda: call(entry, "/chat/x", "after", tokens="900,3").status == 200,
+                6.0,
+            )
+            self.assertEqual(event_ids(before), [1, 2, 3])
+            self.assertGreater(time.time() - fleet.crashes()[0]["at"], 2.0)
+
     def test_stalled_stream_that_trickles_is_ended(self):
         with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.23") as fleet:
             fleet.send_command("trouble", "engine-0", trouble={"trickle": 1.0})
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -11,6 +11,8 @@
 
 READ_BYTES = 65_536
 POLL_TIMEOUT_S = 0.01
+PROBE_INTERVAL_S = 0.05
+"""Seconds between attempts to reach a target that refused a connection."""
 
 
 @define(slots=True, eq=False)
@@ -32,6 +34,8 @@
 class Proxy:
     """Forwards connections to one address; another thread may set faults.
 
+    It refuses connections while its target does.
+
     :ivar delay_s: seconds by which data is delayed in each direction.
     :ivar refuses: whether new connections are reset.
     """
@@ -43,8 +47,11 @@
         self.refuses = False
         self._pairs: list[SocketPair] = []
         self._lock = threading.Lock()
-        self._listener = socket.create_server((target[0], 0))
-        self._listener.setblocking(False)
+        self._listener: socket.socket | None = None
+        self._probe_at = 0.0
+        self._address = (target[0], 0)
+        self._listen()
+        self._address = self._listener.getsockname()
         self._is_closing = False
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -52,13 +59,37 @@
     @property
     def address(self) -> tuple[str, int]:
         """Address to connect to instead of the target."""
-        return self._listener.getsockname()
+        return self._address
+
+    def _listen(self) -> None:
+        self._listener = socket.create_server(self._address)
+        self._listener.setblocking(False)
+
+    def _stop_listening(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def _probe(self) -> None:
+        """Listen again once the target accepts connections."""
+        now = time.monotonic()
+        if self._listener is None and now >= self._probe_at:
+            self._probe_at = now + PROBE_INTERVAL_S
+            if self._is_target_up():
+                self._listen()
+
+    def _is_target_up(self) -> bool:
+        try:
+            socket.create_connection(self.target, timeout=0.5).close()
+        except OSError:
+            return False
+        return True
 
     def close(self) -> None:
         """Stop the proxy and close its connections."""
         self._is_closing = True
         self._thread.join()
-        self._listener.close()
+        self._stop_listening()
         for pair in self._pairs:
             self._close_pair(pair)
 
@@ -88,12 +119,13 @@
     def _run(self) -> None:
         while not self._is_closing:
             with self._lock:
+                self._probe()
                 self._accept()
                 self._poll()
             time.sleep(0)
 
     def _accept(self) -> None:
-        while True:
+        while self._listener is not None:
             try:
                 caller, _ = self._listener.accept()
             except OSError:
@@ -104,6 +136,11 @@
                 continue
             try:
                 server = socket.create_connection(self.target, timeout=0.5)
+            except ConnectionRefusedError:
+                _reset_on_close(caller)
+                caller.close()
+                self._stop_listening()
+                continue
             except OSError:
                 caller.close()
                 continue
@@ -114,7 +151,8 @@
 
     def _poll(self) -> None:
         selector = selectors.DefaultSelector()
-        selector.register(self._listener, selectors.EVENT_READ, None)
+        if self._listener is not None:
+            selector.register(self._listener, selectors.EVENT_READ, None)
         for pair in self._pairs:
             if "up" not in pair.stalled:
                 selector.register(pair.caller, selectors.EVENT_READ, (pair, "up"))
@@ -139,6 +177,8 @@
         pair.queued.append((due, direction, data))
         if not data:
             pair.stalled.add(direction)
+        if not data and direction == "down" and not self._is_target_up():
+            self._stop_listening()
 
     def _flush(self, pair: SocketPair) -> None:
         now = time.monotonic()
--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from pathlib import Path
+from zlib import crc32
 
 import orjson
 from attrs import define, field
@@ -17,6 +18,9 @@
 VIRTUAL_HOST = "desk.example"
 START_TIMEOUT_S = 15.0
 
+SHARED_PART = "5c1e07a2"
+"""Id of the first part of every prompt."""
+
 
 def free_ports(host: str, count: int) -> list[int]:
     """Return ports that are free on an address now."""
@@ -293,6 +297,14 @@
             *self.control_address, f"/standin/{command}", {"server": server, **fields}
         )
 
+    def crash_on(self, *parts: str) -> None:
+        """Let engines crash when they begin to answer a prompt with such a part."""
+        post(*self.control_address, "/standin/crashes", {"parts": parts})
+
+    def crashes(self) -> list[dict]:
+        """Return the crashes of engines, in order."""
+        return post(*self.control_address, "/standin/crashes")
+
     def runs(self) -> list[dict]:
         """Return the requests that backend servers ran, in order."""
         return post(*self.control_address, "/standin/runs")
@@ -333,12 +345,24 @@
     is_complete: bool
 
 
+def make_prompt_prefix(
+    attempt: str, prompt_tokens: int, middle: tuple[str, ...] = ()
+) -> str:
+    """Return the parts of a prompt: one that all share, ``middle``, and its own."""
+    own = f"{crc32(attempt.encode()):08x}"
+    ids = (SHARED_PART, *middle, own)
+    size = prompt_tokens // len(ids)
+    sizes = [size] * (len(ids) - 1) + [prompt_tokens - size * (len(ids) - 1)]
+    return ",".join(f"{part}:{size}" for part, size in zip(ids, sizes, strict=True))
+
+
 def call(
     entry: EntryInstance,
     path: str,
     attempt: str,
     *,
     tokens: str = "",
+    middle_parts: tuple[str, ...] = (),
     key: str = "key-1",
     deadline_ms: int = 5000,
     method: str = "POST",
@@ -350,13 +374,19 @@
     Headers in ``extra_headers`` are added to the defaults or replace them.
 
     :param tokens: prompt and output tokens, by comma; set for streams only.
+    :param middle_parts: ids of prompt parts between the shared one and the last.
     """
+    prompt_headers = {}
+    if tokens:
+        size = int(tokens.split(",")[0])
+        prefix = make_prompt_prefix(attempt, size, middle_parts)
+        prompt_headers = {"X-Token-Counts": tokens, "X-Prompt-Prefix": prefix}
     headers = {
         "Host": VIRTUAL_HOST,
         "X-Attempt-Id": attempt,
         "X-Request-Deadline": str(deadline_ms),
         "Authorization": f"Bearer {key}",
-        **({"X-Token-Counts": tokens} if tokens else {}),
+        **prompt_headers,
         **(extra_headers or {}),
     }
     connection = http.client.HTTPConnection(
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -19,6 +19,12 @@
 TRICKLE_INTERVAL_S = 0.1
 PAUSE_S = 1.0
 
+RESTART_S = 2.0
+"""Seconds after a crash in which an engine is back."""
+
+ENTRY_TTL_S = 1.2
+"""Seconds after which the store drops the entry of a server that is silent."""
+
 
 class RunningStream:
     """A streaming request that a server is executing."""
@@ -29,7 +35,7 @@
         self.server = server
         self.exchange = exchange
         self.attempt = attempt
-        self.next_event = first_event
+        self.first_event = self.next_event = first_event
         self.interval_s = EVENT_INTERVAL_S
         self.crumbles = server.draw_fault("crumble")
 
@@ -37,6 +43,8 @@
 class ServerStandIn:
     """One backend server.
 
+    :ivar key: the name by which tests address it; `name` may change with a restart.
+    :ivar is_down: it has crashed and is not back yet.
     :ivar announces_leaving: every response says that the server is shutting down.
     :ivar paused_at: times at which it asked for a pause of PAUSE_S.
     :ivar resting_until: time of the loop's clock until which it is silent.
@@ -54,8 +62,10 @@
     ):
         self.group = group
         self.loop = group.loop
-        self.name = name
+        self.key = self.name = name
         self.host, self.port = host, port
+        self.is_down = False
+        self.restarts = 0
         self.service = options["service"]
         self.advertised = options.get("advertised", f"{host}:{port}")
         self.data_centre = options.get("data_centre", "a")
@@ -112,6 +122,39 @@
         """Call after a delay, or later if the server is silent then."""
         self.loop.call_later(seconds, lambda: self.when_awake(callback))
 
+    def crash(self, attempt: str) -> None:
+        """End at once: close every connection without a further byte, and the port."""
+        self.group.crashes.append(
+            {"at": time.time(), "attempt": attempt, "server": self.name}
+        )
+        self.is_down = True
+        self.running, self.held, self.reservations = [], [], {}
+        for connection in list(self.server._connections):
+            if connection._exchange is not None:
+                connection._exchange.is_open = False
+            connection.close()
+        self.loop.reactor.unwatch(self.server._sock)
+        self.server._sock.close()
+        name = self.name
+        self.loop.call_later(ENTRY_TTL_S, lambda: self.group.register(name, b""))
+        self.loop.call_later(RESTART_S, self.restart)
+
+    def restart(self) -> None:
+        """Start again without a memory of before, under the same or a new id."""
+        self.is_down = False
+        self.restarts += 1
+        if self.group.random.random() < 0.5:
+            self.name = f"{self.key}.{self.restarts}"
+        self.started_at_ms = int(time.time() * 1000)
+        self.sequence = 0
+        self.resting_until = 0.0
+        self.state, self.announces_leaving = "ready", False
+        self.last_replies = {}
+        self.server = self.loop.serve(
+            self.host, self.port, self.on_request, self.on_disconnect
+        )
+        self.group.register_periodically(self)
+
     def draw_fault(self, name: str) -> bool:
         return self.group.random.random() < self.fault_rates.get(name, 0.0)
 
@@ -216,6 +259,9 @@
         if self.is_silent:
             self.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
             return
+        if run.next_event == run.first_event and self.group.crashes_engines(run):
+            self.crash(run.attempt)
+            return
         text = (
             f"id: {run.next_event}\ndata: {run.attempt} {run.next_event}\n\n".encode()
         )
@@ -262,6 +308,16 @@
         self.store = store
         self.servers: dict[str, ServerStandIn] = {}
         self.runs: list[dict] = []
+        self.crash_parts: set[str] = set()
+        self.crashes: list[dict] = []
+
+    def crashes_engines(self, run: RunningStream) -> bool:
+        """Return whether a prompt has a part on which engines crash.
+
+        The last part belongs to the request alone and is never one of them.
+        """
+        parts = run.exchange.header("x-prompt-prefix").split(",")[:-1]
+        return any(part.partition(":")[0] in self.crash_parts for part in parts)
 
     def record_run(self, server: ServerStandIn, exchange, attempt: str) -> None:
         self.runs.append(
@@ -275,6 +331,7 @@
                 "workspace": exchange.header("x-tenant"),
                 "resumed": exchange.header("last-event-id"),
                 "has_key": bool(exchange.header("authorization")),
+                "prompt_prefix": exchange.header("x-prompt-prefix"),
             }
         )
 
@@ -285,17 +342,22 @@
         return server
 
     def register_periodically(self, server: ServerStandIn) -> None:
-        if self.servers.get(server.name) is not server:
+        if self.servers.get(server.key) is not server or server.is_down:
             return
-        self.register(server, orjson.dumps(server.make_registration()))
+        self.announce(server)
         server.call_later(
             REGISTRATION_INTERVAL_S, lambda: self.register_periodically(server)
         )
 
-    def register(self, server: ServerStandIn, value: bytes) -> None:
-        """Write a server's record to the store; an empty value removes it."""
-        name = server.name.encode()
-        content = bytes([len(name)]) + name + value
+    def announce(self, server: ServerStandIn) -> None:
+        """Write a server's record to the store, unless it is down."""
+        if not server.is_down:
+            self.register(server.name, orjson.dumps(server.make_registration()))
+
+    def register(self, name: str, value: bytes) -> None:
+        """Write the record of a name to the store; an empty value removes it."""
+        key = name.encode()
+        content = bytes([len(key)]) + key + value
         self.client.call(
             self.store,
             "POST",
@@ -306,12 +368,19 @@
         )
 
     def handle_control(self, exchange) -> None:
-        """Apply a test's command to a server, or return what the servers ran."""
+        """Apply a test's command to a server, or return what the servers ran.
+
+        ``crashes`` adds prompt parts on which engines crash; it returns the crashes.
+        """
         path = read_path(exchange)
         command = orjson.loads(exchange.body) if exchange.body else {}
         if path == "/standin/runs":
             exchange.reply(200, [], orjson.dumps(self.runs))
             return
+        if path == "/standin/crashes":
+            self.crash_parts.update(command.get("parts", ()))
+            exchange.reply(200, [], orjson.dumps(self.crashes))
+            return
         server = self.servers[command["server"]]
         if path == "/standin/trouble":
             server.fault_rates = command["trouble"]
@@ -324,17 +393,17 @@
             server.announces_leaving = command["is_leaving"]
         elif path == "/standin/drain":
             server.state = "draining"
-            self.register(server, orjson.dumps(server.make_registration()))
+            self.announce(server)
         elif path == "/standin/restart":
             server.announces_leaving = False
             server.started_at_ms = int(time.time() * 1000)
-            self.register(server, orjson.dumps(server.make_registration()))
+            self.announce(server)
         elif path == "/standin/pauses":
             exchange.reply(200, [], orjson.dumps(server.paused_at))
             return
         elif path == "/standin/remove":
             del self.servers[command["server"]]
-            self.register(server, b"")
+            self.register(server.name, b"")
         elif path == "/standin/tickets":
             now = time.monotonic()
             held = [k for k, t in server.reservations.items() if t > now]
