Keep quarantined parts of prompts over the loss of all instances

What callers saw: digests alone carried a quarantine. After all instances had been killed at once, they had forgotten it, and the next requests with the part crashed as many engines as the first ones. Cause: nothing of the quarantine was in the store, which is all that outlives them.

The instance that found a part writes it to the topic keyed.quarantine; it and the first one by name delete it when the quarantine ends, since the writer may be gone. Each instance lists the topic at its start, with retries, and again when the store has returned to a copy: the copy's gaps are written again, and what has ended meanwhile stays ended. The topic is not followed: digests carry the rest, and each read is charged.

--- a/features/properties/eraworld.py
+++ b/features/properties/eraworld.py
@@ -33,6 +33,7 @@
     TopicRead,
 )
 from briarrelay_core.ports.log import AppendDone, AppendFailed, AppendLog
+from briarrelay_core.ports.quarantine import QuarantineWritten, WriteQuarantine
 from briarrelay_core.routes.budget import RetryLimits
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_core.routes.presets import PresetCollection
@@ -85,10 +86,16 @@
     :ivar appended: bodies of the audit record that the store ever acknowledged.
     """
 
-    def __init__(self, instances: int = 2, servers: int = 3, seed: int = 0):
+    def __init__(
+        self,
+        instances: int = 2,
+        servers: int = 3,
+        seed: int = 0,
+        store: StoreModel | None = None,
+    ):
         self.now = 1_000.0
         self.random = Random(seed)
-        self.store = StoreModel()
+        self.store = store or StoreModel()
         self.cut: set[int] = set()
         self.is_down = False
         self.lose_ratio = 0.0
@@ -283,6 +290,13 @@
 
         self._call(n, serve, PresetsReplaced(effect.collection, None))
 
+    def _write_quarantine(self, n: int, effect: WriteQuarantine) -> None:
+        def serve():
+            self.store.append(Topic.QUARANTINE, (effect.part, effect.record))
+            return QuarantineWritten(effect.part, True, self.store.era)
+
+        self._call(n, serve, QuarantineWritten(effect.part, False))
+
     # Peers
 
     def _send_digest(self, n: int, effect: SendDigest) -> None:
@@ -307,6 +321,7 @@
         AppendLog: _append,
         PublishEntry: _publish,
         ReplacePresets: _replace,
+        WriteQuarantine: _write_quarantine,
         SendDigest: _send_digest,
         QueryPeer: _query,
     }
--- a/features/properties/test_prompt_quarantine_end_to_end.py
+++ b/features/properties/test_prompt_quarantine_end_to_end.py
@@ -37,6 +37,9 @@
 MIN_WHOLE_RATIO = 0.95
 """Fraction of the sound requests that are whole once the crashes have ended."""
 
+READY_S = 1.0
+"""Seconds from readiness within which a restarted instance refuses the part."""
+
 
 @frozen(slots=True)
 class Outcome:
@@ -214,5 +217,60 @@
         self.assertEqual(len(broken_off), 0, f"of {len(self.outcomes)}")
 
 
+class LossOfAllInstancesTest(unittest.TestCase):
+    """All instances are killed at once; the store is all that is left."""
+
+    def send(self, entry, attempt: str, part: str = BAD_PART) -> Response:
+        prefix = f"{FIRST_PART}:400,{part}:400,{attempt.encode().hex()}:200"
+        return call(
+            entry,
+            "/chat/x",
+            attempt,
+            tokens=f"1000,{EVENTS}",
+            extra_headers={"X-Prompt-Prefix": prefix},
+        )
+
+    def is_quarantined(self, response: Response) -> bool:
+        is_named = b"prompt_quarantined" in response.body
+        return response.status == 503 and is_named
+
+    def restored(self, entry) -> bool:
+        """Return whether an instance has logged a quarantine since its start."""
+        return any(e["event"] == "part_quarantined" for e in entry.log_entries())
+
+    def test_part_is_refused_after_all_instances_were_killed(self):
+        with Fleet(engines=8, plain_servers=1, entries=4, subnet="1.31") as fleet:
+            fleet.crash_on(BAD_PART)
+            fleet.put("keyed.quarantine", "ODD", "text")
+            for number in range(12):
+                entry = fleet.instances[number % 4]
+                if self.is_quarantined(self.send(entry, f"first-{number}")):
+                    break
+            else:
+                self.fail("the part was not quarantined")
+            time.sleep(0.5)
+            for entry in fleet.instances:
+                entry.process.kill()
+            for entry in fleet.instances:
+                entry.process.wait()
+                entry.log.unlink()
+            time.sleep(2.5)  # until all engines are back
+            runs = len(fleet.runs())
+            for entry in fleet.instances:
+                fleet.start(entry)
+            for entry in fleet.instances:
+                fleet.wait(entry.is_ready)
+                fleet.wait(lambda entry=entry: self.restored(entry), READY_S)
+                response = self.send(entry, f"later-{entry.name}")
+                self.assertTrue(self.is_quarantined(response), response)
+                self.assertGreater(float(response.headers["retry-after"]), 0)
+            self.assertEqual(len(fleet.runs()), runs)
+            response = self.send(fleet.instances[0], "sound", part="77")
+            self.assertEqual(event_ids(response), list(range(1, EVENTS + 1)))
+            for entry in fleet.instances:
+                bad = [e for e in entry.log_entries() if e["event"] == "entry_bad"]
+                self.assertEqual([e["key"] for e in bad], ["ODD"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from briarrelay_core.ports.quarantine import QuarantineRecord
 from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.presets import PresetCollection
 
@@ -29,12 +30,16 @@
 
 
 class Topic(StrEnum):
-    """Topics of the store whose changes an entry instance follows."""
+    """Topics of the store that an entry instance reads.
+
+    It follows the changes of all of them but the quarantine.
+    """
 
     CONFIGURATION = "configuration"
     SERVERS = "servers"
     ENTRIES = "entries"
     PRESETS = "presets"
+    QUARANTINE = "quarantine"
 
 
 class ServerState(StrEnum):
@@ -95,7 +100,14 @@
     """
 
     key: str
-    value: ServerEntry | PeerAddress | RouteConfiguration | PresetCollection | None
+    value: (
+        ServerEntry
+        | PeerAddress
+        | RouteConfiguration
+        | PresetCollection
+        | QuarantineRecord
+        | None
+    )
     problem: str = ""
     position: int = 0
     is_from_copy: bool = False
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/quarantine.py
@@ -0,0 +1,44 @@
+"""Messages between the core and the quarantined parts in the platform's store."""
+
+from attrs import frozen
+
+__all__ = ["QuarantineRecord", "QuarantineWritten", "WriteQuarantine"]
+
+
+@frozen(slots=True, kw_only=True)
+class QuarantineRecord:
+    """What the store holds of a quarantined part of prompts.
+
+    A reader counts the duration from its own reading, since clocks differ.
+
+    :param duration_s: seconds for which the writer keeps the part quarantined after the
+        last request with it.
+    :param written_at: Unix seconds by the writer's clock, for operators only.
+    """
+
+    duration_s: float
+    written_at: float
+
+
+@frozen(slots=True)
+class WriteQuarantine:
+    """Effect: write a quarantined part to the store, or delete it.
+
+    :param record: None to delete the part.
+    """
+
+    part: str
+    record: QuarantineRecord | None
+
+
+@frozen(slots=True)
+class QuarantineWritten:
+    """Response to WriteQuarantine.
+
+    :param is_done: False if it failed, or if it is unknown whether it was written.
+    :param era: era of the store, None if it does not report one.
+    """
+
+    part: str
+    is_done: bool
+    era: int | None = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -28,6 +28,7 @@
 )
 from briarrelay_core.ports.log import AppendDone, AppendFailed
 from briarrelay_core.ports.memory import ReleaseResponse, ReserveResponse
+from briarrelay_core.ports.quarantine import QuarantineWritten
 from briarrelay_core.ports.route import (
     CallerDisconnected,
     InvalidRequest,
@@ -244,6 +245,7 @@
             self.controller.observations.forget(name)
         self.controller.observations.crashes.expire(now)
         effects += self.controller.quarantine.expire(now)
+        effects += self.updates.keeper.check(now)
         effects += self.controller.place_waiting(now)
         effects += self.stopping.check(now)
         if self.controller.admission.is_closing:
@@ -344,6 +346,10 @@
     def _(self, message: PresetsReplaced, now: float) -> list:
         return self.updates.on_presets_replaced(message, now)
 
+    @_dispatch.register
+    def _(self, message: QuarantineWritten, now: float) -> list:
+        return self.updates.on_quarantine_written(message, now)
+
     @_dispatch.register
     def _(self, message: DigestReceived, now: float) -> list:
         return self.peers.on_digest(message, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -139,11 +139,13 @@
     :param since: time at which the attempt of the first strike was sent; a later first
         event shows that the part is sound.
     :param servers: engines that it crashed, as ``name@born``.
+    :param is_own: this instance found it, instead of being told by a peer.
     """
 
     until: float
     since: float
     servers: tuple[str, ...]
+    is_own: bool = False
 
 
 @define(slots=True, eq=False)
@@ -234,6 +236,17 @@
         known = self._quarantined.get(part)
         return known.servers if known else ()
 
+    def is_own(self, part: str) -> bool:
+        """Return whether this instance found that a part has to be quarantined."""
+        known = self._quarantined.get(part)
+        return known is not None and known.is_own
+
+    def restore(self, part: str, now: float) -> list:
+        """Quarantine a part that the store lists, unless it is known better here."""
+        if part in self._quarantined or part in self._written:
+            return []
+        return self._quarantine(part, now + QUARANTINE_S, now, (), "store")
+
     def pop_new(self) -> list[str]:
         """Return the parts that were quarantined since the last call."""
         new, self._new = self._new, []
@@ -359,7 +372,7 @@
         source: str,
     ) -> list:
         self._struck.pop(part, None)
-        self._quarantined[part] = _Quarantine(until, since, servers)
+        self._quarantined[part] = _Quarantine(until, since, servers, source == "own")
         self._new.append(part)
         self.has_urgent_change = True
         effects = _report("part_quarantined", part, source, ",".join(servers))
@@ -474,6 +487,7 @@
             self._peer_probes = until
         for part, age_s in digest.written.items():
             effects += self._apply_written(part, now - age_s)
+        known = set(self._quarantined) if digest.crashes else set()
         for report in digest.crashes:
             crash = _Crash(
                 now - report.sent_age_s,
@@ -485,6 +499,10 @@
                 if part in self._written:
                     self._answer(part, now)
             effects += self._strike(crash, "peer", now)
+        if digest.crashes:
+            told = {report.part for report in digest.quarantined}
+            for part in self._quarantined.keys() - known - told:
+                self._quarantined[part].is_own = True
         for report in digest.quarantined:
             effects += self._apply_quarantine(report, now)
         return effects
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
@@ -0,0 +1,251 @@
+"""Keeps the quarantined parts of prompts in the platform's store.
+
+Digests spread a quarantine among instances; the store carries it over the loss of all
+of them. The instance that found a part writes it. That instance and the first one by
+name delete it when it ends, since the writer may be gone by then. The topic is listed
+at the start and when the store has returned to a copy, and is not followed, since each
+read is charged.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field
+
+from briarrelay_core.ports.directory import ListTopic, Topic, TopicFailed, TopicListed
+from briarrelay_core.ports.quarantine import (
+    QuarantineRecord,
+    QuarantineWritten,
+    WriteQuarantine,
+)
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
+from briarrelay_core.routes.quarantine import QUARANTINE_S, PromptQuarantine
+from briarrelay_core.routes.storeera import StoreEra
+from briarrelay_core.timers import TimerService
+
+__all__ = ["QuarantineKeeper"]
+
+FIRST_BACKOFF_S = 0.25
+"""Seconds before the first retry of a call that failed."""
+
+MAX_BACKOFF_S = 4.0
+"""Longest pause in seconds between retries; each call is charged."""
+
+MAX_PENDING = 256
+"""Number of parts that wait to be written or deleted; beyond it the oldest goes."""
+
+MAX_RESTORED = 256
+"""Number of parts of a listing that are quarantined; another writer may add more."""
+
+
+@define(slots=True)
+class _Backoff:
+    """Pauses between the retries of one kind of call.
+
+    :ivar _failures: number of consecutive failures.
+    """
+
+    _failures: int = 0
+
+    def reset(self) -> None:
+        """Start over, after a success."""
+        self._failures = 0
+
+    def next_pause_s(self) -> float:
+        """Return the seconds before the next retry."""
+        pause_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        return pause_s
+
+
+@define(slots=True, eq=False)
+class QuarantineKeeper:
+    """Writes quarantined parts to the store, and restores those that it lists.
+
+    :param rank: returns the number of live peers whose names sort before this instance.
+    :ivar generation: number of listings that were begun; responses to earlier ones are
+        ignored.
+    :ivar _is_listing_copy: the current listing is the first since the store returned to
+        a copy.
+    :ivar _listed: parts on the pages of the current listing so far.
+    :ivar _held: parts that were quarantined at the last check.
+    :ivar _owned: those of them that this instance found.
+    :ivar _ended: parts whose quarantine ended here, and when.
+    :ivar _deleted: those of them that this instance has deleted, or tried to.
+    :ivar _pending: parts to write (True) or delete (False), the oldest first.
+    :ivar _in_flight: the write or deletion that has no response yet, None for none.
+    :ivar _is_retry_scheduled: the last call failed, and the next is scheduled.
+    """
+
+    quarantine: PromptQuarantine
+    era: StoreEra
+    timers: TimerService
+    rank: Callable[[float], int]
+    generation: int = 0
+    _is_listing_copy: bool = False
+    _listed: set[str] = field(factory=set)
+    _list_backoff: _Backoff = field(factory=_Backoff)
+    _held: set[str] = field(factory=set)
+    _owned: set[str] = field(factory=set)
+    _ended: dict[str, float] = field(factory=dict)
+    _deleted: set[str] = field(factory=set)
+    _pending: OrderedDict[str, bool] = field(factory=OrderedDict)
+    _in_flight: tuple[str, bool] | None = None
+    _write_backoff: _Backoff = field(factory=_Backoff)
+    _is_retry_scheduled: bool = False
+
+    # The listing
+
+    def start(self, now: float) -> list:
+        """List what the store holds."""
+        return [self._list()]
+
+    def restart(self) -> list:
+        """List the topic again, since the store has returned to a copy."""
+        self._is_listing_copy = True
+        self.generation += 1
+        return [self._list()]
+
+    def _list(self, after: str = "") -> ListTopic:
+        if not after:
+            self._listed = set()
+        return ListTopic(Topic.QUARANTINE, after, self.generation)
+
+    def on_listed(self, page: TopicListed, now: float) -> list:
+        """Quarantine the parts on a page of the listing."""
+        if page.generation != self.generation:
+            return []
+        self._list_backoff.reset()
+        effects = []
+        for change in page.changes:
+            if change.problem:
+                effects += _report_problem(change.key, change.problem)
+            elif isinstance(change.value, QuarantineRecord):
+                effects += self._restore(change.key, now)
+        if page.has_more and page.changes:
+            return [*effects, self._list(page.changes[-1].key)]
+        if self._is_listing_copy:
+            self._is_listing_copy = False
+            self._write_missing(now)
+        return effects + self._write_next(now)
+
+    def _restore(self, part: str, now: float) -> list:
+        """Quarantine a listed part, unless its quarantine has ended here."""
+        if len(self._listed) >= MAX_RESTORED:
+            return [IncrementCounter("quarantine.not_restored")]
+        self._listed.add(part)
+        if now - self._ended.get(part, float("-inf")) < QUARANTINE_S:
+            if self.rank(now) == 0:
+                self._want(part, False)
+            return []
+        return self.quarantine.restore(part, now)
+
+    def _write_missing(self, now: float) -> None:
+        """Write the parts that the copy lacks, in one or two instances."""
+        is_first = self.rank(now) == 0
+        for part in sorted(self._held - self._listed):
+            if is_first or part in self._owned:
+                self._want(part, True)
+
+    def on_failed(self, failed: TopicFailed, now: float) -> list:
+        """Schedule another listing."""
+        if failed.generation == self.generation:
+            generation = self.generation
+            pause_s = self._list_backoff.next_pause_s()
+            self.timers.at(now + pause_s, lambda _: self._list_again(generation))
+        return []
+
+    def _list_again(self, generation: int) -> list:
+        return [self._list()] if generation == self.generation else []
+
+    # Changes of the quarantine
+
+    def check(self, now: float) -> list:
+        """Notice which parts are quarantined now, and no longer."""
+        current = self.quarantine.parts
+        if not current and not self._held:
+            return []
+        new = [part for part in current if part not in self._held]
+        ended = self._held.difference(current)
+        for part in new:
+            self._on_quarantined(part)
+        for part in sorted(ended):
+            self._on_ended(part, now)
+        return self._write_next(now) if new or ended else []
+
+    def _on_quarantined(self, part: str) -> None:
+        self._held.add(part)
+        self._ended.pop(part, None)
+        if self.quarantine.is_own(part):
+            self._owned.add(part)
+            self._want(part, True)
+        elif part in self._deleted:
+            self._want(part, True)
+        elif self._pending.get(part) is False:
+            del self._pending[part]
+        self._deleted.discard(part)
+
+    def _on_ended(self, part: str, now: float) -> None:
+        self._held.discard(part)
+        # a copy of the store that still lists it is much younger than this
+        self._ended = {
+            p: at for p, at in self._ended.items() if now - at < QUARANTINE_S
+        }
+        self._ended[part] = now
+        self._deleted.intersection_update(self._ended)
+        if part in self._owned or self.rank(now) == 0:
+            self._want(part, False)
+        elif self._pending.get(part):
+            del self._pending[part]
+        self._owned.discard(part)
+
+    # Writes
+
+    def _want(self, part: str, is_quarantined: bool) -> None:
+        self._pending[part] = is_quarantined
+        if len(self._pending) > MAX_PENDING:
+            self._pending.popitem(last=False)
+
+    def _write_next(self, now: float) -> list:
+        """Write or delete the oldest pending part, one at a time."""
+        if self._in_flight or self._is_retry_scheduled or not self._pending:
+            return []
+        part, is_quarantined = self._in_flight = next(iter(self._pending.items()))
+        if not is_quarantined:
+            self._deleted.add(part)
+            return [WriteQuarantine(part, None)]
+        record = QuarantineRecord(duration_s=QUARANTINE_S, written_at=round(now, 3))
+        return [WriteQuarantine(part, record)]
+
+    def on_written(self, message: QuarantineWritten, now: float) -> list:
+        """Handle the response to a write, and continue with the next one.
+
+        A write that was answered in an earlier era may be lost, so it is repeated.
+        """
+        if self._in_flight is None or self._in_flight[0] != message.part:
+            return []
+        part, is_quarantined = self._in_flight
+        self._in_flight = None
+        is_undone = message.era is not None and message.era < self.era.value
+        if not message.is_done or is_undone:
+            self._is_retry_scheduled = True
+            self.timers.at(now + self._write_backoff.next_pause_s(), self._retry)
+            return [IncrementCounter("quarantine.write_failed")]
+        self._write_backoff.reset()
+        if self._pending.get(part) is is_quarantined:
+            del self._pending[part]
+        name = "written" if is_quarantined else "deleted"
+        return [IncrementCounter(f"quarantine.{name}"), *self._write_next(now)]
+
+    def _retry(self, now: float) -> list:
+        self._is_retry_scheduled = False
+        return self._write_next(now)
+
+
+def _report_problem(key: str, problem: str) -> list:
+    """Return the log line and the count of an invalid record."""
+    fields = (("topic", Topic.QUARANTINE.value), ("key", key), ("problem", problem))
+    return [
+        LogEvent("warning", "entry_bad", fields=fields),
+        IncrementCounter("store.entry_bad"),
+    ]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -24,6 +24,7 @@
     TopicRead,
 )
 from briarrelay_core.ports.position import EraPosition
+from briarrelay_core.ports.quarantine import QuarantineWritten
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import Entry
 from briarrelay_core.routes.admission import RouteAdmission
@@ -33,6 +34,7 @@
 from briarrelay_core.routes.peers import PeerExchange
 from briarrelay_core.routes.presetrestorer import PresetRestorer
 from briarrelay_core.routes.presets import PresetCollection
+from briarrelay_core.routes.quarantinekeeper import QuarantineKeeper
 from briarrelay_core.routes.servers import REREGISTER_S
 from briarrelay_core.routes.storeera import StoreEra
 from briarrelay_core.timers import TimerService
@@ -96,6 +98,7 @@
     :param on_store_returned: called with the time when the store has returned to a
         copy; returns effects.
     :ivar restorer: writes the presets in force again if the store has older ones.
+    :ivar keeper: keeps the quarantined parts of prompts in the store.
     :ivar _query_count: number of queries to peers while reads of the store fail.
     :ivar _polled_at: time of the last read beside a topic's long poll.
     """
@@ -107,6 +110,7 @@
     on_store_returned: Callable[[float], list] = lambda now: []
     era: StoreEra = field(factory=StoreEra)
     restorer: PresetRestorer = field(init=False)
+    keeper: QuarantineKeeper = field(init=False)
     followers: dict[Topic, TopicFollower] = field(init=False)
     _query_count: int = 0
     _polled_at: dict[Topic, float] = field(factory=dict)
@@ -121,6 +125,9 @@
             self.timers,
             self.peers.rank,
         )
+        self.keeper = QuarantineKeeper(
+            self.controller.quarantine, self.era, self.timers, self.peers.rank
+        )
 
     @property
     def admission(self) -> RouteAdmission:
@@ -139,6 +146,7 @@
         effects = []
         for follower in self.followers.values():
             effects += follower.start(now)
+        effects += self.keeper.start(now)
         return [*effects, PublishEntry(self.peers.address, True)]
 
     def observe_era(self, era: int | None, now: float) -> list:
@@ -152,6 +160,7 @@
             return effects
         for follower in self.followers.values():
             effects += follower.restart()
+        effects += self.keeper.restart()
         # offsets of the new era are unrelated to those known so far
         self.peers.directory = EraPosition(self.era.value, 0)
         effects.append(PublishEntry(self.peers.address, True))
@@ -162,13 +171,17 @@
 
         Such a response may arrive after the store has returned to a copy.
         """
-        is_current = message.generation == self.followers[message.topic].generation
+        is_quarantine = message.topic is Topic.QUARANTINE
+        source = self.keeper if is_quarantine else self.followers[message.topic]
+        is_current = message.generation == source.generation
         is_later = message.era is not None and message.era > self.era.value
         return self.observe_era(message.era, now) if is_current or is_later else []
 
     def on_listed(self, message: TopicListed, now: float) -> list:
         """Apply a page of a topic's listing."""
         effects = self._observe_response(message, now)
+        if message.topic is Topic.QUARANTINE:
+            return effects + self.keeper.on_listed(message, now)
         follower = self.followers[message.topic]
         is_first = not follower.is_listed
         changes, follow_up = follower.on_listed(message, now)
@@ -227,6 +240,8 @@
         """Retry a failed read, and query a peer if configuration or servers are
         unknown.
         """
+        if message.topic is Topic.QUARANTINE:
+            return self.keeper.on_failed(message, now)
         effects = self.followers[message.topic].on_failed(message, now)
         if not self.admission.configuration or not len(self.controller.servers):
             self._query_count += 1
@@ -255,6 +270,13 @@
             effects += self.apply_presets(message.collection, "restored", now)
         return effects + self.restorer.on_replaced(message, now)
 
+    def on_quarantine_written(self, message: QuarantineWritten, now: float) -> list:
+        """Handle the response to a write of a quarantined part, or its deletion."""
+        effects = []
+        if message.era is not None and message.era >= self.era.value:
+            effects = self.observe_era(message.era, now)
+        return effects + self.keeper.on_written(message, now)
+
     def on_peer_response(self, message: PeerResponse, now: float) -> list:
         """Apply what a peer returned.
 
