Send buffered responses before idle connections are closed

What callers saw in a planned stop: no answer, although the log says that one was given.

Cause: a response is buffered and sent at the end of the loop's iteration; its connection counts as idle from then on. The check that ends overdue requests closes idle connections in the same iteration.

A connection with unsent bytes is not idle. At the idle timeout a caller that does not read its response is still disconnected.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -151,6 +151,13 @@
         run_reactor(self.reactor, lambda: len(self.requests) > 1, 0.3)
         self.assertEqual(self.requests[-1].target, b"/2")
 
+    def test_response_that_is_not_sent_yet_arrives_when_idle_ones_close(self):
+        """Responses are sent at the end of the loop's iteration."""
+        self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(502, [], b"lost")
+        self.server.close_idle()
+        self.assertTrue(self.receive().endswith(b"lost"))
+
     def test_pipelined_request_is_answered_when_idle_ones_close(self):
         template = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
         self.send(template % 1, lambda: self.requests)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -166,13 +166,21 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or answered, or has arrived unread."""
-        if self.is_busy or self.has_pending_bytes or self._unparsed:
+        """Whether no request is being read or answered, or has arrived unread.
+
+        A response counts until all of it has been sent.
+        """
+        if self.is_busy or self._unsent or self.has_pending_bytes or self._unparsed:
             return False
+        return not self.has_unread_bytes
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of a request wait in the socket."""
         try:
-            return not self._sock.recv(1, socket.MSG_PEEK)
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
         except OSError:
-            return True  # nothing to read, or the caller reset the connection
+            return False  # nothing to read, or the caller reset the connection
 
     @property
     def is_head_complete(self) -> bool:
@@ -435,6 +443,6 @@
                 if elapsed_s > self.limits.header_s:
                     connection.refuse(408, b"the header took too long; send it at once")
             elif elapsed_s > max(self.limits.idle_s, connection.idle_limit_s):
-                if connection.has_pending_bytes or connection.is_idle:
+                if not connection.has_unread_bytes:
                     connection.close()
         return []
