Clear the parts of a prompt that got a complete response without events

Callers of a route with whole responses could wait for others with the same part: only the first event of a stream cleared a part of its strikes, and such a response has none, so a part that had met two crashes stayed a suspect and could be quarantined by two more. A complete response that is no failure now clears it as well.

The users' bounds are checked more closely too: sound requests begin at the first attempt and within 0.3 s.

--- a/features/properties/crashworld.py
+++ b/features/properties/crashworld.py
@@ -40,6 +40,7 @@
     """What a simulated caller sees of its request.
 
     :param sent_at: times at which the request was forwarded to an engine.
+    :param begun_at: time of the response's head.
     :param outcome: ``done``, ``cut``, or the reason of an error response; empty while
         the request is in progress.
     :param is_not_run: the error response promises that the request did not run.
@@ -49,7 +50,7 @@
     instance: int
     at: float
     sent_at: list[float] = field(factory=list)
-    has_begun: bool = False
+    begun_at: float = float("inf")
     outcome: str = ""
     is_not_run: bool = False
 
@@ -147,7 +148,7 @@
             elif isinstance(effect, AbortAttempt):
                 self._attempts.pop((n, effect.attempt_id), None)
             elif isinstance(effect, RelayHead):
-                self.views[effect.request_id].has_begun = True
+                self.views[effect.request_id].begun_at = self.now
             elif isinstance(effect, RelayEnd):
                 self.views[effect.request_id].outcome = "done"
             elif isinstance(effect, AbortResponse):
--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -20,13 +20,17 @@
     QuarantineReport,
     SendDigest,
 )
-from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange
 from briarrelay_core.ports.route import (
     AbortAttempt,
+    ResponseComplete,
+    ResponseHead,
+    ResponseKind,
     ResponseLost,
     SendErrorResponse,
 )
 from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.quarantine import (
     MAX_QUARANTINED,
     MAX_STRUCK,
@@ -37,7 +41,12 @@
 )
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from properties.crashworld import CrashWorld, make_part
-from properties.routeworld import RouteWorld, start_response
+from properties.routeworld import (
+    RouteWorld,
+    make_configuration,
+    make_route,
+    start_response,
+)
 
 FIRST_PART = make_part(1)
 """First part of every prompt, sound or not."""
@@ -58,6 +67,9 @@
 CRASHES = 5
 """Crashes after which the users' window begins."""
 
+MAX_BEGIN_S = 0.3
+"""Seconds within which sound requests begin; the simulated engines take 0.15 s."""
+
 MAX_SENT = 3
 """Requests with a bad part that may reach engines after the window."""
 
@@ -113,6 +125,9 @@
         self.assertGreaterEqual(len(sound), min_sound)
         failed = [view.outcome for view in sound if view.outcome != "done"]
         self.assertEqual(failed, [])
+        self.assertEqual([v for v in sound if len(v.sent_at) != 1], [])
+        begun_after_s = [view.begun_at - view.at for view in sound]
+        self.assertLess(max(begun_after_s, default=0.0), MAX_BEGIN_S)
 
     def test_part_at_four_instances(self):
         """Five such requests a second come at 4 instances with 10 engines."""
@@ -512,6 +527,26 @@
         self.assertEqual(crash.server, f"{forward.server}@1.0")
         self.assertEqual((crash.parts, crash.sent_age_s), ((BAD_PART,), 0.1))
 
+    def test_complete_response_without_events_clears_a_part(self):
+        world = RouteWorld(engines=8)
+        route = make_route("sum", RouteKind.SAFE, "llm")
+        configuration = make_configuration(2, routes=(route,))
+        change = TopicChange("config", configuration)
+        world.deliver_changes(Topic.CONFIGURATION, change)
+        fields = {"prompt_parts": (BAD_PART,), "prompt_tokens": 5_000}
+        for _ in range(STRIKES_TO_QUARANTINE + 1):
+            forward = world.forwards(world.request("sum", **fields))[0]
+            world.advance(0.2)
+            lost = ResponseLost(forward.attempt_id, True, "closed", is_closed=True)
+            forward = world.forwards(world.deliver(lost))[0]
+            head = ResponseHead(
+                attempt_id=forward.attempt_id, kind=ResponseKind.SUCCESS, status=200
+            )
+            world.deliver(head)
+            world.deliver(ResponseComplete(forward.attempt_id))
+            table = world.instance.controller.quarantine
+            self.assertEqual(table.suspects((BAD_PART,)), frozenset())
+
     def test_timeouts_and_crashes_after_an_event_are_no_strikes(self):
         world = RouteWorld(engines=8)
         for is_closed, has_begun in ((False, False), (True, True)):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -184,7 +184,12 @@
             routed.first_event_at = now
             relay = [RelayFullResponse(request_id, attempt.attempt_id)]
         request_controller.load.remove(attempt.attempt_id)
-        effects = [
+        effects = []
+        if not attempt.events:
+            effects += request_controller.quarantine.record_written(
+                routed.prompt_parts, now
+            )
+        effects += [
             effect
             for effect in request_controller.close(routed, "done", now)
             if not isinstance(effect, AbortAttempt)
