Bound what an instance without peers remembers of crashes

Own observations of crashes were dropped only when a digest was made, and an instance without peers makes none: the list grew with each crash. test_memory_is_bounded_without_peers failed before with "1000 not less than or equal to 32". The list is now cut as it grows, and probes are dropped by the periodic check.

--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -442,6 +442,17 @@
         tables[0].apply_digest(digest_of(tables[1], now), now)
         self.assertEqual(tables[0].parts, ())
 
+    def test_memory_is_bounded_without_peers(self):
+        table = PromptQuarantine()
+        for number in range(500):
+            part = make_part(number)
+            strike(table, 2 * number, 100.0 + number, part)
+            strike(table, 2 * number + 1, 100.0 + number, part)
+            table.record_probe(table.suspects((part,)), 0.1, 100.0 + number)
+        self.assertLessEqual(len(table._crashes), MAX_CRASH_REPORTS)
+        table.expire(800.0)
+        self.assertEqual(table._probes, {})
+
     def test_memory_is_bounded(self):
         table = PromptQuarantine()
         now = 100.0
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -264,7 +264,7 @@
         crash = _Crash(sent_at, now, server, tuple(dict.fromkeys(parts)))
         if not crash.parts:
             return []
-        self._crashes.append(crash)
+        self._crashes = [*self._crashes, crash][-MAX_CRASH_REPORTS:]
         self.has_urgent_change = True
         return self._strike(crash, "own", now)
 
@@ -394,6 +394,10 @@
 
     def expire(self, now: float) -> list:
         """Drop what is outdated; a lapsed part is quarantined after one more strike."""
+        if self._probes:
+            self._probes = {
+                p: until for p, until in self._probes.items() if now < until
+            }
         if not (self._quarantined or self._struck):
             return []
         effects = []
@@ -419,7 +423,7 @@
             return ()
         self._crashes = [c for c in self._crashes if now - c.lost_at < REPORT_S]
         reports, chars = [], 0
-        for crash in reversed(self._crashes[-MAX_CRASH_REPORTS:]):
+        for crash in reversed(self._crashes):
             chars += sum(map(len, crash.parts))
             if chars > MAX_CRASH_CHARS:
                 break
