Send prompts that crash engines in the soak, and check that they are held back

A tenth of the prompts has a part on which engines crash, among other parts that vary; all prompts share their first part. From 6 s after the fifth crash on no more than three such requests may reach engines.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -5,9 +5,31 @@
 import time
 
 from attrs import define, field
-from standins.fleet import EntryInstance, Fleet, Response, call, event_ids
+from standins.fleet import (
+    EntryInstance,
+    Fleet,
+    Response,
+    call,
+    event_ids,
+    make_prompt_prefix,
+)
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+CRASH_PART = "dead01"
+"""Id of a part of prompts on which engines crash."""
+
+MIDDLE_PARTS = ("91bd3f06", "a7", "33c0", "e0")
+"""Ids of parts that some prompts share."""
+
+TOLERATED_CRASHES = 5
+"""Crashes by one part after which requests with it are to be held back."""
+
+HOLD_BACK_S = 6.0
+"""Seconds after the last tolerated crash from which they are held back."""
+
+MAX_LATE_CRASH_REQUESTS = 3
+"""Most of them that may reach engines after that."""
+
 DEADLINE_TOLERANCE_S = 1.0
 """Seconds past its deadline after which a response counts as late."""
 
@@ -17,6 +39,8 @@
     """One request and the response that its caller received.
 
     :param count: number of events asked for, of a stream.
+    :param prompt_prefix: its X-Prompt-Prefix header, of a stream.
+    :param crashes: engines crash on it.
     """
 
     attempt: str
@@ -25,17 +49,23 @@
     started_at: float
     timeout_s: float
     count: int = 0
+    prompt_prefix: str = ""
+    crashes: bool = False
     response: Response | None = None
     ended_at: float = 0.0
 
 
 @define(slots=True, eq=False)
 class Callers:
-    """Threads that send requests to randomly chosen entry instances until stopped."""
+    """Threads that send requests to randomly chosen entry instances until stopped.
+
+    :param crash_ratio: fraction of prompts on which engines crash.
+    """
 
     fleet: Fleet
     seed: int
     threads: int = 8
+    crash_ratio: float = 0.0
     sent: list[SentRequest] = field(factory=list)
     _is_stopping: bool = False
     _started: list[threading.Thread] = field(factory=list)
@@ -69,7 +99,14 @@
         arguments = {}
         if kind == "chat":
             sent.count = rng.randint(1, 40)
-            arguments["tokens"] = f"{rng.choice((500, 5000, 30000))},{sent.count}"
+            tokens = rng.choice((500, 5000, 30000))
+            middle = rng.sample(MIDDLE_PARTS, rng.randint(0, 2))
+            if self.crash_ratio and rng.random() < self.crash_ratio:
+                sent.crashes = True
+                middle.insert(rng.randint(0, len(middle)), CRASH_PART)
+            sent.prompt_prefix = make_prompt_prefix(attempt, tokens, tuple(middle))
+            arguments["tokens"] = f"{tokens},{sent.count}"
+            arguments["middle_parts"] = tuple(middle)
         elif kind == "look":
             arguments = {"method": "GET", "body": b""}
         sent.response = call(
@@ -135,6 +172,32 @@
     ]
 
 
+def find_hold_back(crashes: list[dict]) -> float:
+    """Return the Unix time from which requests that crash engines are held back."""
+    if len(crashes) < TOLERATED_CRASHES:
+        return float("inf")
+    return crashes[TOLERATED_CRASHES - 1]["at"] + HOLD_BACK_S
+
+
+def find_late_crashes(
+    sent: list[SentRequest], runs: list[dict], crashes: list[dict]
+) -> list[str]:
+    """Return a line if requests on which engines crash are not held back in time."""
+    held_from = find_hold_back(crashes)
+    attempts = {request.attempt for request in sent if request.crashes}
+    late = {
+        run["attempt"]
+        for run in runs
+        if run["attempt"] in attempts and run["at"] > held_from
+    }
+    if len(late) <= MAX_LATE_CRASH_REQUESTS:
+        return []
+    return [
+        f"{len(late)} requests that crash engines reached them from {HOLD_BACK_S:.0f} "
+        f"s after crash {TOLERATED_CRASHES} on; {len(crashes)} crashes"
+    ]
+
+
 def _check(request: SentRequest, runs: list[dict], was_paused: bool) -> list[str]:
     violations = []
     response = request.response
@@ -159,6 +222,8 @@
         violations.append(
             f"response after {request.ended_at - request.started_at:.1f} s"
         )
+    if any(run["prompt_prefix"] != request.prompt_prefix for run in runs):
+        violations.append("ran with other prompt parts")
     if any(run["workspace"] != "owners" or run["has_key"] for run in runs):
         violations.append(
             "ran for another workspace, or the server saw the caller's key"
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -2,7 +2,7 @@
 
 Usage:
   run.py [--seeds=LIST] [--seconds=S] [--entries=N] [--report=FILE] [--plots=FOLDER]
-         [--rests-only]
+         [--rests-only | --no-crashes]
 
 Options:
   --seeds=LIST    seeds by commas, or FIRST-LAST [default: 1]
@@ -10,6 +10,7 @@
   --entries=N     entry instances [default: 3]
   --report=FILE   append one line of JSON for each seed
   --plots=FOLDER  draw what callers got beside the faults, one SVG for each seed
+  --no-crashes    send no prompts on which engines crash
   --rests-only    let servers fall silent for a second or so; no answer may be cut
 """
 
@@ -28,7 +29,15 @@
 
 from standins.fleet import EntryInstance, Fleet, configuration, post  # noqa: E402
 
-from soak.callers import Callers, Pause, find_cut_answers, find_violations  # noqa: E402
+from soak.callers import (  # noqa: E402
+    CRASH_PART,
+    Callers,
+    Pause,
+    find_cut_answers,
+    find_hold_back,
+    find_late_crashes,
+    find_violations,
+)
 from soak.plots import draw_seed  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
 
@@ -48,6 +57,9 @@
 REST_S = (0.8, 1.5)
 """Shortest and longest silence in seconds of a server that is sound."""
 
+CRASH_RATIO = 0.1
+"""Fraction of prompts on which engines crash."""
+
 MIN_SUCCESS_RATIO = 0.7
 """Fraction of requests after recovery that must succeed; fault rates are zero then."""
 
@@ -57,6 +69,10 @@
     """One seeded run: a fleet behind proxies, callers, and faults that may overlap.
 
     :param rests_only: servers fall silent for a second or so; no other fault happens.
+    :param has_crashes: some prompts crash the engines that begin to answer them.
+    :ivar crash_count: number of crashes of engines.
+    :ivar late_crash_requests: number of requests on which engines crash that were sent
+        when they are to be held back.
     :ivar faults: names of the injected faults, in order.
     :ivar fault_times: seconds from the start and name of each fault.
     :ivar outcomes: seconds from the start and response status of each request.
@@ -71,6 +87,7 @@
     seconds: float
     entries: int
     rests_only: bool = False
+    has_crashes: bool = False
     fleet: Fleet | None = None
     proxies: list[Proxy] = field(factory=list)
     faults: list[str] = field(factory=list)
@@ -87,6 +104,8 @@
     leaving_server: str = ""
     has_copy: bool = False
     recovered_at: float = 0.0
+    crash_count: int = 0
+    late_crash_requests: int = 0
     sent_count: int = 0
     served: int = 0
 
@@ -118,7 +137,10 @@
         return proxy.address
 
     def _run_faults(self, rng: random.Random) -> list[str]:
-        callers = Callers(self.fleet, self.seed)
+        crash_ratio = CRASH_RATIO if self.has_crashes else 0.0
+        callers = Callers(self.fleet, self.seed, crash_ratio=crash_ratio)
+        if self.has_crashes:
+            self.fleet.crash_on(CRASH_PART)
         callers.start()
         run_start = time.monotonic()
         end = run_start + self.seconds
@@ -134,7 +156,14 @@
         self.fault_times.append((self.recovered_at - run_start, "recovery check"))
         time.sleep(RECOVERY_TIMEOUT_S)
         callers.stop()
-        violations = find_violations(callers.sent, self.fleet.runs(), self.pauses)
+        runs, crashes = self.fleet.runs(), self.fleet.crashes()
+        violations = find_violations(callers.sent, runs, self.pauses)
+        violations += find_late_crashes(callers.sent, runs, crashes)
+        self.crash_count = len(crashes)
+        held_from = find_hold_back(crashes) - time.time() + time.monotonic()
+        self.late_crash_requests = sum(
+            sent.crashes and sent.started_at > held_from for sent in callers.sent
+        )
         self.served = sum(s.response.status == 200 for s in callers.sent)
         self.sent_count = len(callers.sent)
         self.outcomes = [
@@ -172,7 +201,11 @@
         self.fleet.wait(lambda: all(e.is_ready() for e in self.fleet.instances))
 
     def _check_recovery(self, callers: Callers) -> list[str]:
-        recent = [s for s in callers.sent if s.started_at > self.recovered_at]
+        recent = [
+            sent
+            for sent in callers.sent
+            if sent.started_at > self.recovered_at and not sent.crashes
+        ]
         served = sum(s.response.status == 200 for s in recent)
         if recent and served < MIN_SUCCESS_RATIO * len(recent):
             return [f"only {served} of {len(recent)} requests served after recovery"]
@@ -397,12 +430,14 @@
             float(options["--seconds"]),
             int(options["--entries"]),
             rests_only=options["--rests-only"],
+            has_crashes=not options["--rests-only"] and not options["--no-crashes"],
         )
         violations = soak.run()
         failed_count += bool(violations)
         print(
             f"seed {seed}: {len(violations)} violations, "
-            f"{soak.served} of {soak.sent_count} served; {' '.join(soak.faults)}"
+            f"{soak.served} of {soak.sent_count} served, "
+            f"{soak.crash_count} crashes; {' '.join(soak.faults)}"
         )
         for line in violations[:10]:
             print(f"  {line}  (logs in {soak.fleet.folder})")
