Count the time to hold requests back from the last crash if there are few

The soak's check of requests that crash engines did not apply to runs with fewer than five crashes, of which there are some now that a part is quarantined after four strikes. It counts from the last crash then, as the users' page does, so it applies to every run with a crash.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -173,10 +173,13 @@
 
 
 def find_hold_back(crashes: list[dict]) -> float:
-    """Return the Unix time from which requests that crash engines are held back."""
-    if len(crashes) < TOLERATED_CRASHES:
+    """Return the Unix time from which requests that crash engines are held back.
+
+    With fewer than the tolerated crashes, the time counts from the last one.
+    """
+    if not crashes:
         return float("inf")
-    return crashes[TOLERATED_CRASHES - 1]["at"] + HOLD_BACK_S
+    return crashes[:TOLERATED_CRASHES][-1]["at"] + HOLD_BACK_S
 
 
 def find_late_crashes(
