--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -298,7 +298,10 @@
         )
 
     def crash_on(self, *parts: str) -> None:
-        """Let engines crash when they begin to answer a prompt with such a part."""
+        """Let engines crash when they begin to answer a prompt with such a part.
+
+        Without parts they no longer crash.
+        """
         post(*self.control_address, "/standin/crashes", {"parts": parts})
 
     def crashes(self) -> list[dict]:
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -370,7 +370,8 @@
     def handle_control(self, exchange) -> None:
         """Apply a test's command to a server, or return what the servers ran.
 
-        ``crashes`` adds prompt parts on which engines crash; it returns the crashes.
+        ``crashes`` replaces the prompt parts on which engines crash, if the command
+        has ``parts``; it returns the crashes.
         """
         path = read_path(exchange)
         command = orjson.loads(exchange.body) if exchange.body else {}
@@ -378,7 +379,8 @@
             exchange.reply(200, [], orjson.dumps(self.runs))
             return
         if path == "/standin/crashes":
-            self.crash_parts.update(command.get("parts", ()))
+            if "parts" in command:
+                self.crash_parts = set(command["parts"])
             exchange.reply(200, [], orjson.dumps(self.crashes))
             return
         server = self.servers[command["server"]]
--- a/packages/briarrelay-core/src/briarrelay_core/ports/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/quarantine.py
@@ -14,10 +14,12 @@
     :param duration_s: seconds for which the writer keeps the part quarantined after the
         last request with it.
     :param written_at: Unix seconds by the writer's clock, for operators only.
+    :param is_released: an operator ends the quarantine.
     """
 
     duration_s: float
     written_at: float
+    is_released: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -247,6 +247,15 @@
             return []
         return self._quarantine(part, now + QUARANTINE_S, now, (), "store")
 
+    def release(self, part: str, now: float) -> list:
+        """End a quarantine for an operator; peers are told as if an engine wrote."""
+        if part not in self._quarantined:
+            return []
+        self._remember_written(part, now)
+        self._answer(part, now)
+        self.has_urgent_change = True
+        return self._clear(part, "operator")
+
     def pop_new(self) -> list[str]:
         """Return the parts that were quarantined since the last call."""
         new, self._new = self._new, []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
@@ -3,8 +3,9 @@
 Digests spread a quarantine among instances; the store carries it over the loss of all
 of them. The instance that found a part writes it. That instance and the first one by
 name delete it when it ends, since the writer may be gone by then. The topic is listed
-at the start and when the store has returned to a copy, and is not followed, since each
-read is charged.
+at the start and when the store has returned to a copy. It is not followed, since each
+read is charged; while a part is quarantined, the first instance by name lists it now
+and then, for releases by operators and for parts whose writer failed.
 """
 
 from collections import OrderedDict
@@ -31,6 +32,9 @@
 MAX_BACKOFF_S = 4.0
 """Longest pause in seconds between retries; each call is charged."""
 
+RELIST_S = 10.0
+"""Seconds between listings while a part is quarantined, by one instance."""
+
 MAX_PENDING = 256
 """Number of parts that wait to be written or deleted; beyond it the oldest goes."""
 
@@ -65,9 +69,11 @@
     :param rank: returns the number of live peers whose names sort before this instance.
     :ivar generation: number of listings that were begun; responses to earlier ones are
         ignored.
-    :ivar _is_listing_copy: the current listing is the first since the store returned to
-        a copy.
+    :ivar _is_listing: a listing has begun and is not complete.
+    :ivar _listed_at: time at which the last listing was complete, or at which the first
+        part was quarantined since then.
     :ivar _listed: parts on the pages of the current listing so far.
+    :ivar _held_before: parts that were quarantined when the current listing began.
     :ivar _held: parts that were quarantined at the last check.
     :ivar _owned: those of them that this instance found.
     :ivar _ended: parts whose quarantine ended here, and when.
@@ -82,8 +88,10 @@
     timers: TimerService
     rank: Callable[[float], int]
     generation: int = 0
-    _is_listing_copy: bool = False
+    _is_listing: bool = False
+    _listed_at: float = float("-inf")
     _listed: set[str] = field(factory=set)
+    _held_before: frozenset[str] = frozenset()
     _list_backoff: _Backoff = field(factory=_Backoff)
     _held: set[str] = field(factory=set)
     _owned: set[str] = field(factory=set)
@@ -102,13 +110,14 @@
 
     def restart(self) -> list:
         """List the topic again, since the store has returned to a copy."""
-        self._is_listing_copy = True
         self.generation += 1
         return [self._list()]
 
     def _list(self, after: str = "") -> ListTopic:
         if not after:
+            self._is_listing = True
             self._listed = set()
+            self._held_before = frozenset(self._held)
         return ListTopic(Topic.QUARANTINE, after, self.generation)
 
     def on_listed(self, page: TopicListed, now: float) -> list:
@@ -121,16 +130,24 @@
             if change.problem:
                 effects += _report_problem(change.key, change.problem)
             elif isinstance(change.value, QuarantineRecord):
-                effects += self._restore(change.key, now)
+                effects += self._apply(change.key, change.value, now)
         if page.has_more and page.changes:
             return [*effects, self._list(page.changes[-1].key)]
-        if self._is_listing_copy:
-            self._is_listing_copy = False
-            self._write_missing(now)
+        self._is_listing = False
+        self._listed_at = now
+        self._write_missing(now)
         return effects + self._write_next(now)
 
-    def _restore(self, part: str, now: float) -> list:
-        """Quarantine a listed part, unless its quarantine has ended here."""
+    def _apply(self, part: str, record: QuarantineRecord, now: float) -> list:
+        """Quarantine a listed part, unless its quarantine has ended here.
+
+        If an operator has released it, end its quarantine.
+        """
+        if record.is_released:
+            self._listed.add(part)
+            if self.rank(now) == 0:
+                self._want(part, False)
+            return self.quarantine.release(part, now)
         if len(self._listed) >= MAX_RESTORED:
             return [IncrementCounter("quarantine.not_restored")]
         self._listed.add(part)
@@ -141,9 +158,9 @@
         return self.quarantine.restore(part, now)
 
     def _write_missing(self, now: float) -> None:
-        """Write the parts that the copy lacks, in one or two instances."""
+        """Write the parts that the store lacks, in one or two instances."""
         is_first = self.rank(now) == 0
-        for part in sorted(self._held - self._listed):
+        for part in sorted((self._held & self._held_before) - self._listed):
             if is_first or part in self._owned:
                 self._want(part, True)
 
@@ -165,13 +182,21 @@
         current = self.quarantine.parts
         if not current and not self._held:
             return []
+        if not self._held:
+            self._listed_at = now
         new = [part for part in current if part not in self._held]
         ended = self._held.difference(current)
         for part in new:
             self._on_quarantined(part)
         for part in sorted(ended):
             self._on_ended(part, now)
-        return self._write_next(now) if new or ended else []
+        effects = self._write_next(now) if new or ended else []
+        return effects + self._list_if_due(now)
+
+    def _list_if_due(self, now: float) -> list:
+        if self._is_listing or not self._held or now - self._listed_at < RELIST_S:
+            return []
+        return [self._list()] if self.rank(now) == 0 else []
 
     def _on_quarantined(self, part: str) -> None:
         self._held.add(part)
