Quarantine the rarer of two parts that were at the same crashes

If a part of all prompts followed the one that crashes engines, and no engine had written yet, callers of sound requests could be refused: of parts at the same crashes, the later one in prompts counted as the cause, whatever else it was in.

The part in fewer lost attempts now explains the crashes of the other, since the losses on a crashed engine include sound requests; the place in prompts decides between parts in equally many.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -36,8 +36,8 @@
 
 STRIKES_IF_SHARED = 8
 """The same for a part on which an engine has written before, or whose crashes a
-suspect part later in prompts explains. Prompts share their first parts, so each crash
-that another part causes strikes them too, and that part reaches its number first."""
+rarer suspect part explains. Prompts share their first parts, so each crash that another
+part causes strikes them too, and that part reaches its number first."""
 
 SUSPECT_STRIKES = 2
 """Strikes in sequence from which a part is logged as suspected. Engines that it has to
@@ -98,12 +98,14 @@
 
     :param position: its place in a prompt, from 0.
     :param strikes: time of sending and of the loss, by incarnation of an engine.
+    :param attempts: incarnation and parts of the attempts with it that were lost.
     :param earlier: strikes that a lapsed quarantine left.
     :param known_at: time at which the last strike became known here.
     """
 
     position: int = 0
     strikes: dict[str, tuple[float, float]] = field(factory=dict)
+    attempts: set[tuple[str, tuple[str, ...]]] = field(factory=set)
     earlier: int = 0
     known_at: float = float("-inf")
     is_logged: bool = False
@@ -119,11 +121,17 @@
         return len(self.strikes) + self.earlier >= SUSPECT_STRIKES
 
     def is_explained_by(self, other: "_StruckPart") -> bool:
-        """Return whether another part was at nearly all crashes of this one."""
+        """Return whether another part is more likely the cause of the crashes.
+
+        It was at nearly all of them, and it is rarer, or as rare and later in prompts.
+        """
         if other.count < SUSPECT_STRIKES:
             return False
         strikes = [s for name, s in self.strikes.items() if name not in other.strikes]
-        return _count_in_sequence(strikes) < SUSPECT_STRIKES
+        if _count_in_sequence(strikes) >= SUSPECT_STRIKES:
+            return False
+        own_rank = (len(self.attempts), -self.position)
+        return (len(other.attempts), -other.position) < own_rank
 
     @property
     def since(self) -> float:
@@ -309,6 +317,8 @@
                 continue
             struck = self._struck.setdefault(part, _StruckPart(position))
             self._struck.move_to_end(part)
+            if len(struck.attempts) < MAX_STRIKES:
+                struck.attempts.add((crash.server, crash.parts))
             if crash.server in struck.strikes or len(struck.strikes) >= MAX_STRIKES:
                 continue
             struck.strikes[crash.server] = (crash.sent_at, crash.lost_at)
@@ -343,9 +353,7 @@
             return STRIKES_IF_SHARED
         struck = self._struck[part]
         has_rival = any(
-            other.position > struck.position
-            and name not in self._written
-            and struck.is_explained_by(other)
+            name not in self._written and struck.is_explained_by(other)
             for name, other in self._struck.items()
         )
         return STRIKES_IF_SHARED if has_rival else STRIKES_TO_QUARANTINE
