Reset unframed answers when an engine of the stand-ins crashes

Conclusion: the stand-in was wrong, not the relay. An engine that really closes such a stream in order when it crashes can not be told from one that has ended it; that stays open.

--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -130,8 +130,11 @@
         self.is_down = True
         self.running, self.held, self.reservations = [], [], {}
         for connection in list(self.server._connections):
-            if connection._exchange is not None:
-                connection._exchange.is_open = False
+            exchange = connection._exchange
+            if isinstance(exchange, UnframedExchange):
+                exchange.abort()  # an end in order would complete its response
+            elif exchange is not None:
+                exchange.is_open = False
             connection.close()
         self.loop.reactor.unwatch(self.server._sock)
         self.server._sock.close()
