Release memory that a prompt has reserved for long without a first event

Cause: nothing limits how long an attempt holds memory before its first event.

An engine that has begun to read by then loses that work: it can't be told from one that has not.

Evidence: test_memory_of_a_prompt_that_is_not_begun_is_released failed before (still reserved after 8.8 s), passes now.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -123,6 +123,25 @@
         self.assertNotEqual({r.reservation_id for r in reserves} - own, set())
 
 
+class UnusedMemoryTest(unittest.TestCase):
+    """Memory is not reserved for long without being used."""
+
+    def test_memory_of_a_prompt_that_is_not_begun_is_released(self):
+        """The users' bound is 9 s; the prompt waits in the queue of its engine."""
+        world = RouteWorld(engines=3)
+        effects = world.request("file", prompt_tokens=600_000, time_limit_s=15.0)
+        for reserve in world.of_type(effects, Reserve):
+            world.deliver(ReserveResponse(reserve.reservation_id, True))
+        reserved = world.open_reservations
+        self.assertTrue(reserved)
+        for _ in range(88):
+            step = world.advance(0.1)
+            for reserve in world.of_type(step, Reserve):
+                if reserve.reservation_id in reserved:
+                    world.deliver(ReserveResponse(reserve.reservation_id, True))
+        self.assertEqual(world.open_reservations & reserved, set())
+
+
 class EndOfStopTest(unittest.TestCase):
     """Requests whose response has not begun when the process ends get an answer."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -416,6 +416,15 @@
             *self._start_attempt(routed, placement, now),
         ]
 
+    def abandon(self, routed: RoutedRequest, reason: RetryReason, now: float) -> list:
+        """End the active attempt of a request, which is retried if that is allowed."""
+        attempt = self.end_attempt(routed, now)
+        routed.possible_runs += 1
+        return [
+            AbortAttempt(attempt.attempt_id),
+            *self.retry_or_give_up(routed, reason, now),
+        ]
+
     def _log_retry(
         self, routed: RoutedRequest, reason: RetryReason, now: float
     ) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -78,6 +78,7 @@
     :param repeats: limits on retries, over all instances.
     :param grace_s: seconds that a graceful stop may take.
     :param hold_s: seconds that an engine keeps reserved memory without a renewal.
+    :param max_unused_s: seconds for which reserved memory may stay unused.
     :param news_s: seconds within which a leaving server must get no new requests.
     :param seeds: addresses of the peers to contact at the start.
     :param retention: how long the audit record is kept after the store has it.
@@ -88,6 +89,7 @@
     repeats: RetryLimits
     grace_s: float
     hold_s: float
+    max_unused_s: float = 8.0
     news_s: float = 2.0
     seeds: tuple[PeerAddress, ...] = ()
     retention: Retention = Retention()
@@ -130,7 +132,7 @@
         self.reservations.on_granted = self.controller.on_granted
         self.reservations.on_denied = self.controller.on_denied
         self.responses = ResponseHandler(self.controller)
-        self.silence = SilenceChecker(self.controller)
+        self.silence = SilenceChecker(self.controller, self.max_unused_s)
         self.peers = PeerExchange(
             self.address,
             identity.incarnation,
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -43,9 +43,13 @@
 
 @define(slots=True, eq=False)
 class SilenceChecker:
-    """Finds requests in progress whose servers are silent for too long."""
+    """Finds requests in progress whose servers are silent for too long.
+
+    :param max_unused_s: seconds for which reserved memory may stay unused.
+    """
 
     controller: RequestController
+    max_unused_s: float
 
     def check(self, now: float) -> list:
         """Move repeatable requests from silent servers to other servers.
@@ -53,11 +57,11 @@
         A request without an alternative stays, since its server may only be slow. The
         requests for which a server was looked for last come last.
         """
+        effects, failed_searches = self._end_unused_reservations(now), 0
         silent = sorted(
             self._find_silent(now),
             key=lambda found: found[0].active_attempt.searched_at,
         )
-        effects, failed_searches = [], 0
         for routed, max_expected_s in silent:
             routed.active_attempt.searched_at = now
             moved = self._move(routed, now, max_expected_s)
@@ -67,6 +71,23 @@
                 break
         return effects
 
+    def _end_unused_reservations(self, now: float) -> list:
+        """End attempts whose memory is reserved too long before a first event.
+
+        The engine may not have begun to read, and others wait for that memory.
+        """
+        controller = self.controller
+        effects = []
+        for attempt_id, routed in list(controller.attempts.items()):
+            attempt = routed.active_attempt
+            if attempt.events or not attempt.is_sent:
+                continue
+            if now - attempt.sent_at <= self.max_unused_s:
+                continue
+            if controller.reservations.ids_of(attempt_id):
+                effects += controller.abandon(routed, RetryReason.SERVER_SILENT, now)
+        return effects
+
     def _find_silent(self, now: float) -> list[tuple[RoutedRequest, float]]:
         """Return the requests that should move, and the time for their first event.
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -161,6 +161,7 @@
         repeats=settings.repeats,
         grace_s=settings.grace_s,
         hold_s=settings.hold_s,
+        max_unused_s=settings.max_unused_s,
         news_s=settings.news_s,
         seeds=settings.seeds,
         retention=settings.retention,
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
@@ -32,6 +32,7 @@
     :param repeats: limits on the retries of requests.
     :param grace_s: seconds that a planned stop may take.
     :param hold_s: seconds after which an unrenewed reservation of engine memory ends.
+    :param max_unused_s: seconds for which reserved memory may stay unused.
     :param news_s: seconds within which all instances must stop sending new requests
         to a server that leaves.
     :param seeds: peers to contact at the start.
@@ -50,6 +51,7 @@
     repeats: RetryLimits
     grace_s: float
     hold_s: float
+    max_unused_s: float
     news_s: float
     seeds: tuple[PeerAddress, ...] = ()
     retention: Retention = Retention(keep_s=60.0, keep_bytes=4_000_000)
