Part attempts and refusals before admission from the request controller

No change of behaviour. Counting an active attempt as a possible run stood in three places and is one function now.

--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -0,0 +1,116 @@
+"""Attempts to send requests to backend servers, with their load and their memory."""
+
+from attrs import define, field
+
+from briarrelay_core.ports.route import ForwardRequest, HelperAddress
+from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.observations import ServerObservations
+from briarrelay_core.routes.placement import Placement
+from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
+from briarrelay_core.routes.reservations import Reservations
+from briarrelay_core.routes.servers import ServerTable
+
+__all__ = ["AttemptTable"]
+
+
+@define(slots=True, eq=False)
+class AttemptTable:
+    """Starts and ends attempts.
+
+    :param by_id: requests by the id of their active attempt.
+    """
+
+    servers: ServerTable
+    load: LoadTable
+    reservations: Reservations
+    observations: ServerObservations
+    by_id: dict[int, RoutedRequest] = field(factory=dict)
+    _last_id: int = 0
+
+    def start(self, routed: RoutedRequest, placement: Placement, now: float) -> list:
+        """Start an attempt: send the request, or reserve its memory first."""
+        self._last_id += 1
+        attempt_id = self._last_id
+        routed.attempt_count += 1
+        routed.tried.append(placement.lead)
+        routed.active_attempt = AttemptState(
+            attempt_id=attempt_id,
+            server=placement.lead,
+            server_born=self.servers.get(placement.lead).entry.born,
+            helpers=placement.helpers,
+            sent_at=now,
+            expected_s=placement.expected_s,
+            progress_at=now,
+        )
+        self.by_id[attempt_id] = routed
+        self.observations.pauses.record_send(placement.lead, now)
+        self._add_load(routed, placement, attempt_id, now)
+        if not placement.memory_shares:
+            return [self.forward(routed, placement, now)]
+        routed.active_attempt.pending_placement = placement
+        memory_shares = [
+            (self.servers.get(name).entry, tokens)
+            for name, tokens in placement.memory_shares
+        ]
+        return self.reservations.reserve_all(attempt_id, memory_shares, now)
+
+    def forward(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> ForwardRequest:
+        """Return the effect that sends the request of an attempt."""
+        attempt_id = routed.active_attempt.attempt_id
+        reserved = self.reservations.ids_of(attempt_id)
+        entry = self.servers.get(placement.lead).entry
+        return ForwardRequest(
+            request_id=routed.request.request_id,
+            attempt_id=attempt_id,
+            server=entry.name,
+            host=entry.host,
+            port=entry.port,
+            time_limit_s=routed.deadline - now,
+            workspace=routed.workspace,
+            helpers=tuple(
+                HelperAddress(
+                    self.servers.get(name).entry.address, reserved.get(name, "")
+                )
+                for name in placement.helpers
+            ),
+            resume_after=routed.resume_after,
+            needs_new_connection=not routed.route.is_repeatable,
+        )
+
+    def _add_load(
+        self, routed: RoutedRequest, placement: Placement, attempt_id: int, now: float
+    ) -> None:
+        request = routed.request
+        helper_tokens = dict(placement.memory_shares)
+        lead_tokens = (
+            request.prompt_tokens + request.output_tokens - sum(helper_tokens.values())
+        )
+        self.load.add(
+            attempt_id,
+            placement.lead,
+            now,
+            tokens=lead_tokens if routed.is_prompt else 0,
+            read_s=placement.read_s,
+            limit_s=routed.route.gap_limit_s or 0.0,
+            weight=routed.weight,
+        )
+        for helper in placement.helpers:
+            self.load.add(
+                attempt_id,
+                helper,
+                now,
+                tokens=helper_tokens.get(helper, 0),
+                read_s=placement.read_s,
+                is_lead=False,
+            )
+
+    def end(self, routed: RoutedRequest, now: float) -> AttemptState:
+        """End the active attempt of a request and release its load and memory."""
+        attempt = routed.active_attempt
+        routed.active_attempt = None
+        del self.by_id[attempt.attempt_id]
+        self.load.remove(attempt.attempt_id)
+        self.reservations.release(attempt.attempt_id, now)
+        return attempt
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -9,9 +9,6 @@
     AbortAttempt,
     AbortResponse,
     CallerDisconnected,
-    ForwardRequest,
-    HelperAddress,
-    InvalidRequest,
     RelayFullResponse,
     RouteRequest,
     SendErrorResponse,
@@ -20,12 +17,14 @@
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
 from briarrelay_core.record.record import Entry, Recorder
 from briarrelay_core.routes.admission import NO_SERVER_RETRY_S, RouteAdmission
+from briarrelay_core.routes.attempts import AttemptTable
 from briarrelay_core.routes.budget import ServiceRetryBudget
 from briarrelay_core.routes.deferral import should_defer
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.quarantine import PROBE_JITTER_S, PromptQuarantine
+from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
@@ -53,7 +52,6 @@
 """Smallest Retry-After in seconds; about the time that a short response takes, after
 which a slot becomes free."""
 
-
 QUARANTINE_RETRY_S = 30.0
 """Smallest Retry-After in seconds for a prompt with a quarantined part; only operators
 or a new release of the engines can change that."""
@@ -68,7 +66,7 @@
     memory.
 
     :param requests: requests in progress by request id.
-    :param attempts: requests by the id of their active attempt.
+    :ivar refusals: refuses the requests that are not admitted.
     :ivar _waiting: queued requests by request id.
     """
 
@@ -82,9 +80,20 @@
     admission: RouteAdmission = field(factory=RouteAdmission)
     quarantine: PromptQuarantine = field(factory=PromptQuarantine)
     requests: dict[int, RoutedRequest] = field(factory=dict)
-    attempts: dict[int, RoutedRequest] = field(factory=dict)
+    refusals: RefusalHandler = field(init=False)
+    _attempt_table: AttemptTable = field(init=False)
     _waiting: dict[int, RoutedRequest] = field(factory=dict)
-    _last_attempt_id: int = 0
+
+    def __attrs_post_init__(self):
+        self.refusals = RefusalHandler(self.admission, self.recorder)
+        self._attempt_table = AttemptTable(
+            self.servers, self.load, self.reservations, self.observations
+        )
+
+    @property
+    def attempts(self) -> dict[int, RoutedRequest]:
+        """Requests by the id of their active attempt."""
+        return self._attempt_table.by_id
 
     # Arrival
 
@@ -92,7 +101,7 @@
         """Admit a caller's request and place it, or refuse it."""
         admission_result = self.admission.check(request)
         if isinstance(admission_result, NotRun):
-            return self._refuse_unadmitted(request, admission_result, now)
+            return self.refusals.refuse(request, admission_result, now)
         effective_limit_s = admission_result.route.timeout_s
         if request.time_limit_s is not None:
             effective_limit_s = min(effective_limit_s, request.time_limit_s)
@@ -194,8 +203,7 @@
                 if part not in routed.prompt_parts:
                     continue
                 if attempt is None or not attempt.events:
-                    if attempt is not None and attempt.is_sent:
-                        routed.possible_runs += 1
+                    _count_active_attempt(routed)
                     effects += self._give_up_quarantined(routed, part, now)
         return effects
 
@@ -215,33 +223,14 @@
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
     ) -> list:
-        self._last_attempt_id += 1
-        attempt_id = self._last_attempt_id
-        routed.attempt_count += 1
-        routed.tried.append(placement.lead)
-        routed.active_attempt = AttemptState(
-            attempt_id=attempt_id,
-            server=placement.lead,
-            server_born=self.servers.get(placement.lead).entry.born,
-            helpers=placement.helpers,
-            sent_at=now,
-            expected_s=placement.expected_s,
-            progress_at=now,
-        )
-        self.attempts[attempt_id] = routed
         suspects = self.quarantine.suspects(routed.prompt_parts)
         if suspects:
             self.quarantine.record_probe(suspects, placement.expected_s, now)
-        self.observations.pauses.record_send(placement.lead, now)
-        self._add_load(routed, placement, attempt_id, now)
-        if not placement.memory_shares:
-            return [self._forward(routed, placement, now)]
-        routed.active_attempt.pending_placement = placement
-        memory_shares = [
-            (self.servers.get(name).entry, tokens)
-            for name, tokens in placement.memory_shares
-        ]
-        return self.reservations.reserve_all(attempt_id, memory_shares, now)
+        return self._attempt_table.start(routed, placement, now)
+
+    def end_attempt(self, routed: RoutedRequest, now: float) -> AttemptState:
+        """End the active attempt of a request and release its load and memory."""
+        return self._attempt_table.end(routed, now)
 
     def on_granted(self, attempt_id: int, now: float) -> list:
         """Send a request after all its memory has been reserved."""
@@ -252,7 +241,7 @@
         server_names = (placement.lead, *placement.helpers)
         if not all(self.servers.is_usable(name, now) for name in server_names):
             return self.on_denied(attempt_id, "", now)
-        return [self._forward(routed, placement, now)]
+        return [self._attempt_table.forward(routed, placement, now)]
 
     def on_denied(self, attempt_id: int, engine: str, now: float) -> list:
         """Queue a request again because its memory could not be reserved.
@@ -271,57 +260,6 @@
         self._waiting[routed.request.request_id] = routed
         return []
 
-    def _forward(
-        self, routed: RoutedRequest, placement: Placement, now: float
-    ) -> ForwardRequest:
-        attempt_id = routed.active_attempt.attempt_id
-        reserved = self.reservations.ids_of(attempt_id)
-        entry = self.servers.get(placement.lead).entry
-        return ForwardRequest(
-            request_id=routed.request.request_id,
-            attempt_id=attempt_id,
-            server=entry.name,
-            host=entry.host,
-            port=entry.port,
-            time_limit_s=routed.deadline - now,
-            workspace=routed.workspace,
-            helpers=tuple(
-                HelperAddress(
-                    self.servers.get(name).entry.address, reserved.get(name, "")
-                )
-                for name in placement.helpers
-            ),
-            resume_after=routed.resume_after,
-            needs_new_connection=not routed.route.is_repeatable,
-        )
-
-    def _add_load(
-        self, routed: RoutedRequest, placement: Placement, attempt_id: int, now: float
-    ) -> None:
-        request = routed.request
-        helper_tokens = dict(placement.memory_shares)
-        lead_tokens = (
-            request.prompt_tokens + request.output_tokens - sum(helper_tokens.values())
-        )
-        self.load.add(
-            attempt_id,
-            placement.lead,
-            now,
-            tokens=lead_tokens if routed.is_prompt else 0,
-            read_s=placement.read_s,
-            limit_s=routed.route.gap_limit_s or 0.0,
-            weight=routed.weight,
-        )
-        for helper in placement.helpers:
-            self.load.add(
-                attempt_id,
-                helper,
-                now,
-                tokens=helper_tokens.get(helper, 0),
-                read_s=placement.read_s,
-                is_lead=False,
-            )
-
     def place_waiting(self, now: float) -> list:
         """Try to place the queued requests, in the order of `_queue_key`."""
         effects = []
@@ -457,15 +395,6 @@
             return False
         return routed.deadline - now >= MIN_ATTEMPT_TIME_S
 
-    def end_attempt(self, routed: RoutedRequest, now: float) -> AttemptState:
-        """End the active attempt of a request and release its load and memory."""
-        attempt = routed.active_attempt
-        routed.active_attempt = None
-        del self.attempts[attempt.attempt_id]
-        self.load.remove(attempt.attempt_id)
-        self.reservations.release(attempt.attempt_id, now)
-        return attempt
-
     # Final responses
 
     def give_up(
@@ -536,47 +465,6 @@
         effects.append(SendErrorResponse(routed.request.request_id, refusal))
         return effects
 
-    def on_invalid_request(self, message: InvalidRequest, now: float) -> list:
-        """Record a request that was refused as invalid before admission."""
-        entry = Entry(
-            at=round(now, 3),
-            kind="refusal",
-            subject=message.caller_request_id,
-            why=message.reason,
-        )
-        self.recorder.add(entry)
-        fields = (("reason", message.reason), ("problem", message.problem))
-        return [
-            LogEvent("info", "refused", message.caller_request_id, fields),
-            IncrementCounter(f"refused.{message.reason}"),
-        ]
-
-    def _refuse_unadmitted(
-        self, request: RouteRequest, refusal: NotRun, now: float
-    ) -> list:
-        """Refuse a request that was not admitted and is not in `requests`."""
-        reason = refusal.reason.value
-        fields = (
-            ("reason", reason),
-            ("host", request.host),
-            ("path", request.path),
-            ("version", str(self.admission.version)),
-            ("preset", self.admission.preset_collection.active),
-        )
-        self.recorder.add(
-            Entry(
-                at=round(now, 3),
-                kind="refusal",
-                subject=request.caller_request_id,
-                why=reason,
-            )
-        )
-        return [
-            LogEvent("info", "refused", request.caller_request_id, fields),
-            IncrementCounter(f"refused.{reason}"),
-            SendErrorResponse(request.request_id, refusal),
-        ]
-
     def close(self, routed: RoutedRequest, outcome: str, now: float) -> list:
         """Remove a request, abort its active attempt if there is one, and log its end.
 
@@ -628,7 +516,8 @@
         effects = []
         for routed in list(self.requests.values()):
             if now >= routed.deadline + RESPONSE_GRACE_S:
-                effects += self._on_deadline(routed, now)
+                _count_active_attempt(routed)
+                effects += self.give_up(routed, now, RefusalReason.CANNOT_FINISH)
             elif routed.active_attempt is None and remaining_wait_s(routed, now) < 0:
                 effects += self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         return effects
@@ -639,14 +528,13 @@
         for routed in list(self.requests.values()):
             if routed.is_head_relayed:
                 continue
-            attempt = routed.active_attempt
-            if attempt is not None and attempt.is_sent:
-                routed.possible_runs += 1
+            _count_active_attempt(routed)
             effects += self.give_up(routed, now, RefusalReason.DRAINING)
         return effects
 
-    def _on_deadline(self, routed: RoutedRequest, now: float) -> list:
-        attempt = routed.active_attempt
-        if attempt is not None and attempt.is_sent:
-            routed.possible_runs += 1
-        return self.give_up(routed, now, RefusalReason.CANNOT_FINISH)
+
+def _count_active_attempt(routed: RoutedRequest) -> None:
+    """Count the active attempt of a request as a possible run, if it has been sent."""
+    attempt = routed.active_attempt
+    if attempt is not None and attempt.is_sent:
+        routed.possible_runs += 1
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -274,7 +274,7 @@
 
     @_dispatch.register
     def _(self, message: InvalidRequest, now: float) -> list:
-        return self.controller.on_invalid_request(message, now)
+        return self.controller.refusals.on_invalid(message, now)
 
     @_dispatch.register
     def _(self, message: CallerDisconnected, now: float) -> list:
