Part strikes and probes from the quarantine of prompt parts

No change of behaviour. quarantine.py had 586 lines for three things: which crashes a part was at (strikes.py), which requests wait for one with a suspect part (probes.py), and what is quarantined. Three descriptions used 'told' where they mean reported or read.

Evidence: 59 tests of the quarantine, of crashed servers and of the decoders pass; two of them reach the moved fields by their new names.

--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -335,7 +335,7 @@
         crashes=table.own_crashes(now),
         quarantined=table.own_quarantines(now),
         written=table.own_written(now),
-        probed=table.own_probes(now),
+        probed=table.probes.own(now),
     )
 
 
@@ -478,7 +478,7 @@
             table.record_probe(table.suspects((part,)), 0.1, 100.0 + number)
         self.assertLessEqual(len(table._crashes), MAX_CRASH_REPORTS)
         table.expire(800.0)
-        self.assertEqual(table._probes, {})
+        self.assertEqual(table.probes._own, {})
 
     def test_memory_is_bounded(self):
         table = PromptQuarantine()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -23,7 +23,8 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
-from briarrelay_core.routes.quarantine import PROBE_JITTER_S, PromptQuarantine
+from briarrelay_core.routes.probes import PROBE_JITTER_S
+from briarrelay_core.routes.quarantine import PromptQuarantine
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -391,7 +391,7 @@
             crashes=self.quarantine.own_crashes(now),
             quarantined=self.quarantine.own_quarantines(now),
             written=self.quarantine.own_written(now),
-            probed=self.quarantine.own_probes(now),
+            probed=self.quarantine.probes.own(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -7,14 +7,11 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
-from operator import itemgetter
 
-from attrs import define, field, frozen
+from attrs import define, field
 
 from briarrelay_core.ports.digest import (
     MAX_CRASH_REPORTS,
-    MAX_PROBE_S,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
     MAX_WRITTEN_REPORTS,
@@ -23,9 +20,15 @@
     QuarantineReport,
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
+from briarrelay_core.routes.probes import ProbeTable
+from briarrelay_core.routes.strikes import (
+    MAX_STRIKES,
+    SUSPECT_STRIKES,
+    Crash,
+    StruckPart,
+)
 
 __all__ = [
-    "PROBE_JITTER_S",
     "QUARANTINE_S",
     "STRIKES_TO_QUARANTINE",
     "PromptQuarantine",
@@ -39,21 +42,6 @@
 rarer suspect part explains. Prompts share their first parts, so each crash that another
 part causes strikes them too, and that part reaches its number first."""
 
-SUSPECT_STRIKES = 2
-"""Strikes in sequence from which a part is logged as suspected. Engines that it has to
-have struck, in sequence or not, for requests with it to be sent one after another."""
-
-PROBE_FACTOR = 2.0
-"""Multiple of the expected time to its first event for which such a request keeps
-others with its suspect part from engines, besides `PROBE_SLACK_S`."""
-
-PROBE_SLACK_S = 0.3
-"""Seconds added to that time."""
-
-PROBE_JITTER_S = 0.2
-"""Largest delay in seconds before a request with a suspect part is sent, so that the
-first instance to send one can tell the others."""
-
 QUARANTINE_S = 600.0
 """Seconds for which a part stays quarantined after the last request with it."""
 
@@ -72,73 +60,10 @@
 MAX_QUARANTINED = 256
 """Number of parts in quarantine; beyond it, the one that lapses first is dropped."""
 
-MAX_STRIKES = 64
-"""Number of strikes that are kept of one part."""
-
 MAX_CRASH_CHARS = 12_000
 """Characters of the parts in the crash reports of a digest, which is one datagram."""
 
 
-@frozen(slots=True)
-class _Crash:
-    """An attempt that an engine ended by closing its connection.
-
-    :param server: the engine's incarnation, ``name@born``.
-    """
-
-    sent_at: float
-    lost_at: float
-    server: str
-    parts: tuple[str, ...]
-
-
-@define(slots=True, eq=False)
-class _StruckPart:
-    """A part with strikes.
-
-    :param position: its place in a prompt, from 0.
-    :param strikes: time of sending and of the loss, by incarnation of an engine.
-    :param attempts: incarnation and parts of the attempts with it that were lost.
-    :param earlier: strikes that a lapsed quarantine left.
-    :param known_at: time at which the last strike became known here.
-    """
-
-    position: int = 0
-    strikes: dict[str, tuple[float, float]] = field(factory=dict)
-    attempts: set[tuple[str, tuple[str, ...]]] = field(factory=set)
-    earlier: int = 0
-    known_at: float = float("-inf")
-    is_logged: bool = False
-
-    @property
-    def count(self) -> int:
-        """Number of strikes in sequence."""
-        return self.earlier + _count_in_sequence(self.strikes.values())
-
-    @property
-    def is_suspect(self) -> bool:
-        """Whether requests with it are sent one after another."""
-        return len(self.strikes) + self.earlier >= SUSPECT_STRIKES
-
-    def is_explained_by(self, other: "_StruckPart") -> bool:
-        """Return whether another part is more likely the cause of the crashes.
-
-        It was at nearly all of them, and it is rarer, or as rare and later in prompts.
-        """
-        if other.count < SUSPECT_STRIKES:
-            return False
-        strikes = [s for name, s in self.strikes.items() if name not in other.strikes]
-        if _count_in_sequence(strikes) >= SUSPECT_STRIKES:
-            return False
-        own_rank = (len(self.attempts), -self.position)
-        return (len(other.attempts), -other.position) < own_rank
-
-    @property
-    def since(self) -> float:
-        """Time at which the attempt of the first strike was sent."""
-        return min((sent_at for sent_at, _ in self.strikes.values()), default=0.0)
-
-
 @define(slots=True, eq=False)
 class _Quarantine:
     """A quarantined part.
@@ -147,7 +72,7 @@
     :param since: time at which the attempt of the first strike was sent; a later first
         event shows that the part is sound.
     :param servers: engines that it crashed, as ``name@born``.
-    :param is_own: this instance found it, instead of being told by a peer.
+    :param is_own: this instance found it, not a peer.
     """
 
     until: float
@@ -162,25 +87,23 @@
 
     Its methods return the effects to execute, unless said otherwise.
 
+    :param probes: suspect parts of requests that are on engines.
     :ivar has_urgent_change: peers have not been notified of a strike or a quarantine.
     :ivar _written: time of the last first event on a part, the latest part at the end.
     :ivar _struck: parts with strikes, the one struck last at the end.
     :ivar _crashes: own observations that digests still repeat.
     :ivar _answers: parts of peers' reports on which an engine has written, and the time
         until which digests say so.
-    :ivar _probes: suspect parts of own requests, and the time until which peers wait.
-    :ivar _peer_probes: the same for parts of requests of peers.
     :ivar _new: parts quarantined since the last call of `pop_new`.
     """
 
+    probes: ProbeTable = field(factory=ProbeTable)
     has_urgent_change: bool = False
     _written: OrderedDict[str, float] = field(factory=OrderedDict)
-    _struck: OrderedDict[str, _StruckPart] = field(factory=OrderedDict)
+    _struck: OrderedDict[str, StruckPart] = field(factory=OrderedDict)
     _quarantined: dict[str, _Quarantine] = field(factory=dict)
-    _crashes: list[_Crash] = field(factory=list)
+    _crashes: list[Crash] = field(factory=list)
     _answers: dict[str, float] = field(factory=dict)
-    _probes: dict[str, float] = field(factory=dict)
-    _peer_probes: dict[str, float] = field(factory=dict)
     _new: list[str] = field(factory=list)
     _turn: int = 0
 
@@ -222,7 +145,7 @@
         :param jitter: delay in seconds after its arrival or the last strike.
         """
         return all(
-            now >= self._peer_probes.get(part, now)
+            not self.probes.is_held(part, now)
             and now >= max(arrived_at, self._struck[part].known_at) + jitter
             for part in suspects
         )
@@ -235,8 +158,7 @@
         :param expected_s: seconds until its first event is expected.
         """
         for part in suspects:
-            limit_s = PROBE_FACTOR * expected_s + PROBE_SLACK_S
-            self._probes[part] = now + min(MAX_PROBE_S, limit_s)
+            self.probes.record(part, expected_s, now)
             self.has_urgent_change = True
 
     def servers_of(self, part: str) -> tuple[str, ...]:
@@ -256,7 +178,10 @@
         return self._quarantine(part, now + QUARANTINE_S, now, (), "store")
 
     def release(self, part: str, now: float) -> list:
-        """End a quarantine for an operator; peers are told as if an engine wrote."""
+        """End a quarantine for an operator.
+
+        Digests report the part as one on which an engine has written.
+        """
         if part not in self._quarantined:
             return []
         self._remember_written(part, now)
@@ -278,7 +203,7 @@
 
         :param server: the engine's incarnation, ``name@born``.
         """
-        crash = _Crash(sent_at, now, server, tuple(dict.fromkeys(parts)))
+        crash = Crash(sent_at, now, server, tuple(dict.fromkeys(parts)))
         if not crash.parts:
             return []
         self._crashes = [*self._crashes, crash][-MAX_CRASH_REPORTS:]
@@ -290,7 +215,7 @@
         effects = []
         for part in parts:
             if part in self._struck or part in self._quarantined:
-                self.has_urgent_change |= part in self._probes
+                self.has_urgent_change |= part in self.probes
                 effects += self._clear(part, "own")
                 self._answer(part, now)
             self._remember_written(part, now)
@@ -308,14 +233,14 @@
 
     # Strikes
 
-    def _strike(self, crash: _Crash, source: str, now: float) -> list:
+    def _strike(self, crash: Crash, source: str, now: float) -> list:
         if self._is_explained(crash):
             return []
         effects, counts = [], {}
         for position, part in enumerate(crash.parts):
             if crash.sent_at <= self._written.get(part, float("-inf")):
                 continue
-            struck = self._struck.setdefault(part, _StruckPart(position))
+            struck = self._struck.setdefault(part, StruckPart(position))
             self._struck.move_to_end(part)
             if len(struck.attempts) < MAX_STRIKES:
                 struck.attempts.add((crash.server, crash.parts))
@@ -323,8 +248,7 @@
                 continue
             struck.strikes[crash.server] = (crash.sent_at, crash.lost_at)
             struck.known_at = now
-            self._probes.pop(part, None)
-            self._peer_probes.pop(part, None)
+            self.probes.end(part)
             count = struck.count
             if count >= SUSPECT_STRIKES and not struck.is_logged:
                 struck.is_logged = True
@@ -358,7 +282,7 @@
         )
         return STRIKES_IF_SHARED if has_rival else STRIKES_TO_QUARANTINE
 
-    def _is_explained(self, crash: _Crash) -> bool:
+    def _is_explained(self, crash: Crash) -> bool:
         """Return whether a quarantined part is the reason for a crash."""
         is_explained = False
         for part, known in self._quarantined.items():
@@ -403,25 +327,21 @@
         """Drop the strikes and the quarantine of a part."""
         struck = self._struck.pop(part, None)
         known = self._quarantined.pop(part, None)
-        self._probes.pop(part, None)
-        self._peer_probes.pop(part, None)
+        self.probes.end(part)
         if known is None and not (struck and struck.is_logged):
             return []
         return _report("part_cleared", part, source)
 
     def expire(self, now: float) -> list:
         """Drop what is outdated; a lapsed part is quarantined after one more strike."""
-        if self._probes:
-            self._probes = {
-                p: until for p, until in self._probes.items() if now < until
-            }
+        self.probes.expire(now)
         if not (self._quarantined or self._struck):
             return []
         effects = []
         for part, known in list(self._quarantined.items()):
             if now >= known.until:
                 del self._quarantined[part]
-                self._struck[part] = _StruckPart(
+                self._struck[part] = StruckPart(
                     earlier=STRIKES_TO_QUARANTINE - 1, known_at=now, is_logged=True
                 )
                 effects += _report("part_cleared", part, "lapse")
@@ -491,26 +411,15 @@
             if part in self._written
         }
 
-    def own_probes(self, now: float) -> dict[str, float]:
-        """Return the seconds for which peers hold requests with suspect parts."""
-        if not self._probes:
-            return {}
-        self._probes = {p: until for p, until in self._probes.items() if now < until}
-        newest = list(self._probes.items())[-MAX_WRITTEN_REPORTS:]
-        return {part: round(until - now, 3) for part, until in newest}
-
     def apply_digest(self, digest: LoadDigest, now: float) -> list:
         """Apply what a peer saw."""
         effects = []
-        if digest.probed:
-            until = {p: t for p, t in self._peer_probes.items() if now < t}
-            until |= {p: now + left_s for p, left_s in digest.probed.items()}
-            self._peer_probes = until
+        self.probes.apply(digest.probed, now)
         for part, age_s in digest.written.items():
             effects += self._apply_written(part, now - age_s)
         known = set(self._quarantined) if digest.crashes else set()
         for report in digest.crashes:
-            crash = _Crash(
+            crash = Crash(
                 now - report.sent_age_s,
                 now - report.lost_age_s,
                 report.server,
@@ -521,8 +430,8 @@
                     self._answer(part, now)
             effects += self._strike(crash, "peer", now)
         if digest.crashes:
-            told = {report.part for report in digest.quarantined}
-            for part in self._quarantined.keys() - known - told:
+            reported = {report.part for report in digest.quarantined}
+            for part in self._quarantined.keys() - known - reported:
                 self._quarantined[part].is_own = True
         for report in digest.quarantined:
             effects += self._apply_quarantine(report, now)
@@ -566,19 +475,6 @@
         return effects
 
 
-def _count_in_sequence(strikes: Iterable[tuple[float, float]]) -> int:
-    """Return the number of strikes, each sent after the one before was known.
-
-    :param strikes: times of sending and of the loss.
-    """
-    count, known_at = 0, float("-inf")
-    for sent_at, lost_at in sorted(strikes, key=itemgetter(1)):
-        if sent_at >= known_at:
-            count += 1
-            known_at = lost_at
-    return count
-
-
 def _report(event: str, part: str, source: str, servers: str = "") -> list:
     """Return the log line and the count of a change of a part."""
     fields = (("part", part), ("source", source), ("servers", servers))
--- /dev/null
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -0,0 +1,88 @@
+"""Strikes against the parts of prompts that were at crashes of engines."""
+
+from collections.abc import Iterable
+from operator import itemgetter
+
+from attrs import define, field, frozen
+
+__all__ = ["MAX_STRIKES", "SUSPECT_STRIKES", "Crash", "StruckPart"]
+
+MAX_STRIKES = 64
+"""Number of strikes that are kept of one part."""
+
+SUSPECT_STRIKES = 2
+"""Strikes in sequence from which a part is logged as suspected. Engines that it has to
+have struck, in sequence or not, for requests with it to be sent one after another."""
+
+
+@frozen(slots=True)
+class Crash:
+    """An attempt that an engine ended by closing its connection.
+
+    :param server: the engine's incarnation, ``name@born``.
+    """
+
+    sent_at: float
+    lost_at: float
+    server: str
+    parts: tuple[str, ...]
+
+
+@define(slots=True, eq=False)
+class StruckPart:
+    """A part with strikes.
+
+    :param position: its place in a prompt, from 0.
+    :param strikes: time of sending and of the loss, by incarnation of an engine.
+    :param attempts: incarnation and parts of the attempts with it that were lost.
+    :param earlier: strikes that a lapsed quarantine left.
+    :param known_at: time at which the last strike became known here.
+    """
+
+    position: int = 0
+    strikes: dict[str, tuple[float, float]] = field(factory=dict)
+    attempts: set[tuple[str, tuple[str, ...]]] = field(factory=set)
+    earlier: int = 0
+    known_at: float = float("-inf")
+    is_logged: bool = False
+
+    @property
+    def count(self) -> int:
+        """Number of strikes in sequence."""
+        return self.earlier + _count_in_sequence(self.strikes.values())
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether requests with it are sent one after another."""
+        return len(self.strikes) + self.earlier >= SUSPECT_STRIKES
+
+    def is_explained_by(self, other: "StruckPart") -> bool:
+        """Return whether another part is more likely the cause of the crashes.
+
+        It was at nearly all of them, and it is rarer, or as rare and later in prompts.
+        """
+        if other.count < SUSPECT_STRIKES:
+            return False
+        strikes = [s for name, s in self.strikes.items() if name not in other.strikes]
+        if _count_in_sequence(strikes) >= SUSPECT_STRIKES:
+            return False
+        own_rank = (len(self.attempts), -self.position)
+        return (len(other.attempts), -other.position) < own_rank
+
+    @property
+    def since(self) -> float:
+        """Time at which the attempt of the first strike was sent."""
+        return min((sent_at for sent_at, _ in self.strikes.values()), default=0.0)
+
+
+def _count_in_sequence(strikes: Iterable[tuple[float, float]]) -> int:
+    """Return the number of strikes, each sent after the one before was known.
+
+    :param strikes: times of sending and of the loss.
+    """
+    count, known_at = 0, float("-inf")
+    for sent_at, lost_at in sorted(strikes, key=itemgetter(1)):
+        if sent_at >= known_at:
+            count += 1
+            known_at = lost_at
+    return count
