Log which requests ask backend servers for the same thing

The adapter now hashes method, host, target and body; with the workspace of the caller it names the content, which `send_lost` and `request` carry.

--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -150,3 +150,41 @@
         parts = self.read(value)
         self.assertLessEqual(len(parts), MAX_PARTS)
         self.assertTrue(all(parts))
+
+
+class FingerprintTest(unittest.TestCase):
+    """Repeats of a request have one fingerprint, other requests have others."""
+
+    def read(self, **changes) -> str:
+        fields = {
+            "method": "POST",
+            "target": b"/look/2f?day=3",
+            "headers": [(b"X-Attempt-Id", b"a"), (b"Host", b"Desk.example")],
+            "body": b"{}",
+            "keeps_alive": True,
+            "connection": None,
+        }
+        exchange = RawExchange(**{**fields, **changes})
+        return PlatformDialect().read_request(exchange, 1).fingerprint
+
+    def test_headers_of_an_attempt_make_no_difference(self):
+        headers = [
+            (b"Host", b"desk.example"),
+            (b"X-Attempt-Id", b"b"),
+            (b"X-Request-Deadline", b"500"),
+            (b"Last-Event-Id", b"7"),
+        ]
+        self.assertEqual(self.read(headers=headers), self.read())
+
+    def test_method_host_target_and_body_make_a_difference(self):
+        host = [(b"X-Attempt-Id", b"a"), (b"Host", b"other.example")]
+        others = (
+            {"method": "PUT"},
+            {"headers": host},
+            {"target": b"/look/2f?day=4"},
+            {"target": b"/look/2f"},
+            {"body": b"{} "},
+            {"target": b"/look/2f?day=3\n{", "body": b"}"},
+        )
+        given = {self.read(**changes) for changes in others}
+        self.assertEqual(len(given - {self.read()}), len(others))
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -44,6 +44,8 @@
     :param prompt_tokens: 0 for requests other than prompts.
     :param resume_after: id of the last event that the caller received, empty for none.
     :param prompt_parts: ids of the parts that its prompt shares with others, in order.
+    :param fingerprint: hash of what a backend server is asked to do, the same for each
+        repeat of a request; empty if it is not known.
     """
 
     request_id: int
@@ -56,6 +58,7 @@
     output_tokens: int = 0
     resume_after: str = ""
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ""
 
 
 @frozen(slots=True, kw_only=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -19,6 +19,7 @@
 from briarrelay_core.routes.admission import NO_SERVER_RETRY_S, RouteAdmission
 from briarrelay_core.routes.attempts import AttemptTable
 from briarrelay_core.routes.budget import ServiceRetryBudget
+from briarrelay_core.routes.contents import request_content
 from briarrelay_core.routes.deferral import should_defer
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
@@ -114,6 +115,7 @@
             workspace=admission_result.workspace,
             arrived_at=now,
             deadline=now + effective_limit_s,
+            content=request_content(request.fingerprint, admission_result.workspace),
         )
         self.requests[request.request_id] = routed
         self.budget.record_request(admission_result.service, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -76,6 +76,8 @@
     :param last_event: id of the last event relayed, empty for none.
     :param failed_attempt_id: attempt whose error response may be relayed, 0 for
         none.
+    :param content: its name among the contents that can crash backend servers; the
+        same for each repeat, empty if it is not known.
     :param quarantined_part: part of its prompt for which it ended, empty for none.
     """
 
@@ -86,6 +88,7 @@
     workspace: str
     arrived_at: float
     deadline: float
+    content: str = ""
     active_attempt: AttemptState | None = None
     tried: list[str] = field(factory=list)
     excluded: set[str] = field(factory=set)
@@ -144,4 +147,5 @@
             ("last_event", self.last_event),
             ("tokens", str(self.request.prompt_tokens)),
             ("parts", ",".join(self.request.prompt_parts)),
+            ("content", self.content),
         )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -282,6 +282,7 @@
             ("closed", "yes" if is_closed else "no"),
             ("events", str(attempt.events)),
             ("parts", ",".join(routed.request.prompt_parts)),
+            ("content", routed.content),
         )
         return LogEvent("info", "send_lost", routed.request.caller_request_id, fields)
 
