Name what a quarantine is about a content, not a part

Whole requests will be struck and quarantined as parts of prompts are, so the tables, digests and the store's messages speak of contents. Names only; the digests' encoding, log lines and counters are unchanged.

--- a/features/properties/eraworld.py
+++ b/features/properties/eraworld.py
@@ -292,10 +292,10 @@
 
     def _write_quarantine(self, n: int, effect: WriteQuarantine) -> None:
         def serve():
-            self.store.append(Topic.QUARANTINE, (effect.part, effect.record))
-            return QuarantineWritten(effect.part, True, self.store.era)
+            self.store.append(Topic.QUARANTINE, (effect.content, effect.record))
+            return QuarantineWritten(effect.content, True, self.store.era)
 
-        self._call(n, serve, QuarantineWritten(effect.part, False))
+        self._call(n, serve, QuarantineWritten(effect.content, False))
 
     # Peers
 
--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -10,8 +10,8 @@
 
 from briarrelay_core.outcomes import Failed
 from briarrelay_core.ports.digest import (
+    MAX_CONTENTS,
     MAX_CRASH_REPORTS,
-    MAX_PARTS,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
     CrashReport,
@@ -37,7 +37,7 @@
     MAX_WRITTEN,
     QUARANTINE_S,
     STRIKES_TO_QUARANTINE,
-    PromptQuarantine,
+    ContentQuarantine,
 )
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from properties.crashworld import CrashWorld, make_part
@@ -229,10 +229,10 @@
             world.send(n % 3, (FIRST_PART, BAD_PART))
             world.advance(0.2)
         quarantine = world.instances[3].controller.quarantine
-        self.assertEqual(quarantine.parts, ())
+        self.assertEqual(quarantine.contents, ())
         world.partitioned = set()
         world.advance(1.5)
-        self.assertEqual(quarantine.parts, (BAD_PART,))
+        self.assertEqual(quarantine.contents, (BAD_PART,))
         view = world.send(3, (FIRST_PART, BAD_PART))
         self.assertEqual((view.outcome, view.sent_at), (REFUSED, []))
         self.assertTrue(view.is_not_run)
@@ -311,13 +311,13 @@
         self.assertEqual(world.events_logged("part_quarantined"), [])
 
 
-def strike(table: PromptQuarantine, number: int, now: float, *parts: str) -> list:
+def strike(table: ContentQuarantine, number: int, now: float, *parts: str) -> list:
     """Record a crash of a new engine 0.1 s after its request was sent."""
     return table.record_crash(parts, f"engine-{number}@1.0", now - 0.1, now)
 
 
 def quarantine(
-    table: PromptQuarantine, now: float, part: str = BAD_PART, first: int = 0
+    table: ContentQuarantine, now: float, part: str = BAD_PART, first: int = 0
 ) -> float:
     """Strike a part until it is quarantined; return the time.
 
@@ -329,7 +329,7 @@
     return now
 
 
-def digest_of(table: PromptQuarantine, now: float) -> LoadDigest:
+def digest_of(table: ContentQuarantine, now: float) -> LoadDigest:
     """Return the digest that an instance with a table sends."""
     return make_digest(
         crashes=table.own_crashes(now),
@@ -346,53 +346,53 @@
 
 class TableTest(unittest.TestCase):
     def test_simultaneous_losses_count_once(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         for number in range(20):
             strike(table, number, 100.0 + 0.001 * number, BAD_PART)
-        self.assertEqual(table.parts, ())
+        self.assertEqual(table.contents, ())
 
     def test_incarnation_counts_once(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         for step in range(9):
             strike(table, 1, 100.0 + step, BAD_PART)
-        self.assertEqual(table.parts, ())
+        self.assertEqual(table.contents, ())
 
     def test_first_event_clears_a_part(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         for step in range(30):
             strike(table, step, 100.0 + step, BAD_PART)
             if step % 3 == 2:
                 table.record_written((BAD_PART,), 100.05 + step)
-        self.assertEqual(table.parts, ())
+        self.assertEqual(table.contents, ())
 
     def test_quarantine_explains_the_strikes_of_other_parts(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         for number in range(STRIKES_TO_QUARANTINE):
             for other in (20, 30):
                 own = make_part(other + number)
                 strike(table, number, 100.0 + number, SOUND_PART, own)
             strike(table, number, 100.0 + number, BAD_PART, make_part(number + 10))
-        self.assertEqual(table.parts, (BAD_PART,))
+        self.assertEqual(table.contents, (BAD_PART,))
         for number in range(STRIKES_TO_QUARANTINE - 1):
             strike(table, 50 + number, 110.0 + number, SOUND_PART)
-        self.assertEqual(table.parts, (BAD_PART,))
+        self.assertEqual(table.contents, (BAD_PART,))
         strike(table, 60, 120.0, SOUND_PART)
-        self.assertEqual(table.parts, (BAD_PART, SOUND_PART))
+        self.assertEqual(table.contents, (BAD_PART, SOUND_PART))
 
     def test_rarer_of_two_parts_at_all_crashes_is_quarantined(self):
         """The other is in all prompts, the first as well as the last shared part."""
         for before, after in (((SOUND_PART,), ()), ((), (SOUND_PART,))):
             for sound_first in (True, False):
                 with self.subTest(after=after, sound_first=sound_first):
-                    table = PromptQuarantine()
+                    table = ContentQuarantine()
                     for number in range(STRIKES_TO_QUARANTINE):
                         prompts = [(SOUND_PART,), (*before, BAD_PART, *after)]
                         for parts in prompts if sound_first else prompts[::-1]:
                             strike(table, number, 100.0 + number, *parts)
-                    self.assertEqual(table.parts, (BAD_PART,))
+                    self.assertEqual(table.contents, (BAD_PART,))
 
     def test_quarantine_is_renewed_by_requests_and_lapses(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         now = quarantine(table, 100.0)
         for _ in range(3):
             now += QUARANTINE_S - 1.0
@@ -401,12 +401,12 @@
         now += QUARANTINE_S + 0.1
         self.assertEqual(table.find((BAD_PART,), now), "")
         self.assertNotEqual(table.expire(now), [])
-        self.assertEqual(table.parts, ())
+        self.assertEqual(table.contents, ())
         strike(table, 99, now + 1.0, BAD_PART)
-        self.assertEqual(table.parts, (BAD_PART,))
+        self.assertEqual(table.contents, (BAD_PART,))
 
     def test_request_at_a_peer_renews(self):
-        tables = (PromptQuarantine(), PromptQuarantine())
+        tables = (ContentQuarantine(), ContentQuarantine())
         now = quarantine(tables[0], 100.0)
         tables[1].apply_digest(digest_of(tables[0], now), now)
         later = now + QUARANTINE_S - 10.0
@@ -414,10 +414,10 @@
         tables[0].apply_digest(digest_of(tables[1], later), later)
         end = now + QUARANTINE_S + 100.0
         self.assertEqual(tables[0].expire(end), [])
-        self.assertEqual(tables[0].parts, (BAD_PART,))
+        self.assertEqual(tables[0].contents, (BAD_PART,))
 
     def test_reports_of_reports_do_not_renew(self):
-        tables = (PromptQuarantine(), PromptQuarantine())
+        tables = (ContentQuarantine(), ContentQuarantine())
         now = start = quarantine(tables[0], 100.0)
         while now < start + QUARANTINE_S + 5.0:
             for table, peer in (tables, tables[::-1]):
@@ -427,50 +427,50 @@
                 table.expire(now)
                 peer.expire(now)
             now += 0.4
-        self.assertEqual((tables[0].parts, tables[1].parts), ((), ()))
+        self.assertEqual((tables[0].contents, tables[1].contents), ((), ()))
 
     def test_order_of_reports_makes_no_difference(self):
         reports = [
             CrashReport(
                 server=f"engine-{n}@1.0",
-                parts=(BAD_PART,),
+                contents=(BAD_PART,),
                 sent_age_s=2.0 - 0.3 * n,
                 lost_age_s=1.9 - 0.3 * n,
             )
             for n in range(STRIKES_TO_QUARANTINE)
         ]
         for order in permutations(reports):
-            table = PromptQuarantine()
+            table = ContentQuarantine()
             for report in order:
                 table.apply_digest(make_digest(crashes=(report,)), 100.0)
-            self.assertEqual(table.parts, (BAD_PART,))
+            self.assertEqual(table.contents, (BAD_PART,))
 
     def test_late_report_about_an_attempt_before_a_first_event_is_ignored(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         table.record_written((BAD_PART,), 100.0)
         for n in range(20):
             report = CrashReport(
                 server=f"engine-{n}@1.0",
-                parts=(BAD_PART,),
+                contents=(BAD_PART,),
                 sent_age_s=60.0 - n,
                 lost_age_s=59.9 - n,
             )
             table.apply_digest(make_digest(crashes=(report,)), 100.5)
-        self.assertEqual(table.parts, ())
+        self.assertEqual(table.contents, ())
         self.assertEqual(set(table.own_written(100.5)), {BAD_PART})
 
     def test_first_event_at_a_peer_ends_a_quarantine(self):
-        tables = (PromptQuarantine(), PromptQuarantine())
+        tables = (ContentQuarantine(), ContentQuarantine())
         now = quarantine(tables[0], 100.0)
         tables[1].record_written((BAD_PART,), now - 0.05)
         tables[1].apply_digest(digest_of(tables[0], now), now)
-        self.assertEqual(tables[1].parts, ())
+        self.assertEqual(tables[1].contents, ())
         self.assertTrue(tables[1].has_urgent_change)
         tables[0].apply_digest(digest_of(tables[1], now), now)
-        self.assertEqual(tables[0].parts, ())
+        self.assertEqual(tables[0].contents, ())
 
     def test_memory_is_bounded_without_peers(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         for number in range(500):
             part = make_part(number)
             strike(table, 2 * number, 100.0 + number, part)
@@ -481,12 +481,12 @@
         self.assertEqual(table.probes._own, {})
 
     def test_memory_is_bounded(self):
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         now = 100.0
         for number in range(MAX_QUARANTINED + 40):
             now = quarantine(table, now, make_part(number + 10), 10 * number)
-        self.assertEqual(len(table.parts), MAX_QUARANTINED)
-        self.assertNotIn(make_part(10), table.parts)
+        self.assertEqual(len(table.contents), MAX_QUARANTINED)
+        self.assertNotIn(make_part(10), table.contents)
         for number in range(MAX_WRITTEN + 50):
             table.record_written((make_part(number + 10_000),), now)
             strike(table, number + 10_000, now + 1, make_part(number + 100_000))
@@ -538,7 +538,7 @@
         sent = world.forwards(world.request("chat", prompt_parts=parts))[0]
         other = world.forwards(world.request("chat", prompt_parts=(FIRST_PART,)))[0]
         world.advance(0.1)
-        report = QuarantineReport(part=BAD_PART, remaining_s=600.0, since_age_s=0.01)
+        report = QuarantineReport(content=BAD_PART, remaining_s=600.0, since_age_s=0.01)
         message = DigestReceived(make_digest(quarantined=(report,)))
         effects = world.deliver(message)
         aborted = [e.attempt_id for e in world.of_type(effects, AbortAttempt)]
@@ -563,7 +563,7 @@
         self.assertEqual(len(sent[-1].peers), 60)
         crash = sent[-1].digest.crashes[0]
         self.assertEqual(crash.server, f"{forward.server}@1.0")
-        self.assertEqual((crash.parts, crash.sent_age_s), ((BAD_PART,), 0.1))
+        self.assertEqual((crash.contents, crash.sent_age_s), ((BAD_PART,), 0.1))
 
     def test_complete_response_without_events_clears_a_part(self):
         world = RouteWorld(engines=8)
@@ -617,7 +617,7 @@
                 st.builds(
                     CrashReport,
                     server=st.text(max_size=9),
-                    parts=st.lists(PARTS, max_size=4).map(tuple),
+                    contents=st.lists(PARTS, max_size=4).map(tuple),
                     sent_age_s=AGES,
                     lost_age_s=AGES,
                 ),
@@ -626,7 +626,7 @@
             quarantined=st.lists(
                 st.builds(
                     QuarantineReport,
-                    part=PARTS,
+                    content=PARTS,
                     remaining_s=AGES,
                     since_age_s=AGES,
                     servers=st.lists(st.text(max_size=9), max_size=3).map(tuple),
@@ -678,14 +678,14 @@
             digest = decode_digest(data)
         except DigestError:
             return
-        table = PromptQuarantine()
+        table = ContentQuarantine()
         table.apply_digest(digest, 1_000.0)
         for crash in digest.crashes:
             self.assertIsInstance(crash.server, str)
-            self.assertTrue(all(isinstance(part, str) for part in crash.parts))
+            self.assertTrue(all(isinstance(part, str) for part in crash.contents))
             self.assertGreaterEqual(min(crash.sent_age_s, crash.lost_age_s), 0.0)
         for report in digest.quarantined:
-            self.assertTrue(isinstance(report.part, str) and report.part)
+            self.assertTrue(isinstance(report.content, str) and report.content)
 
     def test_long_lists_are_cut(self):
         row = ["engine-1@1.0", [BAD_PART] * 99, 0.2, 0.1]
@@ -693,7 +693,7 @@
         fields = [*json.loads(encode_digest(make_digest())), {}, reports]
         digest = decode_digest(json.dumps(fields).encode())
         self.assertEqual(len(digest.crashes), MAX_CRASH_REPORTS)
-        self.assertEqual(len(digest.crashes[0].parts), MAX_PARTS)
+        self.assertEqual(len(digest.crashes[0].contents), MAX_CONTENTS)
         self.assertEqual(len(digest.quarantined), MAX_QUARANTINE_REPORTS)
         self.assertEqual(len(digest.quarantined[0].servers), MAX_REPORT_SERVERS)
 
--- a/features/properties/test_quarantine_store.py
+++ b/features/properties/test_quarantine_store.py
@@ -18,7 +18,7 @@
 from briarrelay_core.routes.quarantine import (
     QUARANTINE_S,
     STRIKES_IF_SHARED,
-    PromptQuarantine,
+    ContentQuarantine,
 )
 from briarrelay_core.routes.quarantinekeeper import (
     MAX_RESTORED,
@@ -63,7 +63,7 @@
         """Let an instance see as many crashes by a part as quarantine it."""
         quarantine = self.instances[n].controller.quarantine
         for strike in range(STRIKES_IF_SHARED):
-            if part in quarantine.parts:
+            if part in quarantine.contents:
                 return
             server = f"engine-{strike}@{self.now}"
             self.perform(
@@ -85,7 +85,7 @@
 
     def quarantined(self) -> list[set[str]]:
         """Return the parts that each instance keeps from engines."""
-        return [set(i.controller.quarantine.parts) for i in self.instances]
+        return [set(i.controller.quarantine.contents) for i in self.instances]
 
     def stored(self) -> set[str]:
         """Return the parts in the store."""
@@ -295,7 +295,7 @@
     """The listing, page by page."""
 
     def setUp(self):
-        self.quarantine = PromptQuarantine()
+        self.quarantine = ContentQuarantine()
         self.keeper = QuarantineKeeper(
             self.quarantine, StoreEra(), TimerService(), lambda now: 0
         )
@@ -309,25 +309,25 @@
         effects = self.list(TopicChange("a1", RECORD), has_more=True)
         self.assertIn(ListTopic(Topic.QUARANTINE, "a1", 0), effects)
         self.list(TopicChange("b2", RECORD))
-        self.assertEqual(set(self.quarantine.parts), {"a1", "b2"})
+        self.assertEqual(set(self.quarantine.contents), {"a1", "b2"})
 
     def test_bad_record_is_logged_and_ignored(self):
         effects = self.list(
             TopicChange("a1", None, "not JSON"), TopicChange("b2", RECORD)
         )
-        self.assertEqual(self.quarantine.parts, ("b2",))
+        self.assertEqual(self.quarantine.contents, ("b2",))
         lines = [e.event for e in effects if isinstance(e, LogEvent)]
         self.assertEqual(lines.count("entry_bad"), 1)
 
     def test_restored_parts_are_bounded(self):
         changes = [TopicChange(f"{n:06x}", RECORD) for n in range(2 * MAX_RESTORED)]
         self.list(*changes)
-        self.assertEqual(len(self.quarantine.parts), MAX_RESTORED)
+        self.assertEqual(len(self.quarantine.contents), MAX_RESTORED)
 
     def test_listing_of_an_earlier_generation_is_ignored(self):
         self.keeper.restart()
         self.assertEqual(self.list(TopicChange("a1", RECORD)), [])
-        self.assertEqual(self.quarantine.parts, ())
+        self.assertEqual(self.quarantine.contents, ())
 
     def test_late_listing_leaves_what_digests_told(self):
         self.quarantine.restore("a1", 0.0)
@@ -335,7 +335,7 @@
         effects = self.list(TopicChange("a1", RECORD), now=500.0)
         self.assertEqual(effects, [])
         self.quarantine.expire(QUARANTINE_S)
-        self.assertEqual(self.quarantine.parts, ())
+        self.assertEqual(self.quarantine.contents, ())
 
     def test_part_that_was_deleted_here_and_is_held_by_peers_is_written_again(self):
         """A suspended instance notices a lapse before peers tell it of renewals."""
@@ -347,7 +347,7 @@
         self.keeper.on_written(QuarantineWritten("a1", True, 1), 602.1)
         self.quarantine.restore("a1", 602.2)
         effects = self.keeper.check(602.3)
-        self.assertEqual([e.part for e in effects if e.record is not None], ["a1"])
+        self.assertEqual([e.content for e in effects if e.record is not None], ["a1"])
 
     def test_answer_to_no_call_is_ignored(self):
         response = QuarantineWritten("a1", True, 1)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -7,8 +7,8 @@
 
 __all__ = [
     "MAX_CRASH_REPORTS",
-    "MAX_PARTS",
-    "MAX_PART_CHARS",
+    "MAX_CONTENTS",
+    "MAX_CONTENT_CHARS",
     "MAX_PROBE_S",
     "MAX_QUARANTINE_REPORTS",
     "MAX_REPORT_SERVERS",
@@ -31,24 +31,24 @@
 MAX_CRASH_REPORTS = 32
 """Most crashes that a digest reports."""
 
-MAX_PARTS = 32
-"""Most parts of the prompt of a crash report."""
+MAX_CONTENTS = 32
+"""Most contents of a crash report."""
 
-MAX_PART_CHARS = 128
-"""Longest id of a part of a prompt."""
+MAX_CONTENT_CHARS = 128
+"""Longest name of a content: a part of prompts, or a whole request."""
 
 MAX_PROBE_S = 3.0
-"""Longest time in seconds for which a request with a suspect part keeps others with it
-from engines."""
+"""Longest time in seconds for which a request with a suspect content keeps others with
+it from engines."""
 
 MAX_QUARANTINE_REPORTS = 16
-"""Most quarantined parts that a digest reports."""
+"""Most quarantined contents that a digest reports."""
 
 MAX_REPORT_SERVERS = 8
 """Most engines named as the reason for a quarantine."""
 
 MAX_WRITTEN_REPORTS = 32
-"""Most parts that a digest reports as sound."""
+"""Most contents that a digest reports as sound."""
 
 
 @frozen(slots=True)
@@ -76,27 +76,27 @@
     """An engine closed the connection of an attempt before the first event.
 
     :param server: the engine's incarnation, ``name@born``.
-    :param parts: shared parts of the request's prompt.
+    :param contents: contents of the request, the shared parts of its prompt first.
     :param sent_age_s: seconds since the request was sent.
     :param lost_age_s: seconds since the connection was closed.
     """
 
     server: str
-    parts: tuple[str, ...]
+    contents: tuple[str, ...]
     sent_age_s: float
     lost_age_s: float
 
 
 @frozen(slots=True, kw_only=True)
 class QuarantineReport:
-    """A part of prompts is quarantined, since it crashes engines.
+    """A content is quarantined, since it crashes engines.
 
     :param remaining_s: seconds until the quarantine lapses.
     :param since_age_s: seconds since the attempt of the first counted strike was sent.
     :param servers: engines that it crashed, as ``name@born``.
     """
 
-    part: str
+    content: str
     remaining_s: float
     since_age_s: float
     servers: tuple[str, ...] = ()
@@ -120,10 +120,10 @@
     :param paused: seconds for which backend servers asked the sender for no further
         requests, by name.
     :param crashes: engines that closed connections to the sender lately.
-    :param quarantined: parts of prompts that the sender keeps from engines.
-    :param probed: seconds for which peers hold requests with parts that are suspected,
-        since the sender has sent one.
-    :param written: seconds since an engine wrote on a part that was reported struck.
+    :param quarantined: contents that the sender keeps from engines.
+    :param probed: seconds for which peers hold requests with suspect contents, since
+        the sender has sent one.
+    :param written: seconds since an engine wrote on a content that was reported struck.
     """
 
     sender: PeerAddress
--- a/packages/briarrelay-core/src/briarrelay_core/ports/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/quarantine.py
@@ -1,4 +1,4 @@
-"""Messages between the core and the quarantined parts in the platform's store."""
+"""Messages between the core and the quarantined contents in the platform's store."""
 
 from attrs import frozen
 
@@ -7,12 +7,12 @@
 
 @frozen(slots=True, kw_only=True)
 class QuarantineRecord:
-    """What the store holds of a quarantined part of prompts.
+    """What the store holds of a quarantined content.
 
     A reader counts the duration from its own reading, since clocks differ.
 
-    :param duration_s: seconds for which the writer keeps the part quarantined after the
-        last request with it.
+    :param duration_s: seconds for which the writer keeps the content quarantined after
+        the last request with it.
     :param written_at: Unix seconds by the writer's clock, for operators only.
     :param is_released: an operator ends the quarantine.
     """
@@ -24,12 +24,12 @@
 
 @frozen(slots=True)
 class WriteQuarantine:
-    """Effect: write a quarantined part to the store, or delete it.
+    """Effect: write a quarantined content to the store, or delete it.
 
-    :param record: None to delete the part.
+    :param record: None to delete the content.
     """
 
-    part: str
+    content: str
     record: QuarantineRecord | None
 
 
@@ -41,6 +41,6 @@
     :param era: era of the store, None if it does not report one.
     """
 
-    part: str
+    content: str
     is_done: bool
     era: int | None = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/contents.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/contents.py
@@ -2,10 +2,7 @@
 
 from hashlib import blake2b
 
-__all__ = ["MAX_CONTENT_CHARS", "is_request_content", "request_content"]
-
-MAX_CONTENT_CHARS = 128
-"""Longest name of a content."""
+__all__ = ["is_request_content", "request_content"]
 
 _REQUEST_PREFIX = "request:"
 """Begins the name of a whole request; parts of prompts have no colon."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -25,7 +25,7 @@
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.probes import PROBE_JITTER_S
-from briarrelay_core.routes.quarantine import PromptQuarantine
+from briarrelay_core.routes.quarantine import ContentQuarantine
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
@@ -80,7 +80,7 @@
     observations: ServerObservations
     selector: ServerSelector
     admission: RouteAdmission = field(factory=RouteAdmission)
-    quarantine: PromptQuarantine = field(factory=PromptQuarantine)
+    quarantine: ContentQuarantine = field(factory=ContentQuarantine)
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
     _attempt_table: AttemptTable = field(init=False)
@@ -213,7 +213,7 @@
     def _give_up_quarantined(
         self, routed: RoutedRequest, part: str, now: float
     ) -> list:
-        routed.quarantined_part = part
+        routed.quarantined_content = part
         return self.give_up(routed, now, RefusalReason.PROMPT_QUARANTINED)
 
     def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
@@ -431,7 +431,7 @@
             )
             return self._fail(routed, Failed(failure_reason), now)
         retry_after_s = self._retry_after(routed, reason, now)
-        part = routed.quarantined_part
+        part = routed.quarantined_content
         detail = f"part {part} of the prompt." if part else ""
         return self._refuse_admitted(
             routed, NotRun(reason, retry_after=retry_after_s, detail=detail), now
@@ -490,8 +490,8 @@
         self, routed: RoutedRequest, kind: str, outcome: str, now: float
     ) -> None:
         reasons = list(routed.tried)
-        if routed.quarantined_part:
-            reasons.append(f"part {routed.quarantined_part}")
+        if routed.quarantined_content:
+            reasons.append(f"part {routed.quarantined_content}")
         entry = Entry(
             at=round(now, 3),
             kind=kind,
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -22,7 +22,7 @@
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
-from briarrelay_core.routes.quarantine import PromptQuarantine
+from briarrelay_core.routes.quarantine import ContentQuarantine
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
@@ -135,7 +135,7 @@
     load: LoadTable
     servers: ServerTable
     pauses: PauseTable
-    quarantine: PromptQuarantine = field(factory=PromptQuarantine)
+    quarantine: ContentQuarantine = field(factory=ContentQuarantine)
     crashes: CrashTable = field(factory=CrashTable)
     version: int = 0
     presets: EraPosition = START
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
@@ -1,11 +1,11 @@
-"""Keeps the quarantined parts of prompts in the platform's store.
+"""Keeps the quarantined contents in the platform's store.
 
 Digests spread a quarantine among instances; the store carries it over the loss of all
-of them. The instance that found a part writes it. That instance and the first one by
+of them. The instance that found a content writes it. That instance and the first one by
 name delete it when it ends, since the writer may be gone by then. The topic is listed
 at the start and when the store has returned to a copy. It is not followed, since each
-read is charged; while a part is quarantined, the first instance by name lists it now
-and then, for releases by operators and for parts whose writer failed.
+read is charged; while a content is quarantined, the first instance by name lists it now
+and then, for releases by operators and for contents whose writer failed.
 """
 
 from collections import OrderedDict
@@ -20,7 +20,7 @@
     WriteQuarantine,
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
-from briarrelay_core.routes.quarantine import QUARANTINE_S, PromptQuarantine
+from briarrelay_core.routes.quarantine import QUARANTINE_S, ContentQuarantine
 from briarrelay_core.routes.storeera import StoreEra
 from briarrelay_core.timers import TimerService
 
@@ -33,13 +33,13 @@
 """Longest pause in seconds between retries; each call is charged."""
 
 RELIST_S = 10.0
-"""Seconds between listings while a part is quarantined, by one instance."""
+"""Seconds between listings while a content is quarantined, by one instance."""
 
 MAX_PENDING = 256
-"""Number of parts that wait to be written or deleted; beyond it the oldest goes."""
+"""Number of contents that wait to be written or deleted; beyond it the oldest goes."""
 
 MAX_RESTORED = 256
-"""Number of parts of a listing that are quarantined; another writer may add more."""
+"""Number of contents of a listing that are quarantined; another writer may add more."""
 
 
 @define(slots=True)
@@ -64,26 +64,26 @@
 
 @define(slots=True, eq=False)
 class QuarantineKeeper:
-    """Writes quarantined parts to the store, and restores those that it lists.
+    """Writes quarantined contents to the store, and restores those that it lists.
 
     :param rank: returns the number of live peers whose names sort before this instance.
     :ivar generation: number of listings that were begun; responses to earlier ones are
         ignored.
     :ivar _is_listing: a listing has begun and is not complete.
     :ivar _listed_at: time at which the last listing was complete, or at which the first
-        part was quarantined since then.
-    :ivar _listed: parts on the pages of the current listing so far.
-    :ivar _held_before: parts that were quarantined when the current listing began.
-    :ivar _held: parts that were quarantined at the last check.
+        content was quarantined since then.
+    :ivar _listed: contents on the pages of the current listing so far.
+    :ivar _held_before: contents that were quarantined when the current listing began.
+    :ivar _held: contents that were quarantined at the last check.
     :ivar _owned: those of them that this instance found.
-    :ivar _ended: parts whose quarantine ended here, and when.
+    :ivar _ended: contents whose quarantine ended here, and when.
     :ivar _deleted: those of them that this instance has deleted, or tried to.
-    :ivar _pending: parts to write (True) or delete (False), the oldest first.
+    :ivar _pending: contents to write (True) or delete (False), the oldest first.
     :ivar _in_flight: the write or deletion that has no response yet, None for none.
     :ivar _is_retry_scheduled: the last call failed, and the next is scheduled.
     """
 
-    quarantine: PromptQuarantine
+    quarantine: ContentQuarantine
     era: StoreEra
     timers: TimerService
     rank: Callable[[float], int]
@@ -121,7 +121,7 @@
         return ListTopic(Topic.QUARANTINE, after, self.generation)
 
     def on_listed(self, page: TopicListed, now: float) -> list:
-        """Quarantine the parts on a page of the listing."""
+        """Quarantine the contents on a page of the listing."""
         if page.generation != self.generation:
             return []
         self._list_backoff.reset()
@@ -138,31 +138,31 @@
         self._write_missing(now)
         return effects + self._write_next(now)
 
-    def _apply(self, part: str, record: QuarantineRecord, now: float) -> list:
-        """Quarantine a listed part, unless its quarantine has ended here.
+    def _apply(self, content: str, record: QuarantineRecord, now: float) -> list:
+        """Quarantine a listed content, unless its quarantine has ended here.
 
         If an operator has released it, end its quarantine.
         """
         if record.is_released:
-            self._listed.add(part)
+            self._listed.add(content)
             if self.rank(now) == 0:
-                self._want(part, False)
-            return self.quarantine.release(part, now)
+                self._want(content, False)
+            return self.quarantine.release(content, now)
         if len(self._listed) >= MAX_RESTORED:
             return [IncrementCounter("quarantine.not_restored")]
-        self._listed.add(part)
-        if now - self._ended.get(part, float("-inf")) < QUARANTINE_S:
+        self._listed.add(content)
+        if now - self._ended.get(content, float("-inf")) < QUARANTINE_S:
             if self.rank(now) == 0:
-                self._want(part, False)
+                self._want(content, False)
             return []
-        return self.quarantine.restore(part, now)
+        return self.quarantine.restore(content, now)
 
     def _write_missing(self, now: float) -> None:
-        """Write the parts that the store lacks, in one or two instances."""
+        """Write the contents that the store lacks, in one or two instances."""
         is_first = self.rank(now) == 0
-        for part in sorted((self._held & self._held_before) - self._listed):
-            if is_first or part in self._owned:
-                self._want(part, True)
+        for content in sorted((self._held & self._held_before) - self._listed):
+            if is_first or content in self._owned:
+                self._want(content, True)
 
     def on_failed(self, failed: TopicFailed, now: float) -> list:
         """Schedule another listing."""
@@ -178,18 +178,18 @@
     # Changes of the quarantine
 
     def check(self, now: float) -> list:
-        """Notice which parts are quarantined now, and no longer."""
-        current = self.quarantine.parts
+        """Notice which contents are quarantined now, and no longer."""
+        current = self.quarantine.contents
         if not current and not self._held:
             return []
         if not self._held:
             self._listed_at = now
-        new = [part for part in current if part not in self._held]
+        new = [content for content in current if content not in self._held]
         ended = self._held.difference(current)
-        for part in new:
-            self._on_quarantined(part)
-        for part in sorted(ended):
-            self._on_ended(part, now)
+        for content in new:
+            self._on_quarantined(content)
+        for content in sorted(ended):
+            self._on_ended(content, now)
         effects = self._write_next(now) if new or ended else []
         return effects + self._list_if_due(now)
 
@@ -198,58 +198,58 @@
             return []
         return [self._list()] if self.rank(now) == 0 else []
 
-    def _on_quarantined(self, part: str) -> None:
-        self._held.add(part)
-        self._ended.pop(part, None)
-        if self.quarantine.is_own(part):
-            self._owned.add(part)
-            self._want(part, True)
-        elif part in self._deleted:
-            self._want(part, True)
-        elif self._pending.get(part) is False:
-            del self._pending[part]
-        self._deleted.discard(part)
-
-    def _on_ended(self, part: str, now: float) -> None:
-        self._held.discard(part)
+    def _on_quarantined(self, content: str) -> None:
+        self._held.add(content)
+        self._ended.pop(content, None)
+        if self.quarantine.is_own(content):
+            self._owned.add(content)
+            self._want(content, True)
+        elif content in self._deleted:
+            self._want(content, True)
+        elif self._pending.get(content) is False:
+            del self._pending[content]
+        self._deleted.discard(content)
+
+    def _on_ended(self, content: str, now: float) -> None:
+        self._held.discard(content)
         # a copy of the store that still lists it is much younger than this
         self._ended = {
             p: at for p, at in self._ended.items() if now - at < QUARANTINE_S
         }
-        self._ended[part] = now
+        self._ended[content] = now
         self._deleted.intersection_update(self._ended)
-        if part in self._owned or self.rank(now) == 0:
-            self._want(part, False)
-        elif self._pending.get(part):
-            del self._pending[part]
-        self._owned.discard(part)
+        if content in self._owned or self.rank(now) == 0:
+            self._want(content, False)
+        elif self._pending.get(content):
+            del self._pending[content]
+        self._owned.discard(content)
 
     # Writes
 
-    def _want(self, part: str, is_quarantined: bool) -> None:
-        self._pending[part] = is_quarantined
+    def _want(self, content: str, is_quarantined: bool) -> None:
+        self._pending[content] = is_quarantined
         if len(self._pending) > MAX_PENDING:
             self._pending.popitem(last=False)
 
     def _write_next(self, now: float) -> list:
-        """Write or delete the oldest pending part, one at a time."""
+        """Write or delete the oldest pending content, one at a time."""
         if self._in_flight or self._is_retry_scheduled or not self._pending:
             return []
-        part, is_quarantined = self._in_flight = next(iter(self._pending.items()))
+        content, is_quarantined = self._in_flight = next(iter(self._pending.items()))
         if not is_quarantined:
-            self._deleted.add(part)
-            return [WriteQuarantine(part, None)]
+            self._deleted.add(content)
+            return [WriteQuarantine(content, None)]
         record = QuarantineRecord(duration_s=QUARANTINE_S, written_at=round(now, 3))
-        return [WriteQuarantine(part, record)]
+        return [WriteQuarantine(content, record)]
 
     def on_written(self, message: QuarantineWritten, now: float) -> list:
         """Handle the response to a write, and continue with the next one.
 
         A write that was answered in an earlier era may be lost, so it is repeated.
         """
-        if self._in_flight is None or self._in_flight[0] != message.part:
+        if self._in_flight is None or self._in_flight[0] != message.content:
             return []
-        part, is_quarantined = self._in_flight
+        content, is_quarantined = self._in_flight
         self._in_flight = None
         is_undone = message.era is not None and message.era < self.era.value
         if not message.is_done or is_undone:
@@ -257,8 +257,8 @@
             self.timers.at(now + self._write_backoff.next_pause_s(), self._retry)
             return [IncrementCounter("quarantine.write_failed")]
         self._write_backoff.reset()
-        if self._pending.get(part) is is_quarantined:
-            del self._pending[part]
+        if self._pending.get(content) is is_quarantined:
+            del self._pending[content]
         name = "written" if is_quarantined else "deleted"
         return [IncrementCounter(f"quarantine.{name}"), *self._write_next(now)]
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -78,7 +78,7 @@
         none.
     :param content: its name among the contents that can crash backend servers; the
         same for each repeat, empty if it is not known.
-    :param quarantined_part: part of its prompt for which it ended, empty for none.
+    :param quarantined_content: part of its prompt for which it ended, empty for none.
     """
 
     request: RouteRequest
@@ -99,7 +99,7 @@
     is_head_relayed: bool = False
     last_event: str = ""
     failed_attempt_id: int = 0
-    quarantined_part: str = ""
+    quarantined_content: str = ""
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
--- a/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -1,18 +1,18 @@
-"""Strikes against the parts of prompts that were at crashes of engines."""
+"""Strikes against contents that were at crashes of engines."""
 
 from collections.abc import Iterable
 from operator import itemgetter
 
 from attrs import define, field, frozen
 
-__all__ = ["MAX_STRIKES", "SUSPECT_STRIKES", "Crash", "StruckPart"]
+__all__ = ["MAX_STRIKES", "SUSPECT_STRIKES", "Crash", "StruckContent"]
 
 MAX_STRIKES = 64
-"""Number of strikes that are kept of one part."""
+"""Number of strikes that are kept of one content."""
 
 SUSPECT_STRIKES = 2
-"""Strikes in sequence from which a part is logged as suspected. Engines that it has to
-have struck, in sequence or not, for requests with it to be sent one after another."""
+"""Strikes in sequence from which a content is logged as suspected. Engines that it has
+to have struck, in sequence or not, for requests with it to be sent one by one."""
 
 
 @frozen(slots=True)
@@ -25,16 +25,16 @@
     sent_at: float
     lost_at: float
     server: str
-    parts: tuple[str, ...]
+    contents: tuple[str, ...]
 
 
 @define(slots=True, eq=False)
-class StruckPart:
-    """A part with strikes.
+class StruckContent:
+    """A content with strikes.
 
     :param position: its place in a prompt, from 0.
     :param strikes: time of sending and of the loss, by incarnation of an engine.
-    :param attempts: incarnation and parts of the attempts with it that were lost.
+    :param attempts: incarnation and contents of the attempts with it that were lost.
     :param earlier: strikes that a lapsed quarantine left.
     :param known_at: time at which the last strike became known here.
     """
@@ -56,8 +56,8 @@
         """Whether requests with it are sent one after another."""
         return len(self.strikes) + self.earlier >= SUSPECT_STRIKES
 
-    def is_explained_by(self, other: "StruckPart") -> bool:
-        """Return whether another part is more likely the cause of the crashes.
+    def is_explained_by(self, other: "StruckContent") -> bool:
+        """Return whether another content is more likely the cause of the crashes.
 
         It was at nearly all of them, and it is rarer, or as rare and later in prompts.
         """
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -98,7 +98,7 @@
     :param on_store_returned: called with the time when the store has returned to a
         copy; returns effects.
     :ivar restorer: writes the presets in force again if the store has older ones.
-    :ivar keeper: keeps the quarantined parts of prompts in the store.
+    :ivar keeper: keeps the quarantined contents in the store.
     :ivar _query_count: number of queries to peers while reads of the store fail.
     :ivar _polled_at: time of the last read beside a topic's long poll.
     """
@@ -271,7 +271,7 @@
         return effects + self.restorer.on_replaced(message, now)
 
     def on_quarantine_written(self, message: QuarantineWritten, now: float) -> list:
-        """Handle the response to a write of a quarantined part, or its deletion."""
+        """Handle the response to a write of a quarantined content, or its deletion."""
         effects = []
         if message.era is not None and message.era >= self.era.value:
             effects = self.observe_era(message.era, now)
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/quarantines.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/quarantines.py
@@ -1,4 +1,4 @@
-"""Commands on the parts of prompts that instances keep from engines."""
+"""Commands on the contents of prompts that instances keep from engines."""
 
 from datetime import UTC, datetime
 from time import time
@@ -14,16 +14,16 @@
 
 
 class QuarantineStore(Protocol):
-    """Holds the quarantined parts."""
+    """Holds the quarantined contents."""
 
     def read(self) -> dict[str, QuarantineRecord]:
-        """Return the valid records by part.
+        """Return the valid records by content.
 
         :raises RemoteError: if the store does not respond.
         """
 
-    def write(self, part: str, record: QuarantineRecord) -> None:
-        """Write the record of a part.
+    def write(self, content: str, record: QuarantineRecord) -> None:
+        """Write the record of a content.
 
         :raises RemoteError: if the store does not respond.
         """
@@ -31,27 +31,29 @@
 
 @define(slots=True)
 class QuarantineCommands:
-    """Commands that read the quarantined parts, and release them."""
+    """Commands that read the quarantined contents, and release them."""
 
     store: QuarantineStore
 
     def list(self) -> Result:
-        """List the parts with the time at which they were written."""
+        """List the contents with the time at which they were written."""
         records = sorted(self.store.read().items())
         rows = [
-            (part, _format_time(record.written_at), _format_state(record))
-            for part, record in records
+            (content, _format_time(record.written_at), _format_state(record))
+            for content, record in records
         ]
-        return Result(0, None, format_table(("part", "written", "state"), rows))
+        return Result(0, None, format_table(("content", "written", "state"), rows))
 
-    def release(self, part: str) -> Result:
-        """Let instances end the quarantine of a part."""
-        record = self.store.read().get(part)
+    def release(self, content: str) -> Result:
+        """Let instances end the quarantine of a content."""
+        record = self.store.read().get(content)
         if record is None:
-            return Result(EXIT_NOT_FOUND, None, f"{part} is not quarantined")
+            return Result(EXIT_NOT_FOUND, None, f"{content} is not quarantined")
         released = evolve(record, written_at=round(time(), 3), is_released=True)
-        self.store.write(part, released)
-        return Result(0, None, f"{part} is released, at all instances in some seconds")
+        self.store.write(content, released)
+        return Result(
+            0, None, f"{content} is released, at all instances in some seconds"
+        )
 
 
 def _format_state(record: QuarantineRecord) -> str:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -9,9 +9,9 @@
 import orjson
 
 from briarrelay_core.ports.digest import (
+    MAX_CONTENT_CHARS,
+    MAX_CONTENTS,
     MAX_CRASH_REPORTS,
-    MAX_PART_CHARS,
-    MAX_PARTS,
     MAX_PROBE_S,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
@@ -139,14 +139,14 @@
 
 
 def _encode_reports(digest: LoadDigest) -> list:
-    """Encode what the sender knows of crashes and of the parts that cause them."""
+    """Encode what the sender knows of crashes and of the contents that cause them."""
     return [
         [
-            [crash.server, crash.parts, crash.sent_age_s, crash.lost_age_s]
+            [crash.server, crash.contents, crash.sent_age_s, crash.lost_age_s]
             for crash in digest.crashes
         ],
         [
-            [report.part, report.remaining_s, report.since_age_s, report.servers]
+            [report.content, report.remaining_s, report.since_age_s, report.servers]
             for report in digest.quarantined
         ],
         digest.written,
@@ -161,44 +161,46 @@
         "crashes": tuple(
             CrashReport(
                 server=_decode_text(server),
-                parts=tuple(_decode_part(part) for part in parts[:MAX_PARTS]),
+                contents=tuple(
+                    _decode_content(content) for content in contents[:MAX_CONTENTS]
+                ),
                 sent_age_s=_decode_seconds(sent_age_s),
                 lost_age_s=_decode_seconds(lost_age_s),
             )
-            for server, parts, sent_age_s, lost_age_s in crashes[:MAX_CRASH_REPORTS]
+            for server, contents, sent_age_s, lost_age_s in crashes[:MAX_CRASH_REPORTS]
         ),
         "quarantined": tuple(
             QuarantineReport(
-                part=_decode_part(part),
+                content=_decode_content(content),
                 remaining_s=_decode_seconds(remaining_s),
                 since_age_s=_decode_seconds(since_age_s),
                 servers=tuple(
                     _decode_text(server) for server in servers[:MAX_REPORT_SERVERS]
                 ),
             )
-            for part, remaining_s, since_age_s, servers in quarantined[
+            for content, remaining_s, since_age_s, servers in quarantined[
                 :MAX_QUARANTINE_REPORTS
             ]
         ),
-        "written": _decode_part_times(written),
+        "written": _decode_content_times(written),
         "probed": {
-            part: min(MAX_PROBE_S, left_s)
-            for part, left_s in _decode_part_times(probed).items()
+            content: min(MAX_PROBE_S, left_s)
+            for content, left_s in _decode_content_times(probed).items()
         },
     }
 
 
-def _decode_part_times(times: dict) -> dict[str, float]:
+def _decode_content_times(times: dict) -> dict[str, float]:
     return {
-        _decode_part(part): _decode_seconds(seconds)
-        for part, seconds in list(times.items())[:MAX_WRITTEN_REPORTS]
+        _decode_content(content): _decode_seconds(seconds)
+        for content, seconds in list(times.items())[:MAX_WRITTEN_REPORTS]
     }
 
 
-def _decode_part(value: str) -> str:
-    """Return the id of a part of a prompt."""
-    if not 0 < len(_decode_text(value)) <= MAX_PART_CHARS:
-        raise ValueError("id of a part out of bounds")
+def _decode_content(value: str) -> str:
+    """Return the name of a content."""
+    if not 0 < len(_decode_text(value)) <= MAX_CONTENT_CHARS:
+        raise ValueError("name of a content out of bounds")
     return value
 
 
