Keep whole requests that crash servers from the servers

What callers saw: one request of a plain service, sent again and again at any instance, ended each server that ran it; in the incident eleven times in 12 s, all three servers of a service at once, so that sound requests of it were refused (no_engine) or lost.

Cause: the quarantine knew parts of prompts only. A request of a plain service, and a whole prompt, were judged alone at each arrival.

A content is now a part of prompts or a whole request (method, host, target, body and workspace). Strikes, sequence, digests, probes, store and release are the same for both. Three strikes in sequence quarantine a request, since nothing but its own repeats is refused; six if a server has answered it before. A complete answer, also a failure of the server's own, clears it. Requests that come once are not remembered as sound, so that they displace no parts. A part whose strikes all come from one request is not quarantined, and the strikes of the same crashes against parts of other prompts are dropped.

--- a/features/properties/crashworld.py
+++ b/features/properties/crashworld.py
@@ -117,7 +117,7 @@
             prompt_tokens=5_000 if is_prompt else 0,
             output_tokens=500 if is_prompt else 0,
             prompt_parts=parts,
-            fingerprint=fingerprint,
+            fingerprint=fingerprint or f"{request_id}",
         )
         view = CallerView(request, n, self.now)
         self.views[request_id] = view
--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -221,6 +221,24 @@
         self.assertEqual({view.outcome for view in sent}, {"server_lost"})
         self.assertEqual(len(sent), STRIKES_TO_QUARANTINE)
 
+    def test_each_request_with_the_part_comes_several_times(self):
+        """Then the requests are quarantined as well, and the part none the later."""
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = CrashWorld(4, 10, seed, bad_parts=(BAD_PART,))
+                world.advance(3.0)
+                for tick in range(30):
+                    parts = (FIRST_PART, BAD_PART)
+                    for _ in range(3):
+                        n = world.random.randrange(4)
+                        world.send(n, parts, fingerprint=f"bad-{tick}")
+                        world.send(n, (FIRST_PART,))
+                        world.advance(0.15)
+                world.advance(3.0)
+                logged = world.events_logged("part_quarantined")
+                self.assertEqual({f["part"] for _, _, f in logged}, {BAD_PART})
+                self.check_bounds(world)
+
     def test_instance_that_was_cut_off_learns_of_it(self):
         world = CrashWorld(4, 10, bad_parts=(BAD_PART,))
         world.partitioned = {3}
@@ -264,8 +282,12 @@
         world.advance(9.0)
         return world
 
-    def check_sound(self, world: CrashWorld) -> None:
+    def assert_none_quarantined(self, world: CrashWorld) -> None:
         self.assertEqual(world.events_logged("part_quarantined"), [])
+        self.assertEqual(world.events_logged("request_quarantined"), [])
+
+    def check_sound(self, world: CrashWorld) -> None:
+        self.assert_none_quarantined(world)
         late = [v for v in world.views.values() if v.at > world.crashes[-1][0] + 2.5]
         self.assertEqual([v.outcome for v in late if v.outcome != "done"], [])
 
@@ -291,8 +313,7 @@
         st.integers(0, 99),
     )
     def test_any_crashes(self, crash_times, seed):
-        world = self.run_crashes(crash_times, seed)
-        self.assertEqual(world.events_logged("part_quarantined"), [])
+        self.assert_none_quarantined(self.run_crashes(crash_times, seed))
 
     def test_popular_part_is_not_held_up(self):
         """Its requests are sent at once although engines crash under them."""
@@ -308,7 +329,7 @@
             world.advance(0.03)
         waits = [v.sent_at[0] - v.at for v in world.views.values()]
         self.assertLess(max(waits), 0.12)
-        self.assertEqual(world.events_logged("part_quarantined"), [])
+        self.assert_none_quarantined(world)
 
 
 def strike(table: ContentQuarantine, number: int, now: float, *parts: str) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -31,7 +31,7 @@
 MAX_CRASH_REPORTS = 32
 """Most crashes that a digest reports."""
 
-MAX_CONTENTS = 32
+MAX_CONTENTS = 33
 """Most contents of a crash report."""
 
 MAX_CONTENT_CHARS = 128
--- a/packages/briarrelay-core/src/briarrelay_core/reasons.py
+++ b/packages/briarrelay-core/src/briarrelay_core/reasons.py
@@ -32,6 +32,7 @@
     CLAIM_VOIDED = "claim_voided"
     DUPLICATE_REQUEST = "duplicate_request"
     PROMPT_QUARANTINED = "prompt_quarantined"
+    REQUEST_QUARANTINED = "request_quarantined"
 
     @property
     def status(self) -> int:
@@ -142,5 +143,8 @@
         "Send without the part named in the detail, which crashed engines, or again "
         "after Retry-After seconds."
     ),
+    RefusalReason.REQUEST_QUARANTINED: (
+        "Change the request; backend servers crashed when they ran it."
+    ),
     RefusalReason.DUPLICATE_REQUEST: "Use a request id that is not in progress.",
 }
--- a/packages/briarrelay-core/src/briarrelay_core/routes/contents.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/contents.py
@@ -1,13 +1,16 @@
 """Names of what can crash backend servers: parts of prompts, and whole requests."""
 
+import re
 from hashlib import blake2b
 
-__all__ = ["is_request_content", "request_content"]
+__all__ = ["is_request_content", "kind_of_content", "request_content"]
+
+_DIGEST_BYTES = 16
 
 _REQUEST_PREFIX = "request:"
-"""Begins the name of a whole request; parts of prompts have no colon."""
+"""Begins the name of a whole request; names of parts have no colon."""
 
-_DIGEST_BYTES = 16
+_REQUEST_NAME = re.compile(f"{_REQUEST_PREFIX}[0-9a-f]{{{2 * _DIGEST_BYTES}}}")
 
 
 def request_content(fingerprint: str, workspace: str) -> str:
@@ -23,4 +26,9 @@
 
 def is_request_content(content: str) -> bool:
     """Return whether a content is a whole request."""
-    return content.startswith(_REQUEST_PREFIX)
+    return _REQUEST_NAME.fullmatch(content) is not None
+
+
+def kind_of_content(content: str) -> str:
+    """Return ``request`` for a whole request, and ``part`` for a part of prompts."""
+    return "request" if is_request_content(content) else "part"
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -19,7 +19,11 @@
 from briarrelay_core.routes.admission import NO_SERVER_RETRY_S, RouteAdmission
 from briarrelay_core.routes.attempts import AttemptTable
 from briarrelay_core.routes.budget import ServiceRetryBudget
-from briarrelay_core.routes.contents import request_content
+from briarrelay_core.routes.contents import (
+    is_request_content,
+    kind_of_content,
+    request_content,
+)
 from briarrelay_core.routes.deferral import should_defer
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
@@ -55,8 +59,8 @@
 which a slot becomes free."""
 
 QUARANTINE_RETRY_S = 30.0
-"""Smallest Retry-After in seconds for a prompt with a quarantined part; only operators
-or a new release of the engines can change that."""
+"""Smallest Retry-After in seconds for a request with a quarantined content; only
+operators or a new release of the servers can change that."""
 
 
 @define(slots=True, eq=False)
@@ -131,9 +135,9 @@
         """
         if routed.deadline - now < MIN_ATTEMPT_TIME_S:
             return self.give_up(routed, now)
-        part = self.quarantine.find(routed.prompt_parts, now)
-        if part:
-            return self._give_up_quarantined(routed, part, now)
+        content = self.quarantine.find(routed.contents, now)
+        if content:
+            return self._give_up_quarantined(routed, content, now)
         if routed.awaited_retry is not None:
             return self._retry_when_allowed(routed, now)
         eligible_servers = self.selector.candidates(routed, now)
@@ -159,12 +163,12 @@
         return [IncrementCounter("route.waited")]
 
     def _must_wait_for_suspect(self, routed: RoutedRequest, now: float) -> bool:
-        """Return whether a request with suspect parts has to wait for another.
+        """Return whether a request with suspect contents has to wait for another.
 
-        Of requests with the same suspect part, one after another is sent, until an
-        engine writes on it or it is quarantined.
+        Of requests with the same suspect content, one after another is sent, until a
+        server is known to have survived it or it is quarantined.
         """
-        suspects = self.quarantine.suspects(routed.prompt_parts)
+        suspects = self.quarantine.suspects(routed.contents)
         if not suspects:
             return False
         share = unit_hash(self.selector.name, routed.request.caller_request_id, "probe")
@@ -172,7 +176,7 @@
         if not self.quarantine.may_probe(suspects, routed.arrived_at, jitter_s, now):
             return True
         return any(
-            not suspects.isdisjoint(other.prompt_parts)
+            not suspects.isdisjoint(other.contents)
             for other in self.attempts.values()
             if not other.active_attempt.events
         )
@@ -180,41 +184,46 @@
     def record_crash(
         self, routed: RoutedRequest, attempt: AttemptState, now: float
     ) -> list:
-        """Record that an engine closed the connection before the first event."""
+        """Record that a server closed the connection before the first event."""
         effects = self.quarantine.record_crash(
-            routed.prompt_parts, attempt.incarnation, attempt.sent_at, now
+            routed.contents, attempt.incarnation, attempt.sent_at, now
         )
         return effects + self.end_quarantined(now)
 
     def end_quarantined(self, now: float) -> list:
-        """End the requests with parts that were quarantined since the last call.
+        """End the requests with contents quarantined since the last call.
 
         A request whose response has begun goes on.
         """
         effects = []
-        for part in self.quarantine.pop_new():
+        for content in self.quarantine.pop_new():
             entry = Entry(
                 at=round(now, 3),
                 kind="quarantine",
-                subject=part,
+                subject=content,
                 outcome="quarantined",
-                why=",".join(self.quarantine.servers_of(part)),
+                why=",".join(self.quarantine.servers_of(content)),
             )
             self.recorder.add(entry)
             for routed in list(self.requests.values()):
                 attempt = routed.active_attempt
-                if part not in routed.prompt_parts:
+                if content not in routed.contents:
                     continue
                 if attempt is None or not attempt.events:
                     _count_active_attempt(routed)
-                    effects += self._give_up_quarantined(routed, part, now)
+                    effects += self._give_up_quarantined(routed, content, now)
         return effects
 
     def _give_up_quarantined(
-        self, routed: RoutedRequest, part: str, now: float
+        self, routed: RoutedRequest, content: str, now: float
     ) -> list:
-        routed.quarantined_content = part
-        return self.give_up(routed, now, RefusalReason.PROMPT_QUARANTINED)
+        routed.quarantined_content = content
+        reason = (
+            RefusalReason.REQUEST_QUARANTINED
+            if is_request_content(content)
+            else RefusalReason.PROMPT_QUARANTINED
+        )
+        return self.give_up(routed, now, reason)
 
     def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
         """Return whether a paused server is expected to take a request in its time."""
@@ -226,7 +235,7 @@
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
     ) -> list:
-        suspects = self.quarantine.suspects(routed.prompt_parts)
+        suspects = self.quarantine.suspects(routed.contents)
         if suspects:
             self.quarantine.record_probe(suspects, placement.expected_s, now)
         return self._attempt_table.start(routed, placement, now)
@@ -431,8 +440,8 @@
             )
             return self._fail(routed, Failed(failure_reason), now)
         retry_after_s = self._retry_after(routed, reason, now)
-        part = routed.quarantined_content
-        detail = f"part {part} of the prompt." if part else ""
+        content = routed.quarantined_content
+        detail = f"{kind_of_content(content)} {content}." if content else ""
         return self._refuse_admitted(
             routed, NotRun(reason, retry_after=retry_after_s, detail=detail), now
         )
@@ -445,7 +454,7 @@
         While every server is paused, it is the time until one of them resumes.
         """
         jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
-        if reason is RefusalReason.PROMPT_QUARANTINED:
+        if routed.quarantined_content:
             return QUARANTINE_RETRY_S * jitter
         resumes_in_s = self.selector.resumes_in_s(routed, now)
         if resumes_in_s is not None:
@@ -491,7 +500,8 @@
     ) -> None:
         reasons = list(routed.tried)
         if routed.quarantined_content:
-            reasons.append(f"part {routed.quarantined_content}")
+            content = routed.quarantined_content
+            reasons.append(f"{kind_of_content(content)} {content}")
         entry = Entry(
             at=round(now, 3),
             kind=kind,
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -1,10 +1,10 @@
 """Finds contents that crash engines, and keeps requests with them away.
 
-A content, such as a part of prompts, is struck when an engine closes the connection of
-an attempt with it before the first event. Strikes count in sequence, so that the loss
-of many engines at one moment counts once, and an engine that writes on a content clears
-it. Instances share what they see by digests and arrive at the same count, in whatever
-order reports arrive.
+A content is a part of prompts or a whole request. It is struck when a server closes the
+connection of an attempt with it before the first event. Strikes count in sequence, so
+that the loss of many servers at one moment counts once, and a server that answers to a
+content clears it. Instances share what they see by digests and arrive at the same
+count, in whatever order reports arrive.
 """
 
 from collections import OrderedDict
@@ -21,6 +21,7 @@
     QuarantineReport,
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
+from briarrelay_core.routes.contents import is_request_content, kind_of_content
 from briarrelay_core.routes.probes import ProbeTable
 from briarrelay_core.routes.strikes import (
     MAX_STRIKES,
@@ -36,12 +37,18 @@
 ]
 
 STRIKES_TO_QUARANTINE = 4
-"""Strikes in sequence, without a first event between, that quarantine a content."""
+"""Strikes in sequence, without a first event between, that quarantine a part."""
 
 STRIKES_IF_SHARED = 8
-"""The same for a content on which an engine has written before, or whose crashes a
-rarer suspect content explains. Prompts share their first parts, so each crash that
-another content causes strikes them too, and that content reaches its number first."""
+"""The same for a part on which an engine has written before, or whose crashes a rarer
+suspect content explains. Prompts share their first parts, so each crash that another
+content causes strikes them too, and that content reaches its number first."""
+
+STRIKES_OF_REQUEST = 3
+"""The same for a whole request; only its own repeats are refused."""
+
+STRIKES_OF_SOUND_REQUEST = 6
+"""The same for a whole request that a server has answered before."""
 
 QUARANTINE_S = 600.0
 """Seconds for which a content stays quarantined after the last request with it."""
@@ -219,6 +226,9 @@
                 self.has_urgent_change |= content in self.probes
                 effects += self._clear(content, "own")
                 self._answer(content, now)
+            elif is_request_content(content):
+                # most requests never come again
+                continue
             self._remember_written(content, now)
         return effects
 
@@ -235,10 +245,8 @@
     # Strikes
 
     def _strike(self, crash: Crash, source: str, now: float) -> list:
-        if self._is_explained(crash):
-            return []
         effects, counts = [], {}
-        for position, content in enumerate(crash.contents):
+        for position, content in self._unexplained(crash):
             if crash.sent_at <= self._written.get(content, float("-inf")):
                 continue
             struck = self._struck.setdefault(content, StruckContent(position))
@@ -253,12 +261,12 @@
             count = struck.count
             if count >= SUSPECT_STRIKES and not struck.is_logged:
                 struck.is_logged = True
-                effects += _report("part_suspected", content, source, crash.server)
+                effects += _report("suspected", content, source, crash.server)
             counts[content] = count
         reached = [
             content
             for content, count in counts.items()
-            if count >= STRIKES_TO_QUARANTINE and count >= self._strikes_needed(content)
+            if self._is_over(content, count)
         ]
         while len(self._struck) > MAX_STRUCK:
             self._struck.popitem(last=False)
@@ -274,39 +282,78 @@
             self._drop_explained()
         return effects
 
-    def _strikes_needed(self, content: str) -> int:
-        """Return the strikes that quarantine a content."""
-        if content in self._written:
-            return STRIKES_IF_SHARED
+    def _is_over(self, content: str, count: int) -> bool:
+        """Return whether a content has the strikes that quarantine it."""
+        is_sound = content in self._written
+        if is_request_content(content):
+            needed = STRIKES_OF_SOUND_REQUEST if is_sound else STRIKES_OF_REQUEST
+            return count >= needed
         struck = self._struck[content]
-        has_rival = any(
+        if count < STRIKES_TO_QUARANTINE or struck.is_explained_by_request:
+            return False
+        if count >= STRIKES_IF_SHARED:
+            return True
+        return not is_sound and not any(
             name not in self._written and struck.is_explained_by(other)
             for name, other in self._struck.items()
         )
-        return STRIKES_IF_SHARED if has_rival else STRIKES_TO_QUARANTINE
 
-    def _is_explained(self, crash: Crash) -> bool:
-        """Return whether a quarantined content is the reason for a crash."""
-        is_explained = False
+    def _unexplained(self, crash: Crash) -> list[tuple[int, str]]:
+        """Return the contents that a crash strikes, with their places.
+
+        A quarantined part explains the crash of a server for all contents; a whole
+        request does so for the parts of other prompts, since it may have been there by
+        chance.
+        """
+        explaining = self._record_server(crash)
+        if any(not is_request_content(content) for content in explaining):
+            return []
+        is_of_other_request = bool(explaining.difference(crash.contents))
+        return [
+            (position, content)
+            for position, content in enumerate(crash.contents)
+            if content not in explaining
+            and (is_request_content(content) or not is_of_other_request)
+        ]
+
+    def _record_server(self, crash: Crash) -> set[str]:
+        """Return the quarantined contents that explain a crash, by it or its server."""
+        explaining = set()
         for content, known in self._quarantined.items():
             if crash.server in known.servers:
-                is_explained = True
+                explaining.add(content)
             elif content in crash.contents:
-                is_explained = True
+                explaining.add(content)
                 if len(known.servers) < MAX_STRIKES:
                     known.servers += (crash.server,)
-                    self._drop_explained()
-        return is_explained
+        if explaining:
+            self._drop_explained()
+        return explaining
 
     def _drop_explained(self) -> None:
-        """Drop the strikes by engines that quarantined contents crashed."""
-        servers = set().union(*(known.servers for known in self._quarantined.values()))
+        """Drop the strikes by servers that quarantined contents crashed."""
+        crashed = [
+            (content, set(known.servers))
+            for content, known in self._quarantined.items()
+        ]
         for content, struck in list(self._struck.items()):
-            for server in servers.intersection(struck.strikes):
-                del struck.strikes[server]
+            for server in list(struck.strikes):
+                if any(
+                    server in servers and self._explains(other, content, server)
+                    for other, servers in crashed
+                ):
+                    del struck.strikes[server]
             if not struck.strikes and not struck.earlier:
                 del self._struck[content]
 
+    def _explains(self, quarantined: str, content: str, server: str) -> bool:
+        """Return whether a quarantined content explains the strike of another one."""
+        if not is_request_content(quarantined):
+            return True
+        if is_request_content(content):
+            return False
+        return not self._struck[content].has_attempt(server, quarantined)
+
     def _quarantine(
         self,
         content: str,
@@ -319,11 +366,11 @@
         self._quarantined[content] = _Quarantine(until, since, servers, source == "own")
         self._new.append(content)
         self.has_urgent_change = True
-        effects = _report("part_quarantined", content, source, ",".join(servers))
+        effects = _report("quarantined", content, source, ",".join(servers))
         if len(self._quarantined) > MAX_QUARANTINED:
             first = min(self._quarantined, key=lambda p: self._quarantined[p].until)
             del self._quarantined[first]
-            effects.append(IncrementCounter("route.part_dropped"))
+            effects.append(IncrementCounter("route.content_dropped"))
         return effects
 
     def _clear(self, content: str, source: str) -> list:
@@ -333,7 +380,7 @@
         self.probes.end(content)
         if known is None and not (struck and struck.is_logged):
             return []
-        return _report("part_cleared", content, source)
+        return _report("cleared", content, source)
 
     def expire(self, now: float) -> list:
         """Drop what is outdated; one more strike quarantines a lapsed content."""
@@ -347,7 +394,7 @@
                 self._struck[content] = StruckContent(
                     earlier=STRIKES_TO_QUARANTINE - 1, known_at=now, is_logged=True
                 )
-                effects += _report("part_cleared", content, "lapse")
+                effects += _report("cleared", content, "lapse")
         while self._struck:
             struck = next(iter(self._struck.values()))
             if now - struck.known_at < STRIKE_MEMORY_S:
@@ -480,8 +527,11 @@
         return effects
 
 
-def _report(event: str, content: str, source: str, servers: str = "") -> list:
+def _report(change: str, content: str, source: str, servers: str = "") -> list:
     """Return the log line and the count of a change of a content."""
-    fields = (("part", content), ("source", source), ("servers", servers))
-    level = "warning" if event == "part_quarantined" else "info"
+    kind = kind_of_content(content)
+    event = f"{kind}_{change}"
+    name = "content" if kind == "request" else "part"
+    fields = ((name, content), ("source", source), ("servers", servers))
+    level = "warning" if change == "quarantined" else "info"
     return [LogEvent(level, event, fields=fields), IncrementCounter(f"route.{event}")]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -78,7 +78,7 @@
         none.
     :param content: its name among the contents that can crash backend servers; the
         same for each repeat, empty if it is not known.
-    :param quarantined_content: part of its prompt for which it ended, empty for none.
+    :param quarantined_content: content for which it ended, empty for none.
     """
 
     request: RouteRequest
@@ -119,6 +119,11 @@
         """Shared parts of its prompt, if engines process it."""
         return self.request.prompt_parts if self.profile is not None else ()
 
+    @property
+    def contents(self) -> tuple[str, ...]:
+        """What can crash a server that runs it: shared parts, then the request."""
+        return (*self.prompt_parts, self.content) if self.content else self.prompt_parts
+
     @property
     def weight(self) -> float:
         """Cost of a late response, relative to a short prompt."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -163,7 +163,7 @@
             attempt.server, attempt.expected_s, taken_s, now
         )
         self.controller.observations.health.record_success(attempt.server)
-        return self.controller.quarantine.record_written(routed.prompt_parts, now)
+        return self.controller.quarantine.record_written(routed.contents, now)
 
     def on_done(self, message: ResponseComplete, now: float) -> list:
         """Handle the end of a complete response."""
@@ -187,7 +187,7 @@
         effects = []
         if not attempt.events:
             effects += request_controller.quarantine.record_written(
-                routed.prompt_parts, now
+                routed.contents, now
             )
         effects += [
             effect
@@ -201,16 +201,20 @@
         attempt = request_controller.end_attempt(routed, now)
         routed.possible_runs += 1
         routed.failed_attempt_id = attempt.attempt_id
+        effects = request_controller.quarantine.record_written(routed.contents, now)
         if attempt.status < 500:
-            return request_controller.give_up(
-                routed, now
-            ) + request_controller.place_waiting(now)
+            return [
+                *effects,
+                *request_controller.give_up(routed, now),
+                *request_controller.place_waiting(now),
+            ]
         request_controller.observations.health.record_failure(attempt.server, now)
         fields = (("server", attempt.server), ("status", str(attempt.status)))
         log_event = LogEvent(
             "info", "server_failed", routed.request.caller_request_id, fields
         )
         return [
+            *effects,
             log_event,
             *request_controller.retry_or_give_up(
                 routed, RetryReason.SERVER_FAILED, now
--- a/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -5,6 +5,8 @@
 
 from attrs import define, field, frozen
 
+from briarrelay_core.routes.contents import is_request_content
+
 __all__ = ["MAX_STRIKES", "SUSPECT_STRIKES", "Crash", "StruckContent"]
 
 MAX_STRIKES = 64
@@ -56,6 +58,21 @@
         """Whether requests with it are sent one after another."""
         return len(self.strikes) + self.earlier >= SUSPECT_STRIKES
 
+    @property
+    def is_explained_by_request(self) -> bool:
+        """Whether a single request can be the cause, since all attempts were of it."""
+        if self.earlier:
+            return False
+        requests = {contents[-1] for _, contents in self.attempts}
+        return len(requests) == 1 and is_request_content(requests.pop())
+
+    def has_attempt(self, server: str, content: str) -> bool:
+        """Return whether an attempt with another content was lost at a server."""
+        return any(
+            server == lost_at and content in contents
+            for lost_at, contents in self.attempts
+        )
+
     def is_explained_by(self, other: "StruckContent") -> bool:
         """Return whether another content is more likely the cause of the crashes.
 
