Let stand-ins crash on whole requests, and after some events

Users report requests of plain services that crash each server, and crashes after engines have written; the stand-ins crashed only engines, on a part, before their first event.

Servers now also crash on whole requests (path, workspace, body; a plain server 20 to 100 ms after it began to run one), and engines on a part after a number of events. A crash names its content.

--- a/features/properties/test_operator_faults.py
+++ b/features/properties/test_operator_faults.py
@@ -123,6 +123,26 @@
             self.assertEqual(event_ids(before), [1, 2, 3])
             self.assertGreater(time.time() - fleet.crashes()[0]["at"], 2.0)
 
+    def test_engine_that_crashes_after_events_ends_the_stream(self):
+        """What it wrote reaches the caller, who sees that the rest is missing."""
+        with Fleet(engines=1, plain_servers=1, entries=1, subnet="1.33") as fleet:
+            fleet.crash_on("dead01", after_events=2)
+            for attempt, tokens, ids in (
+                ("2", "900,2", [1, 2]),
+                ("3", "900,3", [1, 2]),
+            ):
+                response = call(
+                    fleet.instances[0],
+                    "/chat/x",
+                    attempt,
+                    tokens=tokens,
+                    middle_parts=("dead01",),
+                )
+                self.assertEqual(event_ids(response), ids)
+                self.assertEqual(response.is_complete, attempt == "2")
+            crashes = [(c["attempt"], c["content"]) for c in fleet.crashes()]
+            self.assertEqual(crashes, [("3", "dead01")])
+
     def test_stalled_stream_that_trickles_is_ended(self):
         with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.23") as fleet:
             fleet.send_command("trouble", "engine-0", trouble={"trickle": 1.0})
--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -12,10 +12,11 @@
 from zlib import crc32
 
 import orjson
-from attrs import define, field
+from attrs import define, field, frozen
 
 ROOT = Path(__file__).resolve().parents[2]
 VIRTUAL_HOST = "desk.example"
+WORKSPACE = "owners"
 START_TIMEOUT_S = 15.0
 
 SHARED_PART = "5c1e07a2"
@@ -85,7 +86,7 @@
             "header-timeout-ms": 1000,
             "idle-timeout-ms": 5000,
         },
-        "tenants": [{"name": "owners", "api-keys": list(keys)}],
+        "tenants": [{"name": WORKSPACE, "api-keys": list(keys)}],
     }
 
 
@@ -297,15 +298,31 @@
             *self.control_address, f"/standin/{command}", {"server": server, **fields}
         )
 
-    def crash_on(self, *parts: str) -> None:
-        """Let engines crash when they begin to answer a prompt with such a part.
+    def crash_on(
+        self,
+        *parts: str,
+        after_events: int | dict[str, int] = 0,
+        requests: tuple["CrashRequest", ...] = (),
+    ) -> None:
+        """Let engines crash on prompts with such a part, and servers on whole requests.
 
-        Without parts they no longer crash.
+        An engine crashes when it begins to write, a plain server a moment after it
+        began to run the request. Without parts and requests they no longer crash.
+
+        :param after_events: events that an engine writes before it crashes on a part;
+            for all parts, or by part if it is not 0.
         """
-        post(*self.control_address, "/standin/crashes", {"parts": parts})
+        counts = after_events
+        if not isinstance(counts, dict):
+            counts = dict.fromkeys(parts, counts)
+        command = {
+            "parts": {part: counts.get(part, 0) for part in parts},
+            "requests": [(r.path, r.workspace, r.body.decode()) for r in requests],
+        }
+        post(*self.control_address, "/standin/crashes", command)
 
     def crashes(self) -> list[dict]:
-        """Return the crashes of engines, in order."""
+        """Return the crashes of servers, in order."""
         return post(*self.control_address, "/standin/crashes")
 
     def runs(self) -> list[dict]:
@@ -334,6 +351,18 @@
     return True
 
 
+@frozen(slots=True)
+class CrashRequest:
+    """A request on which each server crashes that begins to run it.
+
+    :param workspace: the caller's.
+    """
+
+    path: str
+    body: bytes = b""
+    workspace: str = WORKSPACE
+
+
 @define(slots=True)
 class Response:
     """A response as its caller received it.
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -20,7 +20,10 @@
 PAUSE_S = 1.0
 
 RESTART_S = 2.0
-"""Seconds after a crash in which an engine is back."""
+"""Seconds after a crash in which a server is back."""
+
+PLAIN_CRASH_S = (0.02, 0.1)
+"""Shortest and longest time in seconds until a plain server crashes under a request."""
 
 ENTRY_TTL_S = 1.2
 """Seconds after which the store drops the entry of a server that is silent."""
@@ -39,6 +42,11 @@
         self.interval_s = EVENT_INTERVAL_S
         self.crumbles = server.draw_fault("crumble")
 
+    @property
+    def written_events(self) -> int:
+        """Number of events that this server has written."""
+        return self.next_event - self.first_event
+
 
 class ServerStandIn:
     """One backend server.
@@ -122,10 +130,18 @@
         """Call after a delay, or later if the server is silent then."""
         self.loop.call_later(seconds, lambda: self.when_awake(callback))
 
-    def crash(self, attempt: str) -> None:
-        """End at once: close every connection without a further byte, and the port."""
+    def crash(self, attempt: str, content: str) -> None:
+        """End at once: close every connection without a further byte, and the port.
+
+        :param content: part of the prompt that is the cause, or target of the request.
+        """
         self.group.crashes.append(
-            {"at": time.time(), "attempt": attempt, "server": self.name}
+            {
+                "at": time.time(),
+                "attempt": attempt,
+                "server": self.name,
+                "content": content,
+            }
         )
         self.is_down = True
         self.running, self.held, self.reservations = [], [], {}
@@ -205,6 +221,8 @@
             self.flood(exchange)
         elif exchange.header("x-token-counts"):
             self.start_stream(exchange, attempt, headers)
+        elif self.group.is_crash_request(exchange):
+            self.crash_later(exchange, attempt)
         elif self.draw_fault("error"):
             exchange.reply(500, headers, b"failed")
         else:
@@ -228,6 +246,16 @@
         self.last_replies[connection] = b"\r\n".join([*lines, b"", b""]) + body
         exchange.reply(200, headers, body)
 
+    def crash_later(self, exchange, attempt: str) -> None:
+        """Crash in a moment, unless another request crashes this process before."""
+        restarts, target = self.restarts, exchange.target.decode()
+
+        def crash() -> None:
+            if not self.is_down and self.restarts == restarts:
+                self.crash(attempt, target)
+
+        self.call_later(self.group.random.uniform(*PLAIN_CRASH_S), crash)
+
     def flood(self, exchange) -> None:
         """Send bytes that complete no event and no body, until the caller closes."""
         if exchange.is_open:
@@ -262,8 +290,9 @@
         if self.is_silent:
             self.call_later(EVENT_INTERVAL_S, lambda: self.send_event(run, count))
             return
-        if run.next_event == run.first_event and self.group.crashes_engines(run):
-            self.crash(run.attempt)
+        content = self.group.find_crash_content(run)
+        if content:
+            self.crash(run.attempt, content)
             return
         text = (
             f"id: {run.next_event}\ndata: {run.attempt} {run.next_event}\n\n".encode()
@@ -311,16 +340,28 @@
         self.store = store
         self.servers: dict[str, ServerStandIn] = {}
         self.runs: list[dict] = []
-        self.crash_parts: set[str] = set()
+        self.crash_parts: dict[str, int] = {}
+        self.crash_requests: set[tuple[str, str, bytes]] = set()
         self.crashes: list[dict] = []
 
-    def crashes_engines(self, run: RunningStream) -> bool:
-        """Return whether a prompt has a part on which engines crash.
+    def is_crash_request(self, exchange) -> bool:
+        """Return whether servers crash on a whole request."""
+        target, workspace = exchange.target.decode(), exchange.header("x-tenant")
+        return (target, workspace, exchange.body) in self.crash_requests
+
+    def find_crash_content(self, run: RunningStream) -> str:
+        """Return the content on which an engine crashes now, empty for none.
 
-        The last part belongs to the request alone and is never one of them.
+        The last part belongs to the request alone and is never one on which engines
+        crash.
         """
-        parts = run.exchange.header("x-prompt-prefix").split(",")[:-1]
-        return any(part.partition(":")[0] in self.crash_parts for part in parts)
+        if run.written_events == 0 and self.is_crash_request(run.exchange):
+            return run.exchange.target.decode()
+        entries = run.exchange.header("x-prompt-prefix").split(",")[:-1]
+        parts = [entry.partition(":")[0] for entry in entries]
+        return next(
+            (p for p in parts if self.crash_parts.get(p) == run.written_events), ""
+        )
 
     def record_run(self, server: ServerStandIn, exchange, attempt: str) -> None:
         self.runs.append(
@@ -373,8 +414,10 @@
     def handle_control(self, exchange) -> None:
         """Apply a test's command to a server, or return what the servers ran.
 
-        ``crashes`` replaces the prompt parts on which engines crash, if the command
-        has ``parts``; it returns the crashes.
+        ``crashes`` returns the crashes. If the command has ``parts``, it replaces the
+        parts of prompts on which engines crash; the value of each is the number of
+        events that an engine writes before. ``requests`` does the same for the whole
+        requests on which servers crash, as path, workspace and body.
         """
         path = read_path(exchange)
         command = orjson.loads(exchange.body) if exchange.body else {}
@@ -383,7 +426,12 @@
             return
         if path == "/standin/crashes":
             if "parts" in command:
-                self.crash_parts = set(command["parts"])
+                self.crash_parts = command["parts"]
+            if "requests" in command:
+                self.crash_requests = {
+                    (path, workspace, body.encode())
+                    for path, workspace, body in command["requests"]
+                }
             exchange.reply(200, [], orjson.dumps(self.crashes))
             return
         server = self.servers[command["server"]]
