Part the callers of crashing prompts from their end-to-end test

The test of whole requests needs the same callers and outcomes. Requests of each kind go to the instances in turn, so that the bad ones meet all of them whatever the mix of kinds; the requests and checks of the prompt test are as before, and a refusal for the part now always has to say when to send again.

--- a/features/properties/test_prompt_quarantine_end_to_end.py
+++ b/features/properties/test_prompt_quarantine_end_to_end.py
@@ -1,12 +1,24 @@
 """Prompts with a part that crashes engines, on real processes with stand-ins."""
 
-import threading
 import time
 import unittest
 
-from attrs import field, frozen
 from standins.fleet import Fleet, Response, call, event_ids
 
+from properties.crashcallers import (
+    EVENTS,
+    MAX_REACHING,
+    MIN_WHOLE_RATIO,
+    READY_S,
+    RELEASE_S,
+    SOUND_GAP_S,
+    STABILITY_WINDOW_S,
+    Callers,
+    Source,
+    is_refused_for,
+    make_prompt,
+    whole_ratio,
+)
 from properties.test_platform_end_to_end import run_ctl
 
 FIRST_PART = "5c1e07a2"
@@ -15,10 +27,6 @@
 BAD_PART = "91bd3f06"
 """Part of a prompt on which each engine crashes when it begins to write."""
 
-EVENTS = 10
-"""Events of a complete response."""
-
-SOUND_GAP_S = 0.1
 BAD_GAP_S = 0.2
 
 SOUND_ONLY_S = 4.0
@@ -30,126 +38,20 @@
 CRASHES = 5
 """Crashes after which the users' bound begins to count."""
 
-STABILITY_WINDOW_S = 3.0
-"""Seconds after the last of these crashes until the bound holds."""
-
-MAX_REACHING = 3
-"""Requests with the bad part that may reach engines from then on, at all instances."""
-
-MIN_WHOLE_RATIO = 0.95
-"""Fraction of the sound requests that are whole once the crashes have ended."""
-
-RELEASE_S = 15.0
-"""Seconds within which all instances follow an operator's release."""
-
-READY_S = 1.0
-"""Seconds from readiness within which a restarted instance refuses the part."""
-
-
-@frozen(slots=True)
-class Outcome:
-    """What the caller of one request saw.
-
-    :param at: time at which it was sent, in Unix seconds.
-    """
-
-    attempt: str
-    at: float
-    response: Response = field(repr=False)
-
-    @property
-    def is_bad(self) -> bool:
-        """Whether the prompt has the bad part."""
-        return self.attempt.startswith("bad-")
-
-    @property
-    def is_right(self) -> bool:
-        """Whether the events received are the first of its own response, in order."""
-        lines = self.response.body.splitlines()
-        given = [line for line in lines if line.startswith(b"data:")]
-        ids = event_ids(self.response)
-        texts = [f"data: {self.attempt} {number}".encode() for number in ids]
-        return ids == list(range(1, len(ids) + 1)) and given == texts
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether the caller got its own response in full."""
-        return (
-            self.response.status == 200
-            and self.response.is_complete
-            and self.is_right
-            and len(event_ids(self.response)) == EVENTS
-        )
-
-    @property
-    def is_broken_off(self) -> bool:
-        """Whether the response had begun and the caller saw it end too early."""
-        return self.response.status == 200 and not self.response.is_complete
-
-    @property
-    def is_refused(self) -> bool:
-        """Whether the request was not answered, and the caller was told so."""
-        if self.response.status == 503:
-            return float(self.response.headers.get("retry-after", 0)) > 0
-        return self.response.status == 502
-
-
-class Callers:
-    """Callers that send requests at fixed intervals to the instances in turn.
-
-    :ivar outcomes: what the callers of the requests that have ended saw.
-    """
-
-    def __init__(self, fleet: Fleet):
-        self.fleet = fleet
-        self.outcomes: list[Outcome] = []
-        self._threads: list[threading.Thread] = []
-
-    def send(self, kind: str, number: int) -> None:
-        """Send a request whose prompt ends in a part of its own."""
-        middle = f"{BAD_PART}:400," if kind == "bad" else ""
-        own_part = f"{kind.encode().hex()}{number:08x}"
-        parts = f"{FIRST_PART}:400,{middle}{own_part}:{200 + number}"
-        instances = self.fleet.instances
-        thread = threading.Thread(
-            target=self._call,
-            args=(instances[number % len(instances)], f"{kind}-{number}", parts),
-        )
-        self._threads.append(thread)
-        thread.start()
-
-    def _call(self, entry, attempt: str, parts: str) -> None:
-        at = time.time()
-        tokens = sum(int(part.partition(":")[2]) for part in parts.split(","))
-        response = call(
-            entry,
-            "/chat/x",
-            attempt,
-            tokens=f"{tokens},{EVENTS}",
-            extra_headers={"X-Prompt-Prefix": parts},
-        )
-        self.outcomes.append(Outcome(attempt, at, response))
-
-    def run(self, gaps_s: dict[str, float], seconds: float) -> None:
-        """Send requests of some kinds.
-
-        :param gaps_s: seconds between requests, by kind.
-        """
-        start = time.monotonic()
-        base = len(self._threads)
-        due = sorted(
-            (index * gap_s, kind)
-            for kind, gap_s in gaps_s.items()
-            for index in range(int(seconds / gap_s))
-        )
-        for number, (at_s, kind) in enumerate(due, base):
-            time.sleep(max(0.0, start + at_s - time.monotonic()))
-            self.send(kind, number)
-
-    def join(self) -> None:
-        """Wait until all requests have ended."""
-        for thread in self._threads:
-            thread.join()
+
+def make_sound(number: int) -> dict:
+    """Return a prompt whose last part is its own."""
+    return make_prompt(f"{FIRST_PART}:400", f"50{number:08x}:{200 + number}")
+
+
+def make_bad(number: int) -> dict:
+    """Return a prompt with the bad part, whose last part is its own."""
+    own_part = f"bad{number:08x}:{200 + number}"
+    return make_prompt(f"{FIRST_PART}:400", f"{BAD_PART}:400", own_part)
+
+
+SOUND = Source("sound", SOUND_GAP_S, make_sound)
+BAD = Source("bad", BAD_GAP_S, make_bad, is_bad=True)
 
 
 class CrashingPromptTest(unittest.TestCase):
@@ -160,9 +62,9 @@
         with Fleet(engines=10, plain_servers=1, entries=4, subnet="1.30") as fleet:
             fleet.crash_on(BAD_PART)
             callers = Callers(fleet)
-            callers.run({"sound": SOUND_GAP_S}, SOUND_ONLY_S)
+            callers.run((SOUND,), SOUND_ONLY_S)
             cls.bad_from = time.time()
-            callers.run({"sound": SOUND_GAP_S, "bad": BAD_GAP_S}, MIXED_S)
+            callers.run((SOUND, BAD), MIXED_S)
             callers.join()
             cls.outcomes = callers.outcomes
             cls.crashes = fleet.crashes()
@@ -174,16 +76,6 @@
     def setUp(self):
         self.assertIsNotNone(self.fifth_at, "no engine crashed")
 
-    def whole_ratio(self, start: float, end: float) -> float:
-        """Return the fraction of the sound requests of a time that got all events."""
-        whole = [
-            outcome.is_whole
-            for outcome in self.outcomes
-            if not outcome.is_bad and start <= outcome.at < end
-        ]
-        self.assertGreater(len(whole), 20)
-        return sum(whole) / len(whole)
-
     def test_few_requests_with_the_part_reach_engines_after_the_window(self):
         since = self.fifth_at + STABILITY_WINDOW_S
         late = [
@@ -197,8 +89,9 @@
         self.assertLessEqual(len(late), MAX_REACHING, seen)
 
     def test_sound_requests_are_whole_again_after_twice_the_window(self):
-        before = self.whole_ratio(0.0, self.bad_from)
-        after = self.whole_ratio(self.fifth_at + 2 * STABILITY_WINDOW_S, float("inf"))
+        before = whole_ratio(self.outcomes, 0.0, self.bad_from)
+        since = self.fifth_at + 2 * STABILITY_WINDOW_S
+        after = whole_ratio(self.outcomes, since, float("inf"))
         self.assertGreaterEqual(after, before / 2, f"before {before:.2f}")
         self.assertGreaterEqual(after, MIN_WHOLE_RATIO, f"before {before:.2f}")
 
@@ -235,18 +128,12 @@
         self.fail("the part was not quarantined")
 
     def send(self, entry, attempt: str, part: str = BAD_PART) -> Response:
-        prefix = f"{FIRST_PART}:400,{part}:400,{attempt.encode().hex()}:200"
-        return call(
-            entry,
-            "/chat/x",
-            attempt,
-            tokens=f"1000,{EVENTS}",
-            extra_headers={"X-Prompt-Prefix": prefix},
-        )
+        own_part = f"{attempt.encode().hex()}:200"
+        prompt = make_prompt(f"{FIRST_PART}:400", f"{part}:400", own_part)
+        return call(entry, attempt=attempt, **prompt)
 
     def is_quarantined(self, response: Response) -> bool:
-        is_named = b"prompt_quarantined" in response.body
-        return response.status == 503 and is_named
+        return is_refused_for(response, "prompt_quarantined")
 
     def restored(self, entry) -> bool:
         """Return whether an instance has logged a quarantine since its start."""
@@ -271,7 +158,6 @@
                 fleet.wait(lambda entry=entry: self.restored(entry), READY_S)
                 response = self.send(entry, f"later-{entry.name}")
                 self.assertTrue(self.is_quarantined(response), response)
-                self.assertGreater(float(response.headers["retry-after"]), 0)
             self.assertEqual(len(fleet.runs()), runs)
             response = self.send(fleet.instances[0], "sound", part="77")
             self.assertEqual(event_ids(response), list(range(1, EVENTS + 1)))
