Reproduce the quarantine of a sound part beside a bad one (red)

With the reports in the other order dead01 is quarantined, as it should be.

Listed in KNOWN-RED.txt.

--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -30,6 +30,7 @@
     SendErrorResponse,
 )
 from briarrelay_core.reasons import RefusalReason
+from briarrelay_core.routes.contents import request_content
 from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.quarantine import (
     MAX_QUARANTINED,
@@ -412,6 +413,29 @@
                             strike(table, number, 100.0 + number, *parts)
                     self.assertEqual(table.contents, (BAD_PART,))
 
+    def test_part_that_was_at_most_crashes_by_chance_is_not_quarantined(self):
+        """The bad part was at all of them; no engine has written on either before."""
+        names = [request_content(f"{number}", "owners") for number in range(5)]
+        bad, sound = (FIRST_PART, BAD_PART), (FIRST_PART, SOUND_PART)
+        crashes = (
+            (100.00, (*bad, names[0]), (*sound, names[1])),
+            (100.03, (*bad, names[0]), (*sound, names[1])),
+            (100.50, (*bad, names[2])),
+            (100.60, (*bad, names[2]), (*sound, names[3])),
+            (103.40, (FIRST_PART, SOUND_PART, BAD_PART, names[4])),
+        )
+        found = []
+        for step in (1, -1):
+            table = ContentQuarantine()
+            for number, (now, *attempts) in enumerate(crashes):
+                server = f"engine-{number}@1.0"
+                for contents in attempts[::step]:
+                    table.record_crash(contents, server, now - 0.02, now)
+                if number == 1:
+                    table.record_written((FIRST_PART,), now + 0.2)
+            found.append(table.contents)
+        self.assertEqual(found, [(BAD_PART,), (BAD_PART,)], "by order of reports")
+
     def test_quarantine_is_renewed_by_requests_and_lapses(self):
         table = ContentQuarantine()
         now = quarantine(table, 100.0)
