Send requests that crash servers in the soak, whole and after two events

Users report whole requests that crash each server, and crashes after the first events; the soak sent prompts with one part on which engines crash before the first.

By seed, in turn: prompts with that part as before; a safe request and a whole prompt; a request that may not repeat and a part that crashes engines after two events. The check of late ones counts by content; for whole requests it has the users' bound (three crashes, 3 s), for parts the one there was. New check: no sound request is refused for a quarantined content.

--- a/features/properties/test_soak.py
+++ b/features/properties/test_soak.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from soak.callers import MAX_LATE_CRASH_REQUESTS
+from soak.callers import CRASH_LOOK, CRASH_PART, MAX_LATE_CRASH_REQUESTS
 from soak.run import Soak
 
 SEEDS = (3, 11)
@@ -29,10 +29,14 @@
             self.assertGreater(soak.served, 50)
         self.assertEqual(violations, [])
 
-    def test_requests_that_crash_engines_are_held_back(self):
-        soak = Soak(CRASH_SEED, CRASH_DURATION_S, entries=3, has_crashes=True)
+    def test_requests_that_crash_servers_are_held_back(self):
+        """Prompts with a part, and a whole request of the plain service."""
+        contents = (CRASH_PART, CRASH_LOOK)
+        soak = Soak(CRASH_SEED, CRASH_DURATION_S, entries=3, contents=contents)
         violations = soak.run()
-        self.assertGreater(soak.late_crash_requests, MAX_LATE_CRASH_REQUESTS)
+        for content in contents:
+            late = soak.late_crash_requests[content.name]
+            self.assertGreater(late, MAX_LATE_CRASH_REQUESTS, content.name)
         self.assertGreater(soak.served, 50)
         self.assertEqual(violations, [], soak.faults)
 
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -4,8 +4,9 @@
 import threading
 import time
 
-from attrs import define, field
+from attrs import define, field, frozen
 from standins.fleet import (
+    CrashRequest,
     EntryInstance,
     Fleet,
     Response,
@@ -15,32 +16,61 @@
 )
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-CRASH_PART = "dead01"
-"""Id of a part of prompts on which engines crash."""
+QUARANTINE_REASONS = (b"prompt_quarantined", b"request_quarantined")
 
 MIDDLE_PARTS = ("91bd3f06", "a7", "33c0", "e0")
 """Ids of parts that some prompts share."""
 
-TOLERATED_CRASHES = 5
-"""Crashes by one part after which requests with it are to be held back."""
-
-HOLD_BACK_S = 6.0
-"""Seconds after the last tolerated crash from which they are held back."""
-
 MAX_LATE_CRASH_REQUESTS = 3
-"""Most of them that may reach engines after that."""
+"""Most requests with a content on which servers crash that may reach them once they are
+to be held back."""
 
 DEADLINE_TOLERANCE_S = 1.0
 """Seconds past its deadline after which a response counts as late."""
 
 
+@frozen(slots=True)
+class CrashContent:
+    """A part of prompts, or a whole request, on which servers crash.
+
+    :param name: the part, or the path of the request.
+    :param kind: kind of the requests that have it.
+    :param ratio: fraction of the requests of this kind that have it.
+    :param tolerated_crashes: crashes by it after which it is to be held back.
+    :param hold_back_s: seconds after the last of them from which it is held back.
+    :param after_events: number of events that an engine writes before it crashes.
+    :param request: none for a part of prompts.
+    """
+
+    name: str
+    kind: str = "chat"
+    ratio: float = 0.1
+    tolerated_crashes: int = 5
+    hold_back_s: float = 6.0
+    after_events: int = 0
+    request: CrashRequest | None = None
+
+    @classmethod
+    def whole(cls, kind: str, body: bytes, ratio: float) -> "CrashContent":
+        """Return a whole request with the bound that users gave for it."""
+        request = CrashRequest(f"/{kind}/crash", body)
+        return cls(request.path, kind, ratio, 3, 3.0, request=request)
+
+
+CRASH_PART = CrashContent("dead01")
+LATE_CRASH_PART = CrashContent("dead02", after_events=2)
+CRASH_PROMPT = CrashContent.whole("chat", b"crash", 0.1)
+CRASH_LOOK = CrashContent.whole("look", b"", 0.2)
+CRASH_BOOKING = CrashContent.whole("book", b"crash", 0.2)
+
+
 @define(slots=True)
 class SentRequest:
     """One request and the response that its caller received.
 
     :param count: number of events asked for, of a stream.
     :param prompt_prefix: its X-Prompt-Prefix header, of a stream.
-    :param crashes: engines crash on it.
+    :param content: what servers crash on in it.
     """
 
     attempt: str
@@ -50,7 +80,7 @@
     timeout_s: float
     count: int = 0
     prompt_prefix: str = ""
-    crashes: bool = False
+    content: CrashContent | None = None
     response: Response | None = None
     ended_at: float = 0.0
 
@@ -59,13 +89,13 @@
 class Callers:
     """Threads that send requests to randomly chosen entry instances until stopped.
 
-    :param crash_ratio: fraction of prompts on which engines crash.
+    :param contents: what servers crash on; some requests have one of them.
     """
 
     fleet: Fleet
     seed: int
     threads: int = 8
-    crash_ratio: float = 0.0
+    contents: tuple[CrashContent, ...] = ()
     sent: list[SentRequest] = field(factory=list)
     _is_stopping: bool = False
     _started: list[threading.Thread] = field(factory=list)
@@ -96,25 +126,44 @@
     def _send(self, entry: EntryInstance, attempt: str, kind: str, rng) -> None:
         timeout_s = rng.choice((2.0, 4.0))
         sent = SentRequest(attempt, kind, entry.name, time.monotonic(), timeout_s)
+        sent.content = self._draw_content(kind, rng)
+        path, body = f"/{kind}/x", attempt.encode()
         arguments = {}
         if kind == "chat":
-            sent.count = rng.randint(1, 40)
-            tokens = rng.choice((500, 5000, 30000))
-            middle = rng.sample(MIDDLE_PARTS, rng.randint(0, 2))
-            if self.crash_ratio and rng.random() < self.crash_ratio:
-                sent.crashes = True
-                middle.insert(rng.randint(0, len(middle)), CRASH_PART)
-            sent.prompt_prefix = make_prompt_prefix(attempt, tokens, tuple(middle))
-            arguments["tokens"] = f"{tokens},{sent.count}"
-            arguments["middle_parts"] = tuple(middle)
+            arguments = self._draw_prompt(sent, rng)
         elif kind == "look":
-            arguments = {"method": "GET", "body": b""}
-        sent.response = call(
-            entry, f"/{kind}/x", attempt, deadline_ms=int(timeout_s * 1000), **arguments
-        )
+            arguments, body = {"method": "GET"}, b""
+        if sent.content and sent.content.request:
+            path, body = sent.content.request.path, sent.content.request.body
+        arguments["deadline_ms"] = int(timeout_s * 1000)
+        sent.response = call(entry, path, attempt, body=body, **arguments)
         sent.ended_at = time.monotonic()
         self.sent.append(sent)
 
+    def _draw_content(self, kind: str, rng) -> CrashContent | None:
+        """Return what servers crash on in the next request, or none."""
+        for content in self.contents:
+            if content.kind == kind and rng.random() < content.ratio:
+                return content
+        return None
+
+    def _draw_prompt(self, sent: SentRequest, rng) -> dict:
+        """Return the arguments of a call with a prompt; a repeat has the same one."""
+        content, own = sent.content, sent.attempt
+        tokens = rng.choice((500, 5000, 30000))
+        middle = rng.sample(MIDDLE_PARTS, rng.randint(0, 2))
+        sent.count = rng.randint(1, 40)
+        if content and content.request:
+            own, tokens, middle = content.name, 5000, [MIDDLE_PARTS[0]]
+        elif content:
+            middle.insert(rng.randint(0, len(middle)), content.name)
+            sent.count = max(sent.count, content.after_events + 1)
+        sent.prompt_prefix = make_prompt_prefix(own, tokens, tuple(middle))
+        return {
+            "tokens": f"{tokens},{sent.count}",
+            "extra_headers": {"X-Prompt-Prefix": sent.prompt_prefix},
+        }
+
 
 @define(slots=True)
 class Pause:
@@ -172,32 +221,46 @@
     ]
 
 
-def find_hold_back(crashes: list[dict]) -> float:
-    """Return the Unix time from which requests that crash engines are held back.
+def find_hold_back(crashes: list[dict], content: CrashContent) -> float:
+    """Return the Unix time from which requests with a content are held back.
 
     With fewer than the tolerated crashes, the time counts from the last one.
     """
-    if not crashes:
+    times = [crash["at"] for crash in crashes if crash["content"] == content.name]
+    if not times:
         return float("inf")
-    return crashes[:TOLERATED_CRASHES][-1]["at"] + HOLD_BACK_S
+    return times[: content.tolerated_crashes][-1] + content.hold_back_s
 
 
 def find_late_crashes(
-    sent: list[SentRequest], runs: list[dict], crashes: list[dict]
+    sent: list[SentRequest],
+    runs: list[dict],
+    crashes: list[dict],
+    contents: tuple[CrashContent, ...],
 ) -> list[str]:
-    """Return a line if requests on which engines crash are not held back in time."""
-    held_from = find_hold_back(crashes)
-    attempts = {request.attempt for request in sent if request.crashes}
-    late = {
-        run["attempt"]
-        for run in runs
-        if run["attempt"] in attempts and run["at"] > held_from
-    }
-    if len(late) <= MAX_LATE_CRASH_REQUESTS:
-        return []
+    """Return a line for each content that is not held back in time."""
+    violations = []
+    for content in contents:
+        held_from = find_hold_back(crashes, content)
+        attempts = {r.attempt for r in sent if r.content is content}
+        late = [r for r in runs if r["attempt"] in attempts and r["at"] > held_from]
+        if len(late) > MAX_LATE_CRASH_REQUESTS:
+            count = sum(crash["content"] == content.name for crash in crashes)
+            violations.append(
+                f"{content.name} reached servers {len(late)} times from "
+                f"{content.hold_back_s:.0f} s after crash {content.tolerated_crashes} "
+                f"on; {count} crashes"
+            )
+    return violations
+
+
+def find_wrong_refusals(sent: list[SentRequest]) -> list[str]:
+    """Return the sound requests that were refused for a quarantined content."""
     return [
-        f"{len(late)} requests that crash engines reached them from {HOLD_BACK_S:.0f} "
-        f"s after crash {TOLERATED_CRASHES} on; {len(crashes)} crashes"
+        f"{request.attempt}: sound, but refused {request.response.body.decode()}"
+        for request in sent
+        if request.content is None
+        and any(reason in request.response.body for reason in QUARANTINE_REASONS)
     ]
 
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -10,7 +10,7 @@
   --entries=N     entry instances [default: 3]
   --report=FILE   append one line of JSON for each seed
   --plots=FOLDER  draw what callers got beside the faults, one SVG for each seed
-  --no-crashes    send no prompts on which engines crash
+  --no-crashes    send no requests on which servers crash
   --rests-only    let servers fall silent for a second or so; no answer may be cut
 """
 
@@ -30,13 +30,19 @@
 from standins.fleet import EntryInstance, Fleet, configuration, post  # noqa: E402
 
 from soak.callers import (  # noqa: E402
+    CRASH_BOOKING,
+    CRASH_LOOK,
     CRASH_PART,
+    CRASH_PROMPT,
+    LATE_CRASH_PART,
     Callers,
+    CrashContent,
     Pause,
     find_cut_answers,
     find_hold_back,
     find_late_crashes,
     find_violations,
+    find_wrong_refusals,
 )
 from soak.plots import draw_seed  # noqa: E402
 from soak.proxy import Proxy  # noqa: E402
@@ -57,8 +63,12 @@
 REST_S = (0.8, 1.5)
 """Shortest and longest silence in seconds of a server that is sound."""
 
-CRASH_RATIO = 0.1
-"""Fraction of prompts on which engines crash."""
+CRASH_CONTENTS = (
+    (CRASH_PART,),
+    (CRASH_LOOK, CRASH_PROMPT),
+    (CRASH_BOOKING, LATE_CRASH_PART),
+)
+"""What servers crash on; a seed takes one of these in turn."""
 
 MIN_SUCCESS_RATIO = 0.7
 """Fraction of requests after recovery that must succeed; fault rates are zero then."""
@@ -69,10 +79,10 @@
     """One seeded run: a fleet behind proxies, callers, and faults that may overlap.
 
     :param rests_only: servers fall silent for a second or so; no other fault happens.
-    :param has_crashes: some prompts crash the engines that begin to answer them.
-    :ivar crash_count: number of crashes of engines.
-    :ivar late_crash_requests: number of requests on which engines crash that were sent
-        when they are to be held back.
+    :param contents: what servers crash on; some requests have it.
+    :ivar crash_count: number of crashes of servers.
+    :ivar late_crash_requests: number of requests on which servers crash that were sent
+        when they are to be held back, by content.
     :ivar faults: names of the injected faults, in order.
     :ivar fault_times: seconds from the start and name of each fault.
     :ivar outcomes: seconds from the start and response status of each request.
@@ -87,7 +97,7 @@
     seconds: float
     entries: int
     rests_only: bool = False
-    has_crashes: bool = False
+    contents: tuple[CrashContent, ...] = ()
     fleet: Fleet | None = None
     proxies: list[Proxy] = field(factory=list)
     faults: list[str] = field(factory=list)
@@ -105,7 +115,7 @@
     has_copy: bool = False
     recovered_at: float = 0.0
     crash_count: int = 0
-    late_crash_requests: int = 0
+    late_crash_requests: dict[str, int] = field(factory=dict)
     sent_count: int = 0
     served: int = 0
 
@@ -137,10 +147,10 @@
         return proxy.address
 
     def _run_faults(self, rng: random.Random) -> list[str]:
-        crash_ratio = CRASH_RATIO if self.has_crashes else 0.0
-        callers = Callers(self.fleet, self.seed, crash_ratio=crash_ratio)
-        if self.has_crashes:
-            self.fleet.crash_on(CRASH_PART)
+        callers = Callers(self.fleet, self.seed, contents=self.contents)
+        parts = {c.name: c.after_events for c in self.contents if not c.request}
+        requests = tuple(c.request for c in self.contents if c.request)
+        self.fleet.crash_on(*parts, after_events=parts, requests=requests)
         callers.start()
         run_start = time.monotonic()
         end = run_start + self.seconds
@@ -158,12 +168,16 @@
         callers.stop()
         runs, crashes = self.fleet.runs(), self.fleet.crashes()
         violations = find_violations(callers.sent, runs, self.pauses)
-        violations += find_late_crashes(callers.sent, runs, crashes)
+        violations += find_late_crashes(callers.sent, runs, crashes, self.contents)
+        violations += find_wrong_refusals(callers.sent)
         self.crash_count = len(crashes)
-        held_from = find_hold_back(crashes) - time.time() + time.monotonic()
-        self.late_crash_requests = sum(
-            sent.crashes and sent.started_at > held_from for sent in callers.sent
-        )
+        clock_offset_s = time.monotonic() - time.time()
+        for content in self.contents:
+            held_from = find_hold_back(crashes, content) + clock_offset_s
+            self.late_crash_requests[content.name] = sum(
+                sent.content is content and sent.started_at > held_from
+                for sent in callers.sent
+            )
         self.served = sum(s.response.status == 200 for s in callers.sent)
         self.sent_count = len(callers.sent)
         self.outcomes = [
@@ -204,7 +218,7 @@
         recent = [
             sent
             for sent in callers.sent
-            if sent.started_at > self.recovered_at and not sent.crashes
+            if sent.started_at > self.recovered_at and sent.content is None
         ]
         served = sum(s.response.status == 200 for s in recent)
         if recent and served < MIN_SUCCESS_RATIO * len(recent):
@@ -425,19 +439,21 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     failed_count = 0
     for seed in read_seeds(options["--seeds"]):
+        has_crashes = not options["--rests-only"] and not options["--no-crashes"]
         soak = Soak(
             seed,
             float(options["--seconds"]),
             int(options["--entries"]),
             rests_only=options["--rests-only"],
-            has_crashes=not options["--rests-only"] and not options["--no-crashes"],
+            contents=CRASH_CONTENTS[seed % len(CRASH_CONTENTS)] if has_crashes else (),
         )
         violations = soak.run()
         failed_count += bool(violations)
         print(
             f"seed {seed}: {len(violations)} violations, "
             f"{soak.served} of {soak.sent_count} served, "
-            f"{soak.crash_count} crashes; {' '.join(soak.faults)}"
+            f"{soak.crash_count} crashes, late {soak.late_crash_requests}; "
+            f"{' '.join(soak.faults)}"
         )
         for line in violations[:10]:
             print(f"  {line}  (logs in {soak.fleet.folder})")
