Count crashes after the first events of a response as strikes

Cause: a first event cleared a part, so each engine that died on it had cleared it just before, and a loss after that event was no strike. Class: evidence that is too early.

A response now shows that its contents are sound when it is complete or has four events; a connection that closes before is a strike. Contents are said to be survived, no longer written on. Requests with a suspect content are held for that time as well.

Tried and given up: a limit of one second instead of four events. Eight engines that die 0.1 or 0.25 s apart under responses of two seconds then quarantined the first part of all prompts (test_rolling_crashes_under_long_responses failed twice), since no response lasts so long in such a series. With four events no part is quarantined there.

The test that a crash after an event is no strike is replaced: crashes are strikes up to the event before the last of these, and none from then on. Timeouts are none, as before.

Open: a content that crashes an engine later than that is not found.

--- a/features/properties/crashworld.py
+++ b/features/properties/crashworld.py
@@ -65,6 +65,7 @@
     :param bad_parts: parts of prompts on which an engine crashes.
     :param bad_requests: fingerprints of requests on which any server crashes.
     :param event_count: number of events of a response.
+    :param events_before_crash: events that an engine writes before it crashes.
     :param plain_count: number of servers of the plain service.
     :ivar views: what callers see, by request id.
     :ivar crashes: time and engine of each crash.
@@ -79,7 +80,9 @@
         event_count: int = 4,
         bad_requests: tuple[str, ...] = (),
         plain_count: int = 0,
+        events_before_crash: int = 0,
     ):
+        self.events_before_crash = events_before_crash
         self.bad_parts = set(bad_parts)
         self.bad_requests = set(bad_requests)
         self.event_count = event_count
@@ -206,10 +209,12 @@
             return
         engine, view = self._attempts[n, attempt_id]
         is_bad = view.request.fingerprint in self.bad_requests
-        if is_bad or self.bad_parts & set(view.request.prompt_parts):
+        is_bad = is_bad or self.bad_parts & set(view.request.prompt_parts)
+        is_plain = view.request.path.split("/")[1] in PLAIN_ROUTES
+        if is_bad and (is_plain or number > self.events_before_crash):
             self.crash(engine)
             return
-        if view.request.path.split("/")[1] in PLAIN_ROUTES:
+        if is_plain:
             self._complete(n, attempt_id)
             return
         if number == 1:
--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -24,6 +24,7 @@
 from briarrelay_core.ports.route import (
     AbortAttempt,
     ResponseComplete,
+    ResponseEvent,
     ResponseHead,
     ResponseKind,
     ResponseLost,
@@ -34,9 +35,10 @@
 from briarrelay_core.routes.quarantine import (
     MAX_QUARANTINED,
     MAX_STRUCK,
-    MAX_WRITTEN,
+    MAX_SURVIVED,
     QUARANTINE_S,
     STRIKES_TO_QUARANTINE,
+    SURVIVAL_EVENTS,
     ContentQuarantine,
 )
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
@@ -173,6 +175,26 @@
                 self.assertEqual({f["part"] for _, _, f in logged}, {BAD_PART})
                 self.check_bounds(world)
 
+    def test_part_that_crashes_engines_after_some_events(self):
+        """The engine has begun to write, and other requests write on the first part."""
+        for events in range(1, SURVIVAL_EVENTS):
+            for seed in range(3):
+                with self.subTest(events=events, seed=seed):
+                    world = CrashWorld(
+                        4,
+                        10,
+                        seed,
+                        bad_parts=(BAD_PART,),
+                        event_count=8,
+                        events_before_crash=events,
+                    )
+                    world.advance(3.0)
+                    send_traffic(world, 14.0)
+                    world.advance(3.0)
+                    self.check_bounds(world)
+                    logged = world.events_logged("part_quarantined")
+                    self.assertEqual({f["part"] for _, _, f in logged}, {BAD_PART})
+
     def test_part_at_78_instances(self):
         world = CrashWorld(78, 60, bad_parts=(BAD_PART,), event_count=2)
         world.advance(2.0)
@@ -260,14 +282,14 @@
     """Crashes for other reasons quarantine no part."""
 
     def run_crashes(
-        self, crash_times: list[tuple[float, int]], seed: int
+        self, crash_times: list[tuple[float, int]], seed: int, event_count: int = 4
     ) -> CrashWorld:
         """Run sound traffic while engines crash.
 
         :param crash_times: seconds from the start, and the number of the engine; all
             engines crash for -1.
         """
-        world = CrashWorld(3, 8, seed)
+        world = CrashWorld(3, 8, seed, event_count=event_count)
         world.advance(2.0)
         for seconds, number in crash_times:
             numbers = range(8) if number < 0 else (number,)
@@ -305,15 +327,25 @@
                     times = [(0.5 + step_s * n, n % 8) for n in range(16)]
                     self.check_sound(self.run_crashes(times, seed))
 
+    def test_rolling_crashes_under_long_responses(self):
+        for step_s in (0.1, 0.25, 0.4, 0.9):
+            for seed in range(2):
+                with self.subTest(step_s=step_s, seed=seed):
+                    times = [(0.5 + step_s * n, n % 8) for n in range(16)]
+                    world = self.run_crashes(times, seed, event_count=40)
+                    self.assert_none_quarantined(world)
+
     @settings(max_examples=25, deadline=None)
     @given(
         st.lists(
             st.tuples(st.floats(0.0, 6.0), st.integers(-1, 7)), min_size=1, max_size=24
         ),
         st.integers(0, 99),
+        st.sampled_from((4, 30)),
     )
-    def test_any_crashes(self, crash_times, seed):
-        self.assert_none_quarantined(self.run_crashes(crash_times, seed))
+    def test_any_crashes(self, crash_times, seed, event_count):
+        world = self.run_crashes(crash_times, seed, event_count)
+        self.assert_none_quarantined(world)
 
     def test_popular_part_is_not_held_up(self):
         """Its requests are sent at once although engines crash under them."""
@@ -355,7 +387,7 @@
     return make_digest(
         crashes=table.own_crashes(now),
         quarantined=table.own_quarantines(now),
-        written=table.own_written(now),
+        survived=table.own_survived(now),
         probed=table.probes.own(now),
     )
 
@@ -383,7 +415,7 @@
         for step in range(30):
             strike(table, step, 100.0 + step, BAD_PART)
             if step % 3 == 2:
-                table.record_written((BAD_PART,), 100.05 + step)
+                table.record_survival((BAD_PART,), 100.05 + step)
         self.assertEqual(table.contents, ())
 
     def test_quarantine_explains_the_strikes_of_other_parts(self):
@@ -468,7 +500,7 @@
 
     def test_late_report_about_an_attempt_before_a_first_event_is_ignored(self):
         table = ContentQuarantine()
-        table.record_written((BAD_PART,), 100.0)
+        table.record_survival((BAD_PART,), 100.0)
         for n in range(20):
             report = CrashReport(
                 server=f"engine-{n}@1.0",
@@ -478,12 +510,12 @@
             )
             table.apply_digest(make_digest(crashes=(report,)), 100.5)
         self.assertEqual(table.contents, ())
-        self.assertEqual(set(table.own_written(100.5)), {BAD_PART})
+        self.assertEqual(set(table.own_survived(100.5)), {BAD_PART})
 
     def test_first_event_at_a_peer_ends_a_quarantine(self):
         tables = (ContentQuarantine(), ContentQuarantine())
         now = quarantine(tables[0], 100.0)
-        tables[1].record_written((BAD_PART,), now - 0.05)
+        tables[1].record_survival((BAD_PART,), now - 0.05)
         tables[1].apply_digest(digest_of(tables[0], now), now)
         self.assertEqual(tables[1].contents, ())
         self.assertTrue(tables[1].has_urgent_change)
@@ -508,10 +540,10 @@
             now = quarantine(table, now, make_part(number + 10), 10 * number)
         self.assertEqual(len(table.contents), MAX_QUARANTINED)
         self.assertNotIn(make_part(10), table.contents)
-        for number in range(MAX_WRITTEN + 50):
-            table.record_written((make_part(number + 10_000),), now)
+        for number in range(MAX_SURVIVED + 50):
+            table.record_survival((make_part(number + 10_000),), now)
             strike(table, number + 10_000, now + 1, make_part(number + 100_000))
-        self.assertLessEqual(len(table._written), MAX_WRITTEN)
+        self.assertLessEqual(len(table._survived), MAX_SURVIVED)
         self.assertEqual(len(table._struck), MAX_STRUCK)
         size = len(encode_digest(digest_of(table, now + 1)))
         self.assertLess(size, 30_000)
@@ -606,16 +638,29 @@
             table = world.instance.controller.quarantine
             self.assertEqual(table.suspects((BAD_PART,)), frozenset())
 
-    def test_timeouts_and_crashes_after_an_event_are_no_strikes(self):
+    def crash(self, events: int, is_closed: bool) -> tuple:
+        """Lose a response after some events; return the crashes in digests."""
         world = RouteWorld(engines=8)
-        for is_closed, has_begun in ((False, False), (True, True)):
-            forward = world.forwards(world.request("chat", prompt_parts=(BAD_PART,)))[0]
-            if has_begun:
+        forward = world.forwards(world.request("chat", prompt_parts=(BAD_PART,)))[0]
+        for number in range(1, events + 1):
+            if number == 1:
                 start_response(world, forward.attempt_id)
-            lost = ResponseLost(forward.attempt_id, True, "lost", is_closed=is_closed)
-            world.deliver(lost)
-            quarantine_table = world.instance.controller.quarantine
-            self.assertEqual(quarantine_table.own_crashes(world.now), ())
+            else:
+                event = ResponseEvent(forward.attempt_id, f"{number}", b"x")
+                world.deliver(event)
+        lost = ResponseLost(forward.attempt_id, True, "lost", is_closed=is_closed)
+        world.deliver(lost)
+        return world.instance.controller.quarantine.own_crashes(world.now)
+
+    def test_timeouts_are_no_strikes(self):
+        for events in (0, 1, SURVIVAL_EVENTS - 1):
+            self.assertEqual(self.crash(events, is_closed=False), ())
+
+    def test_crashes_are_strikes_until_the_engine_has_survived(self):
+        for events in range(SURVIVAL_EVENTS):
+            self.assertEqual(len(self.crash(events, is_closed=True)), 1)
+        for events in (SURVIVAL_EVENTS, SURVIVAL_EVENTS + 1):
+            self.assertEqual(self.crash(events, is_closed=True), ())
 
 
 PARTS = st.text("0123456789abcdef", min_size=1, max_size=16)
@@ -654,7 +699,7 @@
                 ),
                 max_size=4,
             ).map(tuple),
-            written=st.dictionaries(PARTS, AGES, max_size=4),
+            survived=st.dictionaries(PARTS, AGES, max_size=4),
             probed=st.dictionaries(PARTS, st.just(1.5), max_size=4),
         )
     )
@@ -668,7 +713,7 @@
 
     def test_reports_follow_all_earlier_fields(self):
         """Earlier releases read twelve fields and ignore further ones."""
-        digest = make_digest(written={BAD_PART: 0.5})
+        digest = make_digest(survived={BAD_PART: 0.5})
         fields = json.loads(encode_digest(digest))
         self.assertEqual((len(fields), fields[11]), (13, {}))
         self.assertEqual(fields[:11], json.loads(encode_digest(make_digest())))
--- a/features/properties/test_quarantine_store.py
+++ b/features/properties/test_quarantine_store.py
@@ -74,7 +74,7 @@
     def write_on(self, n: int, part: str = BAD_PART) -> None:
         """Let an instance see that an engine writes on a part."""
         quarantine = self.instances[n].controller.quarantine
-        self.perform(n, quarantine.record_written((part,), self.now))
+        self.perform(n, quarantine.record_survival((part,), self.now))
 
     def release(self) -> None:
         """Release a stored part, as an operator does."""
--- a/features/properties/test_request_quarantine.py
+++ b/features/properties/test_request_quarantine.py
@@ -16,7 +16,7 @@
 from briarrelay_core.reasons import RefusalReason
 from briarrelay_core.routes.contents import request_content
 from briarrelay_core.routes.model import KeyHolder
-from briarrelay_core.routes.quarantine import STRIKES_OF_REQUEST
+from briarrelay_core.routes.quarantine import STRIKES_OF_REQUEST, SURVIVAL_EVENTS
 from briarrelay_platform.decode import decode_quarantine, encode_quarantine
 from briarrelay_platform.dialect import is_part
 from briarrelay_platform.fields import DecodeError
@@ -69,8 +69,18 @@
 class UsersBoundTest(unittest.TestCase):
     """The users' bound on a request that crashes each server that runs it."""
 
-    def check_bound(self, route: str, seed: int, *gaps_s: float) -> None:
-        world = CrashWorld(4, 8, seed, bad_requests=(BAD,), plain_count=3)
+    def check_bound(
+        self, route: str, seed: int, *gaps_s: float, events: int = 0
+    ) -> None:
+        world = CrashWorld(
+            4,
+            8,
+            seed,
+            bad_requests=(BAD,),
+            event_count=8,
+            plain_count=3,
+            events_before_crash=events,
+        )
         world.advance(3.0)
         send_traffic(world, route, 16.0, gaps_s)
         world.advance(3.0)
@@ -92,6 +102,11 @@
         for seed in range(4):
             self.check_bound("chat", seed, 0.4)
 
+    def test_prompt_that_crashes_engines_after_some_events(self):
+        for events in range(1, SURVIVAL_EVENTS):
+            for seed in range(3):
+                self.check_bound("chat", seed, 0.4, events=events)
+
     def test_bursts(self):
         for gaps_s in ((0, 0, 0, 1.0), (0, 0, 0, 0, 3.5), (0.05, 0.05, 3.2)):
             for route in ("look", "book", "chat"):
@@ -230,7 +245,7 @@
             world.deliver(head)
             world.deliver(ResponseComplete(forward.attempt_id))
         table = world.instance.controller.quarantine
-        self.assertEqual(len(table._written) + len(table._struck), 0)
+        self.assertEqual(len(table._survived) + len(table._struck), 0)
 
 
 class NameTest(unittest.TestCase):
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -12,7 +12,7 @@
     "MAX_PROBE_S",
     "MAX_QUARANTINE_REPORTS",
     "MAX_REPORT_SERVERS",
-    "MAX_WRITTEN_REPORTS",
+    "MAX_SURVIVED_REPORTS",
     "UNKNOWN_AGE_S",
     "CrashReport",
     "DigestReceived",
@@ -47,7 +47,7 @@
 MAX_REPORT_SERVERS = 8
 """Most engines named as the reason for a quarantine."""
 
-MAX_WRITTEN_REPORTS = 32
+MAX_SURVIVED_REPORTS = 32
 """Most contents that a digest reports as sound."""
 
 
@@ -73,7 +73,7 @@
 
 @frozen(slots=True, kw_only=True)
 class CrashReport:
-    """An engine closed the connection of an attempt before the first event.
+    """A server closed the connection of an attempt before it survived the request.
 
     :param server: the engine's incarnation, ``name@born``.
     :param contents: contents of the request, the shared parts of its prompt first.
@@ -123,7 +123,7 @@
     :param quarantined: contents that the sender keeps from engines.
     :param probed: seconds for which peers hold requests with suspect contents, since
         the sender has sent one.
-    :param written: seconds since an engine wrote on a content that was reported struck.
+    :param survived: seconds since a server survived a content that was reported struck.
     """
 
     sender: PeerAddress
@@ -140,7 +140,7 @@
     paused: dict[str, float] = field(factory=dict)
     crashes: tuple[CrashReport, ...] = ()
     quarantined: tuple[QuarantineReport, ...] = ()
-    written: dict[str, float] = field(factory=dict)
+    survived: dict[str, float] = field(factory=dict)
     probed: dict[str, float] = field(factory=dict)
 
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -178,18 +178,27 @@
         return any(
             not suspects.isdisjoint(other.contents)
             for other in self.attempts.values()
-            if not other.active_attempt.events
+            if not other.active_attempt.is_survived
         )
 
     def record_crash(
         self, routed: RoutedRequest, attempt: AttemptState, now: float
     ) -> list:
-        """Record that a server closed the connection before the first event."""
+        """Record that a server crashed before it had survived the contents."""
         effects = self.quarantine.record_crash(
             routed.contents, attempt.incarnation, attempt.sent_at, now
         )
         return effects + self.end_quarantined(now)
 
+    def record_survival(
+        self, routed: RoutedRequest, attempt: AttemptState, now: float
+    ) -> list:
+        """Record that a server has run a request without a crash."""
+        if attempt.is_survived:
+            return []
+        attempt.is_survived = True
+        return self.quarantine.record_survival(routed.contents, now)
+
     def end_quarantined(self, now: float) -> list:
         """End the requests with contents quarantined since the last call.
 
@@ -237,7 +246,8 @@
     ) -> list:
         suspects = self.quarantine.suspects(routed.contents)
         if suspects:
-            self.quarantine.record_probe(suspects, placement.expected_s, now)
+            expected_s = placement.expected_s or routed.route.target_latency_s
+            self.quarantine.record_probe(suspects, expected_s, now)
         return self._attempt_table.start(routed, placement, now)
 
     def end_attempt(self, routed: RoutedRequest, now: float) -> AttemptState:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -390,7 +390,7 @@
             paused=self.pauses.own_pauses(now),
             crashes=self.quarantine.own_crashes(now),
             quarantined=self.quarantine.own_quarantines(now),
-            written=self.quarantine.own_written(now),
+            survived=self.quarantine.own_survived(now),
             probed=self.quarantine.probes.own(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
--- a/packages/briarrelay-core/src/briarrelay_core/routes/probes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/probes.py
@@ -1,12 +1,12 @@
 """Sends requests with a suspect content one after another.
 
-The instance that sends one tells its peers, which hold theirs until an engine writes on
-the content, or crashes, or the time for its first event is over.
+The instance that sends one tells its peers, which hold theirs until an engine has
+survived the content, or crashes, or the time for that is over.
 """
 
 from attrs import define, field
 
-from briarrelay_core.ports.digest import MAX_PROBE_S, MAX_WRITTEN_REPORTS
+from briarrelay_core.ports.digest import MAX_PROBE_S, MAX_SURVIVED_REPORTS
 
 __all__ = ["PROBE_JITTER_S", "ProbeTable"]
 
@@ -14,8 +14,9 @@
 """Multiple of the expected time to its first event for which such a request keeps
 others with its suspect content from engines, besides `PROBE_SLACK_S`."""
 
-PROBE_SLACK_S = 0.3
-"""Seconds added to that time."""
+PROBE_SLACK_S = 0.6
+"""Seconds added to that time, in which the engine sends the events that show that it
+survives, and the digest about it arrives."""
 
 PROBE_JITTER_S = 0.2
 """Largest delay in seconds before a request with a suspect content is sent, so that the
@@ -63,7 +64,7 @@
     def own(self, now: float) -> dict[str, float]:
         """Return the seconds for which peers wait, by content, for a digest."""
         self.expire(now)
-        newest = list(self._own.items())[-MAX_WRITTEN_REPORTS:]
+        newest = list(self._own.items())[-MAX_SURVIVED_REPORTS:]
         return {content: round(until - now, 3) for content, until in newest}
 
     def apply(self, probed: dict[str, float], now: float) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -1,10 +1,10 @@
 """Finds contents that crash engines, and keeps requests with them away.
 
 A content is a part of prompts or a whole request. It is struck when a server closes the
-connection of an attempt with it before the first event. Strikes count in sequence, so
-that the loss of many servers at one moment counts once, and a server that answers to a
-content clears it. Instances share what they see by digests and arrive at the same
-count, in whatever order reports arrive.
+connection of an attempt with it early. Strikes count in sequence, so that the loss of
+many servers at one moment counts once, and a server that survives a content clears it.
+Instances share what they see by digests and arrive at the same count, in whatever order
+reports arrive.
 """
 
 from collections import OrderedDict
@@ -15,7 +15,7 @@
     MAX_CRASH_REPORTS,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
-    MAX_WRITTEN_REPORTS,
+    MAX_SURVIVED_REPORTS,
     CrashReport,
     LoadDigest,
     QuarantineReport,
@@ -33,14 +33,15 @@
 __all__ = [
     "QUARANTINE_S",
     "STRIKES_TO_QUARANTINE",
+    "SURVIVAL_EVENTS",
     "ContentQuarantine",
 ]
 
 STRIKES_TO_QUARANTINE = 4
-"""Strikes in sequence, without a first event between, that quarantine a part."""
+"""Strikes in sequence, without a survival between, that quarantine a part."""
 
 STRIKES_IF_SHARED = 8
-"""The same for a part on which an engine has written before, or whose crashes a rarer
+"""The same for a part that an engine has survived before, or whose crashes a rarer
 suspect content explains. Prompts share their first parts, so each crash that another
 content causes strikes them too, and that content reaches its number first."""
 
@@ -50,6 +51,10 @@
 STRIKES_OF_SOUND_REQUEST = 6
 """The same for a whole request that a server has answered before."""
 
+SURVIVAL_EVENTS = 4
+"""Events of a response, unless it is complete before, that show that the server has
+survived its contents."""
+
 QUARANTINE_S = 600.0
 """Seconds for which a content stays quarantined after the last request with it."""
 
@@ -62,8 +67,8 @@
 MAX_STRUCK = 4_096
 """Number of struck contents that are remembered."""
 
-MAX_WRITTEN = 4_096
-"""Number of contents of which it is remembered when an engine wrote on them."""
+MAX_SURVIVED = 4_096
+"""Number of contents of which it is remembered when a server survived them."""
 
 MAX_QUARANTINED = 256
 """Number of contents in quarantine; beyond it, the one that lapses first is dropped."""
@@ -78,7 +83,7 @@
 
     :param until: time at which the quarantine lapses unless a request renews it.
     :param since: time at which the attempt of the first strike was sent; a later first
-        event shows that the content is sound.
+        survival shows that the content is sound.
     :param servers: engines that it crashed, as ``name@born``.
     :param is_own: this instance found it, not a peer.
     """
@@ -91,23 +96,23 @@
 
 @define(slots=True, eq=False)
 class ContentQuarantine:
-    """Parts of prompts that are struck, quarantined or known to be sound.
+    """Contents that are struck, quarantined or known to be sound.
 
     Its methods return the effects to execute, unless said otherwise.
 
     :param probes: suspect contents of requests that are on engines.
     :ivar has_urgent_change: peers have not been notified of a strike or a quarantine.
-    :ivar _written: time of the last first event on a content, the latest at the end.
+    :ivar _survived: time at which a server last survived a content, the latest last.
     :ivar _struck: contents with strikes, the one struck last at the end.
     :ivar _crashes: own observations that digests still repeat.
-    :ivar _answers: contents of peers' reports on which an engine has written, and the
+    :ivar _answers: contents of peers' reports that a server has survived, and the
         time until which digests say so.
     :ivar _new: contents quarantined since the last call of `pop_new`.
     """
 
     probes: ProbeTable = field(factory=ProbeTable)
     has_urgent_change: bool = False
-    _written: OrderedDict[str, float] = field(factory=OrderedDict)
+    _survived: OrderedDict[str, float] = field(factory=OrderedDict)
     _struck: OrderedDict[str, StruckContent] = field(factory=OrderedDict)
     _quarantined: dict[str, _Quarantine] = field(factory=dict)
     _crashes: list[Crash] = field(factory=list)
@@ -134,14 +139,14 @@
         return ""
 
     def suspects(self, contents: tuple[str, ...]) -> frozenset[str]:
-        """Return the suspect contents of a request, on which no engine has written."""
+        """Return the suspect contents of a request, which no server has survived."""
         if not self._struck:
             return frozenset()
         return frozenset(
             content
             for content in contents
             if content in self._struck
-            and content not in self._written
+            and content not in self._survived
             and self._struck[content].is_suspect
         )
 
@@ -181,18 +186,18 @@
 
     def restore(self, content: str, now: float) -> list:
         """Quarantine a content that the store lists, unless it is known better here."""
-        if content in self._quarantined or content in self._written:
+        if content in self._quarantined or content in self._survived:
             return []
         return self._quarantine(content, now + QUARANTINE_S, now, (), "store")
 
     def release(self, content: str, now: float) -> list:
         """End a quarantine for an operator.
 
-        Digests report the content as one on which an engine has written.
+        Digests report the content as one that a server has survived.
         """
         if content not in self._quarantined:
             return []
-        self._remember_written(content, now)
+        self._remember_survival(content, now)
         self._answer(content, now)
         self.has_urgent_change = True
         return self._clear(content, "operator")
@@ -207,7 +212,7 @@
     def record_crash(
         self, contents: tuple[str, ...], server: str, sent_at: float, now: float
     ) -> list:
-        """Record that an engine closed the connection before the first event.
+        """Record that a server closed a connection before it survived the request.
 
         :param server: the engine's incarnation, ``name@born``.
         """
@@ -218,8 +223,8 @@
         self.has_urgent_change = True
         return self._strike(crash, "own", now)
 
-    def record_written(self, contents: tuple[str, ...], now: float) -> list:
-        """Record the first event of an attempt: its contents are sound."""
+    def record_survival(self, contents: tuple[str, ...], now: float) -> list:
+        """Record that a server has survived the contents of an attempt."""
         effects = []
         for content in contents:
             if content in self._struck or content in self._quarantined:
@@ -229,17 +234,17 @@
             elif is_request_content(content):
                 # most requests never come again
                 continue
-            self._remember_written(content, now)
+            self._remember_survival(content, now)
         return effects
 
-    def _remember_written(self, content: str, at: float) -> None:
-        self._written[content] = max(at, self._written.get(content, at))
-        self._written.move_to_end(content)
-        if len(self._written) > MAX_WRITTEN:
-            self._written.popitem(last=False)
+    def _remember_survival(self, content: str, at: float) -> None:
+        self._survived[content] = max(at, self._survived.get(content, at))
+        self._survived.move_to_end(content)
+        if len(self._survived) > MAX_SURVIVED:
+            self._survived.popitem(last=False)
 
     def _answer(self, content: str, now: float) -> None:
-        if len(self._answers) < MAX_WRITTEN_REPORTS or content in self._answers:
+        if len(self._answers) < MAX_SURVIVED_REPORTS or content in self._answers:
             self._answers[content] = now + REPORT_S
 
     # Strikes
@@ -247,7 +252,7 @@
     def _strike(self, crash: Crash, source: str, now: float) -> list:
         effects, counts = [], {}
         for position, content in self._unexplained(crash):
-            if crash.sent_at <= self._written.get(content, float("-inf")):
+            if crash.sent_at <= self._survived.get(content, float("-inf")):
                 continue
             struck = self._struck.setdefault(content, StruckContent(position))
             self._struck.move_to_end(content)
@@ -284,7 +289,7 @@
 
     def _is_over(self, content: str, count: int) -> bool:
         """Return whether a content has the strikes that quarantine it."""
-        is_sound = content in self._written
+        is_sound = content in self._survived
         if is_request_content(content):
             needed = STRIKES_OF_SOUND_REQUEST if is_sound else STRIKES_OF_REQUEST
             return count >= needed
@@ -294,7 +299,7 @@
         if count >= STRIKES_IF_SHARED:
             return True
         return not is_sound and not any(
-            name not in self._written and struck.is_explained_by(other)
+            name not in self._survived and struck.is_explained_by(other)
             for name, other in self._struck.items()
         )
 
@@ -452,23 +457,23 @@
             if known.until - now >= 1.0
         )
 
-    def own_written(self, now: float) -> dict[str, float]:
-        """Return the seconds since engines wrote on contents reported as struck."""
+    def own_survived(self, now: float) -> dict[str, float]:
+        """Return the seconds since servers survived contents reported as struck."""
         if not self._answers:
             return {}
         self._answers = {p: until for p, until in self._answers.items() if now < until}
         return {
-            content: round(now - self._written[content], 3)
+            content: round(now - self._survived[content], 3)
             for content in self._answers
-            if content in self._written
+            if content in self._survived
         }
 
     def apply_digest(self, digest: LoadDigest, now: float) -> list:
         """Apply what a peer saw."""
         effects = []
         self.probes.apply(digest.probed, now)
-        for content, age_s in digest.written.items():
-            effects += self._apply_written(content, now - age_s)
+        for content, age_s in digest.survived.items():
+            effects += self._apply_survival(content, now - age_s)
         known = set(self._quarantined) if digest.crashes else set()
         for report in digest.crashes:
             crash = Crash(
@@ -478,7 +483,7 @@
                 report.contents,
             )
             for content in crash.contents:
-                if content in self._written:
+                if content in self._survived:
                     self._answer(content, now)
             effects += self._strike(crash, "peer", now)
         if digest.crashes:
@@ -489,9 +494,9 @@
             effects += self._apply_quarantine(report, now)
         return effects
 
-    def _apply_written(self, content: str, at: float) -> list:
-        """Apply a peer's report that an engine wrote on a content."""
-        self._remember_written(content, at)
+    def _apply_survival(self, content: str, at: float) -> list:
+        """Apply a peer's report that a server survived a content."""
+        self._remember_survival(content, at)
         known = self._quarantined.get(content)
         if known is not None:
             return self._clear(content, "peer") if at > known.since else []
@@ -518,7 +523,7 @@
             return []
         if report.remaining_s < REPORT_S:
             return []
-        if self._written.get(report.content, float("-inf")) > since:
+        if self._survived.get(report.content, float("-inf")) > since:
             self._answer(report.content, now)
             self.has_urgent_change = True
             return []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -18,6 +18,7 @@
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.reasons import RetryReason
 from briarrelay_core.routes.controller import RequestController
+from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 
 __all__ = ["ResponseHandler"]
@@ -144,7 +145,9 @@
         attempt.events += 1
         effects = []
         if attempt.events == 1:
-            effects += self._on_first_event(routed, now)
+            self._on_first_event(routed, now)
+        elif attempt.events == SURVIVAL_EVENTS:
+            effects += self.controller.record_survival(routed, attempt, now)
         if not routed.is_head_relayed:
             routed.is_head_relayed = True
             routed.first_event_at = now
@@ -155,7 +158,7 @@
         effects.append(RelayEvent(routed.request.request_id, message.data))
         return effects
 
-    def _on_first_event(self, routed: RoutedRequest, now: float) -> list:
+    def _on_first_event(self, routed: RoutedRequest, now: float) -> None:
         attempt = routed.active_attempt
         self.controller.load.mark_read(attempt.attempt_id)
         taken_s = now - attempt.sent_at
@@ -163,7 +166,6 @@
             attempt.server, attempt.expected_s, taken_s, now
         )
         self.controller.observations.health.record_success(attempt.server)
-        return self.controller.quarantine.record_written(routed.contents, now)
 
     def on_done(self, message: ResponseComplete, now: float) -> list:
         """Handle the end of a complete response."""
@@ -184,11 +186,7 @@
             routed.first_event_at = now
             relay = [RelayFullResponse(request_id, attempt.attempt_id)]
         request_controller.load.remove(attempt.attempt_id)
-        effects = []
-        if not attempt.events:
-            effects += request_controller.quarantine.record_written(
-                routed.contents, now
-            )
+        effects = request_controller.record_survival(routed, attempt, now)
         effects += [
             effect
             for effect in request_controller.close(routed, "done", now)
@@ -201,7 +199,7 @@
         attempt = request_controller.end_attempt(routed, now)
         routed.possible_runs += 1
         routed.failed_attempt_id = attempt.attempt_id
-        effects = request_controller.quarantine.record_written(routed.contents, now)
+        effects = request_controller.record_survival(routed, attempt, now)
         if attempt.status < 500:
             return [
                 *effects,
@@ -263,7 +261,7 @@
         ]
         if is_closed:
             self.controller.observations.crashes.record_closed(attempt.incarnation, now)
-        if is_closed and not attempt.events:
+        if is_closed and not attempt.is_survived:
             effects += self.controller.record_crash(routed, attempt, now)
         if routed.request.request_id not in self.controller.requests:
             return [*effects, *self.controller.place_waiting(now)]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -15,7 +15,7 @@
     MAX_PROBE_S,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
-    MAX_WRITTEN_REPORTS,
+    MAX_SURVIVED_REPORTS,
     UNKNOWN_AGE_S,
     CrashReport,
     LoadDigest,
@@ -66,7 +66,7 @@
         digest.gone,
     ]
     has_reports = (
-        digest.crashes or digest.quarantined or digest.written or digest.probed
+        digest.crashes or digest.quarantined or digest.survived or digest.probed
     )
     if digest.paused or has_reports:
         fields.append(digest.paused)
@@ -149,13 +149,13 @@
             [report.content, report.remaining_s, report.since_age_s, report.servers]
             for report in digest.quarantined
         ],
-        digest.written,
+        digest.survived,
         digest.probed,
     ]
 
 
 def _decode_reports(
-    crashes: list, quarantined: list, written: dict, probed: dict, *_
+    crashes: list, quarantined: list, survived: dict, probed: dict, *_
 ) -> dict:
     return {
         "crashes": tuple(
@@ -182,7 +182,7 @@
                 :MAX_QUARANTINE_REPORTS
             ]
         ),
-        "written": _decode_content_times(written),
+        "survived": _decode_content_times(survived),
         "probed": {
             content: min(MAX_PROBE_S, left_s)
             for content, left_s in _decode_content_times(probed).items()
@@ -193,7 +193,7 @@
 def _decode_content_times(times: dict) -> dict[str, float]:
     return {
         _decode_content(content): _decode_seconds(seconds)
-        for content, seconds in list(times.items())[:MAX_WRITTEN_REPORTS]
+        for content, seconds in list(times.items())[:MAX_SURVIVED_REPORTS]
     }
 
 
