Answer prompts that wait while no engine works

What callers saw: a prompt of the chat API that was queued behind another one when the last engine went silent got no answer at all; nor did the timers after it.

Cause: the time that it would have to wait was divided by the rate that its workspace gets, which is 0 then (ZeroDivisionError in the timer of the latest start).

The wait is infinite now, and Retry-After 10 s.

--- a/features/properties/test_responses.py
+++ b/features/properties/test_responses.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from briarrelay_bench.engine_model import answer_text
+from briarrelay_core.outcomes import NotRun
 from briarrelay_core.ports.caller import CallerGone, ChatRequest
 from briarrelay_core.ports.engine import EngineFrame, FrameKind
 from properties.simulatedcluster import SimulatedCluster
@@ -36,6 +37,27 @@
     )
 
 
+class NoCapacityTest(unittest.TestCase):
+    def test_prompts_that_wait_while_no_engine_works_are_answered(self):
+        cluster = SimulatedCluster(instances=1, engines=1)
+        cluster.advance(3.5)
+        cluster.simulation.engines["e0"].silent = True
+        tokens = 150_000
+        names = [f"request-{number}" for number in range(8)]
+        for name in names:
+            deadline = cluster.simulation.now + BASE_TIMEOUT_S + 3 * tokens / 20_000
+            request = make_chat_request(name, tokens, deadline)
+            cluster.simulation.deliver(cluster.hosts[0], request)
+            cluster.advance(0.1)
+        cluster.advance(deadline - cluster.simulation.now + ANSWER_MARGIN_S)
+        self.assertEqual([n for n in names if not cluster.outcomes.get(n)], [])
+        for name in names:
+            ((sent, _),) = cluster.outcomes[name]
+            outcome = sent.outcome
+            if isinstance(outcome, NotRun):
+                self.assertTrue(1.0 <= outcome.retry_after < 1_000.0, outcome)
+
+
 class ResponseMachine(RuleBasedStateMachine):
     """Sends prompts while engines and instances fail and stray frames arrive."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/chats/chatcontroller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/chats/chatcontroller.py
@@ -10,7 +10,7 @@
 from briarrelay_core.ports.caller import CallerGone, ChatRequest, SendOutcome
 from briarrelay_core.ports.telemetry import IncrementCounter
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
-from briarrelay_core.routing.admission import Admission
+from briarrelay_core.routing.admission import Admission, whole_seconds
 from briarrelay_core.routing.dispatch import Dispatcher
 from briarrelay_core.routing.retries import retry_delay
 from briarrelay_core.routing.spill import SpillRelay
@@ -89,7 +89,7 @@
             return []
         if chat.next_seq or chat.attempt and chat.why and chat.tried:
             return self.finish(chat, Failed(FailureReason.DEADLINE), now)
-        wait = max(1.0, self.dispatcher.expected_wait(chat, now))
+        wait = whole_seconds(self.dispatcher.expected_wait(chat, now))
         return self.finish(chat, NotRun(RefusalReason.OVERLOADED, wait), now)
 
     def _on_deadline(self, chat: Chat, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routing/admission.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/admission.py
@@ -1,6 +1,6 @@
 """Admission checks of requests, and fair shares of the fleet's capacity."""
 
-from math import ceil
+from math import ceil, inf
 
 from attrs import define, field, frozen
 
@@ -26,6 +26,9 @@
 FAIR_RATE_TTL_S = 0.25
 """Seconds for which computed fair rates are cached."""
 
+NO_CAPACITY_RETRY_S = 10.0
+"""Retry-After in seconds while no engine works; about the time in which one returns."""
+
 
 @frozen(slots=True)
 class Admitted:
@@ -178,5 +181,10 @@
 
 
 def whole_seconds(seconds: float) -> float:
-    """Round seconds up to a whole number, at least one, for Retry-After."""
+    """Round seconds up to a whole number, at least one, for Retry-After.
+
+    If they are infinite, nobody knows when an engine works again.
+    """
+    if seconds == inf:
+        return NO_CAPACITY_RETRY_S
     return float(max(1, ceil(seconds)))
--- a/packages/briarrelay-core/src/briarrelay_core/routing/dispatch.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/dispatch.py
@@ -1,5 +1,7 @@
 """Dispatch of queued prompts to engines."""
 
+from math import inf
+
 from attrs import define, evolve, field
 
 from briarrelay_core.chats.chatstate import Chat, Phase
@@ -82,12 +84,16 @@
         return None
 
     def expected_wait(self, chat: Chat, now: float) -> float:
-        """Return the seconds that a prompt is expected to wait in its queue."""
+        """Return the seconds that a prompt is expected to wait in its queue.
+
+        They are infinite while no engine works.
+        """
         queue = self._queue_of(chat.length_class)
         tokens = queue.tokens_ahead_of(chat.workspace, chat.length_class)
         if tokens == 0:
             return 0.0
-        return tokens / self.admission.fair_rate(chat.workspace, now)
+        rate = self.admission.fair_rate(chat.workspace, now)
+        return tokens / rate if rate > 0 else inf
 
     def submit(self, chat: Chat, now: float) -> list:
         """Queue a prompt, then dispatch every prompt that an engine can take."""
