Drop explained strikes by server, and only when there is a new one

With 256 quarantined contents and 4,096 struck ones each crash compared all pairs, up to a million look-ups.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -323,7 +323,7 @@
 
     def _record_server(self, crash: Crash) -> set[str]:
         """Return the quarantined contents that explain a crash, by it or its server."""
-        explaining = set()
+        explaining, is_new = set(), False
         for content, known in self._quarantined.items():
             if crash.server in known.servers:
                 explaining.add(content)
@@ -331,22 +331,20 @@
                 explaining.add(content)
                 if len(known.servers) < MAX_STRIKES:
                     known.servers += (crash.server,)
-        if explaining:
+                    is_new = True
+        if is_new:
             self._drop_explained()
         return explaining
 
     def _drop_explained(self) -> None:
         """Drop the strikes by servers that quarantined contents crashed."""
-        crashed = [
-            (content, set(known.servers))
-            for content, known in self._quarantined.items()
-        ]
+        causes: dict[str, list[str]] = {}
+        for content, known in self._quarantined.items():
+            for server in known.servers:
+                causes.setdefault(server, []).append(content)
         for content, struck in list(self._struck.items()):
-            for server in list(struck.strikes):
-                if any(
-                    server in servers and self._explains(other, content, server)
-                    for other, servers in crashed
-                ):
+            for server in causes.keys() & struck.strikes.keys():
+                if any(self._explains(c, content, server) for c in causes[server]):
                     del struck.strikes[server]
             if not struck.strikes and not struck.earlier:
                 del self._struck[content]
