--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -271,7 +271,7 @@
         reached = [
             content
             for content, count in counts.items()
-            if self._is_over(content, count)
+            if self._has_enough_strikes(content, count)
         ]
         while len(self._struck) > MAX_STRUCK:
             self._struck.popitem(last=False)
@@ -287,7 +287,7 @@
             self._drop_explained()
         return effects
 
-    def _is_over(self, content: str, count: int) -> bool:
+    def _has_enough_strikes(self, content: str, count: int) -> bool:
         """Return whether a content has the strikes that quarantine it."""
         is_sound = content in self._survived
         if is_request_content(content):
