Compare two suspect contents at the crashes that both were at

Cause: the content with fewer lost attempts in all counted as the rarer one, so that one that was at fewer crashes explained the one that was at all. Class: a ratio compared without its base.

Attempts are now compared at the crashes that both contents were at. If they are equal and came by different attempts, the one that was at more crashes is the likelier cause; if they came by the same attempts, the one that is rarer elsewhere, then the later one.

--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -464,7 +464,7 @@
                 for contents in attempts[::step]:
                     table.record_crash(contents, server, now - 0.02, now)
                 if number == 1:
-                    table.record_written((FIRST_PART,), now + 0.2)
+                    table.record_survival((FIRST_PART,), now + 0.2)
             found.append(table.contents)
         self.assertEqual(found, [(BAD_PART,), (BAD_PART,)], "by order of reports")
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -76,15 +76,32 @@
     def is_explained_by(self, other: "StruckContent") -> bool:
         """Return whether another content is more likely the cause of the crashes.
 
-        It was at nearly all of them, and it is rarer, or as rare and later in prompts.
+        It was at nearly all of them, and it is rarer.
         """
         if other.count < SUSPECT_STRIKES:
             return False
         strikes = [s for name, s in self.strikes.items() if name not in other.strikes]
         if _count_in_sequence(strikes) >= SUSPECT_STRIKES:
             return False
-        own_rank = (len(self.attempts), -self.position)
-        return (len(other.attempts), -other.position) < own_rank
+        return other._is_rarer_than(self)
+
+    def _is_rarer_than(self, other: "StruckContent") -> bool:
+        """Return whether fewer attempts had it, at the crashes that both were at.
+
+        Of two that were in the same attempts there, it is the one with fewer attempts
+        elsewhere, or the later one in prompts. Of two that were there by different
+        attempts, it is the one that was at more crashes in all.
+        """
+        both = self.strikes.keys() & other.strikes.keys()
+        own = {attempt for attempt in self.attempts if attempt[0] in both}
+        others = {attempt for attempt in other.attempts if attempt[0] in both}
+        if len(own) != len(others):
+            return len(own) < len(others)
+        if own != others:
+            return len(self.strikes) > len(other.strikes)
+        if len(self.attempts) != len(other.attempts):
+            return len(self.attempts) < len(other.attempts)
+        return self.position > other.position
 
     @property
     def since(self) -> float:
