Count no idle time while a caller reads its response

What callers would see: a response that takes longer to be read than the idle limit ends midway, although the caller reads all the time: the log has a complete response.

Cause: the idle time ran from the moment at which the response was complete here, not from that at which it was sent; the check at the limit does not look at unsent bytes. Class: one limit for two states.

Each part that is sent restarts the idle time. A caller that reads nothing is still disconnected at the limit, which a test now checks.

Ruled out: bodies that fit in the sockets' buffers (some MB on a local link) were never affected; those of both small deployments are 0.8 kB.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -167,6 +167,43 @@
         run_reactor(self.reactor, lambda: len(self.requests) > 1, 0.3)
         self.assertEqual(self.requests[-1].target, b"/2")
 
+    def receive_slowly(self, size: int) -> int:
+        """Read up to `size` bytes of a response in small parts; return their number."""
+        self.sock.setblocking(False)
+        received, end = 0, monotonic() + 5.0
+        while received < size and monotonic() < end:
+            run_reactor(self.reactor, lambda: False, 0.03)
+            try:
+                data = self.sock.recv(300_000)
+            except BlockingIOError:
+                continue
+            except ConnectionResetError:
+                break
+            if not data:
+                break
+            received += len(data)
+        return received
+
+    def test_response_that_the_caller_is_reading_outlasts_the_idle_limit(self):
+        """No idle time passes while a response is being sent."""
+        for fields in (b"", b"Connection: close\r\n"):
+            with self.subTest(fields):
+                self.requests.clear()
+                self.server.limits = CallerLimits(idle_s=0.2)
+                self.sock = socket.create_connection(("127.0.0.1", self.server.port))
+                self.addCleanup(self.sock.close)
+                request = b"GET / HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\n"
+                self.send(request, lambda: self.requests)
+                self.requests[0].reply(200, [], b"x" * 16_000_000)
+                self.assertGreaterEqual(self.receive_slowly(16_000_000), 16_000_000)
+
+    def test_caller_that_does_not_read_its_response_is_disconnected(self):
+        self.server.limits = CallerLimits(idle_s=0.2)
+        self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(200, [], b"x" * 16_000_000)
+        run_reactor(self.reactor, lambda: not self.server._connections, 3.0)
+        self.assertFalse(self.server._connections)
+
     def test_caller_disconnect_is_reported(self):
         self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
         self.sock.close()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -136,8 +136,8 @@
     :ivar has_pending_bytes: bytes were received beyond the requests passed on so
         far.
     :ivar timeout_started_at: start of the idle or header timeout: when the connection
-        was accepted, the first byte of a request was received or the last response
-        ended, whichever is latest.
+        was accepted, the first byte of a request was received or a part of the last
+        response was sent, whichever is latest.
     :ivar idle_limit_s: limit on the idle time in seconds when that timeout started.
     """
 
@@ -326,6 +326,8 @@
             while self._unsent:
                 sent_bytes = self._sock.send(self._unsent)
                 del self._unsent[:sent_bytes]
+                if not self.is_busy and not self.has_pending_bytes:
+                    self._start_timeout()  # the caller is still reading
         except BlockingIOError:
             self._watch(READ | WRITE)
             return
