Measure the idle limit on a body from its last part, and refuse what stalls

What callers would see: a request whose body takes longer to arrive than the idle limit ends without an answer or a refusal, although parts of it keep arriving; with a lower limit in a new configuration, sooner. One whose body stops arriving ends in the same silence.

Cause: the idle time was counted from the first byte of the request, and its end closed the connection as if no request was on it. Class: one limit for two states.

Each part of a body restarts the time. At the limit the caller gets 408: the request has not run. Unchanged: the limit on the header counts from the first byte.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -127,6 +127,20 @@
         self.send(b"GET / HTTP/1.1\r\nX-A", seconds=1.2)
         self.assertIn(b" 408 ", self.receive()[:16])
 
+    def test_body_that_is_arriving_outlasts_the_idle_limit(self):
+        self.server.limits = CallerLimits(idle_s=0.2)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n"
+        self.send(head, seconds=0.1)
+        for _ in range(10):
+            self.send(b"a" * 100, lambda: self.requests, 0.1)
+        self.assertEqual([len(r.body) for r in self.requests], [1_000])
+
+    def test_request_whose_body_stops_arriving_is_refused(self):
+        self.server.limits = CallerLimits(idle_s=0.2)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n"
+        self.send(head + b"a", seconds=1.2)
+        self.assertIn(b" 408 ", self.receive()[:16])
+
     def test_lower_idle_limit_does_not_apply_to_idle_time_that_began_before(self):
         """The caller may still reuse its connection under the limit that it knows."""
         self.server.limits = CallerLimits(idle_s=30.0)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -136,8 +136,8 @@
     :ivar has_pending_bytes: bytes were received beyond the requests passed on so
         far.
     :ivar timeout_started_at: start of the idle or header timeout: when the connection
-        was accepted, the first byte of a request was received or a part of the last
-        response was sent, whichever is latest.
+        was accepted, the first byte of a request or a part of its body was received, or
+        a part of the last response was sent, whichever is latest.
     :ivar idle_limit_s: limit on the idle time in seconds when that timeout started.
     """
 
@@ -241,7 +241,7 @@
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes and pass on the first request that they complete."""
-        if not self.has_pending_bytes:
+        if not self.has_pending_bytes or self._partial_message.is_head_complete:
             self.has_pending_bytes = True
             self._start_timeout()
         if not self._partial_message.is_head_complete:
@@ -358,6 +358,23 @@
         self.timeout_started_at = self.server.reactor.clock()
         self.idle_limit_s = self.server.limits.idle_s
 
+    def check_timeout(self, now: float) -> None:
+        """Refuse a request that is slow to arrive; close an idle connection."""
+        if self.is_busy:
+            return
+        limits = self.server.limits
+        elapsed_s = now - self.timeout_started_at
+        if self.has_pending_bytes and not self.is_head_complete:
+            if elapsed_s > limits.header_s:
+                self.refuse(408, b"the header took too long; send it at once")
+        elif elapsed_s > max(limits.idle_s, self.idle_limit_s):
+            if self.has_unread_bytes:
+                return
+            if self.has_pending_bytes and not self._is_closing:
+                self.refuse(408, b"the body stopped arriving; send it at once")
+            else:
+                self.close()
+
     def _resume(self) -> None:
         """Process the requests received while the last one was answered."""
         self._dispatch_next()
@@ -436,15 +453,7 @@
                 connection.close()
 
     def _check_timeouts(self, now: float) -> list:
-        """Refuse requests with a slow header; close idle or stalled connections."""
+        """Refuse requests that arrive slowly; close idle or stalled connections."""
         for connection in list(self._connections):
-            if connection.is_busy:
-                continue
-            elapsed_s = now - connection.timeout_started_at
-            if connection.has_pending_bytes and not connection.is_head_complete:
-                if elapsed_s > self.limits.header_s:
-                    connection.refuse(408, b"the header took too long; send it at once")
-            elif elapsed_s > max(self.limits.idle_s, connection.idle_limit_s):
-                if not connection.has_unread_bytes:
-                    connection.close()
+            connection.check_timeout(now)
         return []
