Read what has arrived before a header counts as slow

What callers would see: a request whose header came in two parts, with the process suspended (or busy for longer than the limit) in between, is refused with 408, or, since the rest lies unread in the socket and the close resets the connection, ends without a refusal.

Cause: the check looked only at what had been read, as that of idle connections did before; timers may run before the sockets are read.

A connection that is closing is closed at the limit also if its next header is incomplete.

Evidence: test_header_whose_rest_... failed before (no request), passes now; CallerServerTest passes.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -141,6 +141,15 @@
         self.send(head + b"a", seconds=1.2)
         self.assertIn(b" 408 ", self.receive()[:16])
 
+    def test_header_whose_rest_has_arrived_unread_does_not_time_out(self):
+        """The process may have been suspended meanwhile."""
+        self.server.limits = CallerLimits(header_s=0.2)
+        self.send(b"GET /2 HTTP/1.1\r\nHos", seconds=0.05)
+        self.sock.sendall(b"t: h\r\n\r\n")
+        self.server._check_timeouts(self.reactor.clock() + 5.0)
+        run_reactor(self.reactor, lambda: self.requests, 0.3)
+        self.assertEqual([r.target for r in self.requests], [b"/2"])
+
     def test_lower_idle_limit_does_not_apply_to_idle_time_that_began_before(self):
         """The caller may still reuse its connection under the limit that it knows."""
         self.server.limits = CallerLimits(idle_s=30.0)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -363,17 +363,18 @@
         if self.is_busy:
             return
         limits = self.server.limits
-        elapsed_s = now - self.timeout_started_at
-        if self.has_pending_bytes and not self.is_head_complete:
-            if elapsed_s > limits.header_s:
-                self.refuse(408, b"the header took too long; send it at once")
-        elif elapsed_s > max(limits.idle_s, self.idle_limit_s):
-            if self.has_unread_bytes:
-                return
-            if self.has_pending_bytes and not self._is_closing:
-                self.refuse(408, b"the body stopped arriving; send it at once")
-            else:
-                self.close()
+        is_in_head = self.has_pending_bytes and not self.is_head_complete
+        limit_s = (
+            limits.header_s if is_in_head else max(limits.idle_s, self.idle_limit_s)
+        )
+        if now - self.timeout_started_at <= limit_s or self.has_unread_bytes:
+            return
+        if self._is_closing or not self.has_pending_bytes:
+            self.close()
+        elif is_in_head:
+            self.refuse(408, b"the header took too long; send it at once")
+        else:
+            self.refuse(408, b"the body stopped arriving; send it at once")
 
     def _resume(self) -> None:
         """Process the requests received while the last one was answered."""
