Read on after a refusal, so that closing does not reset the connection

What callers may see, for instance beside a configuration with lower limits on header or body: a request over the limit ends with a reset connection instead of 413, 431 or 400. The refusal is sent as soon as the limit is exceeded; the connection was closed right after it with the rest of the request unread, which the kernel answers with a reset. Depending on the caller's system and library, a reset discards a response that was received but not yet read. The same holds for the response before requests that were pipelined, once the process stops.

Cause: the close did not wait for what was on its way (RFC 9112, 9.6).

If the caller is still sending, only the sending side is closed; what arrives is dropped for up to 1 s (checked every 0.5 s), or until the caller closes.

Ruled out: connections that are closed after a response to a request that was read whole, with nothing behind it, were and are closed at once.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -150,6 +150,35 @@
         run_reactor(self.reactor, lambda: self.requests, 0.3)
         self.assertEqual([r.target for r in self.requests], [b"/2"])
 
+    def test_refusal_arrives_although_the_request_is_not_read_to_its_end(self):
+        """A reset may discard the refusal at the caller, which would see no answer."""
+        body = b"a" * 300_000
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % (2 * len(body))
+        for fields, status in (
+            (b"", 413),
+            (b"X-A: " + b"a" * 20_000 + b"\r\n", 431),
+            (b"Content-Length: 1\r\n", 400),
+        ):
+            with self.subTest(status):
+                self.server.limits = CallerLimits(body_bytes=100_000)
+                self.sock = socket.create_connection(("127.0.0.1", self.server.port))
+                self.addCleanup(self.sock.close)
+                self.send(head + fields + b"\r\n" + body)
+                self.send(body)
+                response = self.receive()
+                self.assertIn(b" %d " % status, response[:16])
+                self.assertIn(b"Connection: close", response)
+                self.assertEqual(self.receive(), b"")
+
+    def test_refused_caller_that_stays_is_disconnected(self):
+        self.check_rejected(b"GET / HTTP/1.1\r\nX-A: " + b"a" * 20_000, 431)
+        for _ in range(20):
+            try:
+                self.send(b"a" * 1_000, lambda: not self.server._connections, 0.1)
+            except OSError:
+                break
+        self.assertFalse(self.server._connections)
+
     def test_lower_idle_limit_does_not_apply_to_idle_time_that_began_before(self):
         """The caller may still reuse its connection under the limit that it knows."""
         self.server.limits = CallerLimits(idle_s=30.0)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -38,6 +38,11 @@
 TIMEOUT_CHECK_S = 0.5
 """Seconds between checks for idle connections and slow headers."""
 
+LINGER_S = 1.0
+"""Seconds for which what a caller still sends after its last response is read and
+dropped. Closing with unread bytes would reset the connection, and the caller might lose
+that response."""
+
 
 @define(slots=True, eq=False)
 class RawExchange:
@@ -132,7 +137,9 @@
     :ivar _queued_messages: complete requests that are not being answered yet.
     :ivar _unparsed: bytes received while a request is answered.
     :ivar _unsent: bytes of responses that are not sent yet.
-    :ivar _is_closing: the connection is closed once `_unsent` is sent.
+    :ivar _is_closing: the connection is closed once `_unsent` is sent; what arrives
+        from then on is dropped.
+    :ivar _is_lingering: all is sent, and the connection closes when the caller does.
     :ivar has_pending_bytes: bytes were received beyond the requests passed on so
         far.
     :ivar timeout_started_at: start of the idle or header timeout: when the connection
@@ -149,6 +156,7 @@
         self._unparsed = bytearray()
         self._exchange: RawExchange | None = None
         self._is_closing = False
+        self._is_lingering = False
         self._is_flush_scheduled = False
         self._on_ready = self._handle_ready
         self.is_closed = False
@@ -228,6 +236,8 @@
             data = b""
         if not data:
             self._disconnect()
+        elif self._is_closing:
+            pass
         elif self._exchange is not None:
             self._buffer_pipelined(data)
         else:
@@ -335,8 +345,20 @@
             self._disconnect()
             return
         self._watch(READ)
-        if self._is_closing:
+        if self._is_closing and not self._is_lingering:
+            self._close_after_response()
+
+    def _close_after_response(self) -> None:
+        """Close the connection; if the caller is still sending, only for writing."""
+        if not self.has_pending_bytes and not self.has_unread_bytes:
             self.close()
+            return
+        self._is_lingering = True
+        self._start_timeout()
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()  # the caller has reset the connection
 
     def _watch(self, events: int) -> None:
         if events != self._watched_events:
@@ -362,6 +384,10 @@
         """Refuse a request that is slow to arrive; close an idle connection."""
         if self.is_busy:
             return
+        if self._is_lingering:
+            if now - self.timeout_started_at > LINGER_S:
+                self.close()
+            return
         limits = self.server.limits
         is_in_head = self.has_pending_bytes and not self.is_head_complete
         limit_s = (
