Keep the effects of timers before one that raises, and set the timer again

What callers would see: if a periodic check raises, answers and refusals that timers before it had decided in the same call are never sent; their requests are no longer in progress, so nothing else ends them. And with no other message (no peers, the store's long poll waiting 8 s) no check runs in that time.

Cause: kept the timers after one that raises, not the effects before it; the host forgot its timer before it called the core.

The effects so far are returned by the next call; the host sets its timer again in any case.

No such exception was found in the logs.

Evidence: both new FailingCallbackTest cases failed before, pass now; test_unanswered_requests, test_core_components, test_daemon_io, test_planned_stop and test_route_machine pass (40 tests).

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -121,6 +121,24 @@
         self.assertEqual(disconnected, [])
 
 
+class _FailingTimersCore:
+    """Core whose timers raise once."""
+
+    def __init__(self):
+        self.calls = 0
+
+    @property
+    def next_due(self) -> float | None:
+        return 1.0 if self.calls < 2 else None
+
+    def start(self, now: float) -> list:
+        return []
+
+    def run_timers(self, now: float) -> list:
+        self.calls += 1
+        return [1 // 0] if self.calls == 1 else []
+
+
 class FailingCallbackTest(unittest.TestCase):
     """A callback that raises does not take others with it."""
 
@@ -145,3 +163,23 @@
             timers.run_due(1.0)
         timers.run_due(1.2)
         self.assertEqual(calls, [1.0, 1.2])
+
+    def test_effects_of_timers_before_one_that_raises_are_returned(self):
+        """They may hold the answer to a request that is no longer in progress."""
+        timers = TimerService()
+        timers.at(1.0, lambda now: ["answer"])
+        timers.at(1.0, lambda now: [1 // 0])
+        with self.assertRaises(ZeroDivisionError):
+            timers.run_due(1.0)
+        self.assertEqual(timers.next_due, 1.0)
+        self.assertEqual(timers.run_due(1.0), ["answer"])
+
+    def test_timers_of_the_core_run_after_one_that_raises(self):
+        """Without other messages, nothing else would set the timer again."""
+        reactor, core = Reactor(lambda: 1.0), _FailingTimersCore()
+        host = Host(core, reactor, Metrics(), Logger("test"))
+        host.start()
+        with self.assertRaises(ZeroDivisionError):
+            reactor.timers.run_due(1.0)
+        reactor.timers.run_due(1.0)
+        self.assertEqual(core.calls, 2)
--- a/packages/briarrelay-core/src/briarrelay_core/timers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/timers.py
@@ -72,9 +72,16 @@
         return timer
 
     def run_due(self, now: float) -> list:
-        """Run the timers that are due and return their effects."""
+        """Run the timers that are due and return their effects.
+
+        If one raises, the effects so far are returned by the next call.
+        """
         effects = []
-        while (due := self.next_due) is not None and due <= now:
-            timer = heappop(self._heap)[2]
-            effects.extend(timer.callback(now))
+        try:
+            while (due := self.next_due) is not None and due <= now:
+                timer = heappop(self._heap)[2]
+                effects.extend(timer.callback(now))
+        except Exception:
+            self.at(now, lambda _: effects)
+            raise
         return effects
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/host.py
@@ -97,5 +97,9 @@
 
     def _on_timer(self, _: float) -> list:
         self._timer = None
-        self._perform(self.core.run_timers(self.now))
+        try:
+            self._perform(self.core.run_timers(self.now))
+        except Exception:
+            self._set_timer()
+            raise
         return []
