Keep the deadlines of requests apart from the other periodic checks

What callers would see: if the check for silent servers (or another one) raises each time, for one request among many, no request is refused or ended at its deadline any more; those that wait or whose server is silent get no answer.

Cause: keeps a periodic call after one that raises; but all checks are one call, so those after the one that raises never ran.

The check of deadlines is a timer of its own, before the others; requests at their end are no longer moved first. No such exception was found in the logs.

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 from time import monotonic
+from unittest import mock
 
 from logbook import Logger, NullHandler
 
@@ -15,6 +16,7 @@
     SendErrorResponse,
 )
 from briarrelay_core.reasons import FailureReason
+from briarrelay_core.routes.silence import SilenceChecker
 from briarrelay_core.timers import TimerService
 from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.host import Host
@@ -22,6 +24,7 @@
 from briarrelay_daemon.reactor import Reactor
 from briarrelay_daemon.routeport import RoutePort
 from briarrelay_platform.dialect import PlatformDialect
+from properties.routeworld import RouteWorld
 from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
 
 REQUEST = b"GET /look/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
@@ -183,3 +186,15 @@
             reactor.timers.run_due(1.0)
         reactor.timers.run_due(1.0)
         self.assertEqual(core.calls, 2)
+
+    def test_deadlines_are_kept_while_other_checks_raise(self):
+        world = RouteWorld()
+        world.request("look")
+        with mock.patch.object(SilenceChecker, "check", side_effect=KeyError):
+            effects = []
+            for _ in range(100):
+                try:
+                    effects += world.advance(0.1)
+                except KeyError:
+                    effects += world.advance(0.0)
+        self.assertEqual(len(world.of_type(effects, SendErrorResponse)), 1)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -177,6 +177,10 @@
 
     def start(self, now: float) -> list:
         """Start periodic work; return the first effects."""
+        # on its own, so that requests are answered though another check may raise
+        self.timers.every(
+            CHECK_PERIOD_S, self.controller.expire_requests, now + CHECK_PERIOD_S
+        )
         self.timers.every(CHECK_PERIOD_S, self._run_checks, now + CHECK_PERIOD_S)
         self.timers.every(
             RECORD_PERIOD_S, self._append_audit_batch, now + RECORD_PERIOD_S
@@ -242,7 +246,7 @@
     def _run_checks(self, now: float) -> list:
         self.updates.update_staleness(now)
         self.controller.budget.instances = self.peers.instances
-        effects = self.silence.check(now) + self.controller.expire_requests(now)
+        effects = self.silence.check(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
         self.controller.observations.crashes.expire(now)
