Refuse requests from the end of a planned stop on

What callers would see: with a grace time under 3.2 s, a request that comes in the 0.15 s between the end of the stop and the exit of the process is sent to a server and ends with the process, without an answer.

Cause: new requests are refused from 2.6 s after the signal on; the end of the stop, 0.6 s before that of the grace time, did not refuse them.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -180,3 +180,15 @@
         self.assertEqual(len(world.of_type(effects, ExitProcess)), 1)
         (answer,) = world.of_type(effects, SendErrorResponse)
         self.assertIsInstance(answer.outcome, NotRun)
+
+    def test_no_request_is_admitted_after_the_stop_is_due(self):
+        """A grace time may end before new requests are refused."""
+        world = RouteWorld()
+        world.instance.stopping.grace_s = 3.0
+        world.deliver(DrainRequested())
+        effects = world.advance(2.45)
+        self.assertEqual(len(world.of_type(effects, ExitProcess)), 1)
+        effects = world.request("look")
+        self.assertEqual(world.forwards(effects), [])
+        (answer,) = world.of_type(effects, SendErrorResponse)
+        self.assertIsInstance(answer.outcome, NotRun)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/gracefulstop.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/gracefulstop.py
@@ -62,6 +62,7 @@
         if not idle and elapsed < self.grace_s - KILL_MARGIN_S:
             return effects
         self._is_over = True
+        self.controller.admission.is_closing = True
         fields = (
             ("after_s", f"{elapsed:.2f}"),
             ("in_progress", str(len(self.controller.requests))),
