Let callers read their final responses before the process exits

What callers would see in a planned stop: a response that is longer than the sockets' buffers hold ends midway 0.15 s after the last request is done here, although most of the grace time is left; the log has a complete response.

Cause: the exit waited for requests in progress and then for a fixed time, not for what was still to be sent.

The process ends once nothing is unsent, or no caller has read anything for 0.5 s, at the latest 0.2 s before the end of the grace time. Meanwhile new requests are refused as before. The log line of the end tells what was unsent.

Ruled out as a cause on the two small deployments: bodies of 0.8 kB and short streams fit in the buffers unless a link is choked.

--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -182,6 +182,11 @@
             return False
         return not self.has_unread_bytes
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that are not sent yet."""
+        return len(self._unsent)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes of a request wait in the socket."""
@@ -459,6 +464,11 @@
         """Port on which the server listens."""
         return self._sock.getsockname()[1]
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that are buffered for callers."""
+        return sum(connection.unsent_bytes for connection in self._connections)
+
     def _accept(self, _: int) -> None:
         while True:
             try:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -36,6 +36,13 @@
 SHUTDOWN_DELAY_S = 0.15
 """Seconds from the last request to the exit, in which final responses are sent."""
 
+SENDING_CHECK_S = 0.5
+"""Seconds between checks whether callers still read their final responses, for which
+the exit waits."""
+
+EXIT_MARGIN_S = 0.2
+"""Seconds before the end of the grace time at which the process ends in any case."""
+
 LIMITS_CHECK_S = 0.5
 """Seconds between checks for changed limits of callers."""
 
@@ -131,12 +138,27 @@
         self.routes.server.keeps_alive = False
         self.host.dispatch(DrainRequested())
 
+    @property
+    def _exit_by(self) -> float:
+        """Time by which the process must have ended, as it is killed soon after."""
+        stopping = self.host.core.stopping
+        return stopping.began_at + stopping.grace_s - EXIT_MARGIN_S
+
     def _on_exit_process(self, _: ExitProcess) -> None:
         self.routes.server.close_idle()
         self.reactor.timers.at(self.host.now + SHUTDOWN_DELAY_S, self._exit)
 
-    def _exit(self, _: float) -> list:
-        self.host.logger.info("stopped")
+    def _exit(self, now: float, previously_unsent: int | None = None) -> list:
+        """End the process, unless callers are still reading their responses.
+
+        :param previously_unsent: unsent bytes of responses at the previous check.
+        """
+        unsent = self.routes.server.unsent_bytes
+        next_check = now + SENDING_CHECK_S
+        if unsent and unsent != previously_unsent and next_check < self._exit_by:
+            self.reactor.timers.at(next_check, lambda now: self._exit(now, unsent))
+            return []
+        self.host.logger.info("stopped", unsent_bytes=unsent)
         self.stop()
         return []
 
