Check that entries with an address that is none are rejected

Suspected while looking for requests without an answer: an entry of another writer whose host is a name, which would be resolved in the loop while all other requests wait, or raise what the sender of requests does not expect.

Disproved: the decoder rejects them (host names, malformed numbers, IPv6, ports out of range). The new test passes without a change.

--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import orjson
 from hypothesis import given
 from hypothesis import strategies as st
 from standins.fleet import configuration
@@ -90,8 +91,6 @@
     @given(st.data())
     def test_configuration_with_one_malformed_field(self, data):
         """One field is null, empty or of another type."""
-        import orjson
-
         mapping = configuration(3)
         target = data.draw(
             st.sampled_from(
@@ -112,6 +111,27 @@
             decode_configuration, orjson.dumps(mapping), DecodeError
         )
 
+    def test_server_without_a_usable_address_is_rejected(self):
+        """A host name would be resolved while all other requests wait."""
+        entry = {"service": "s", "state": "ready", "slots": 1, "address": ""}
+        self.assertEqual(self.decode_address(entry, "10.0.0.1:80"), ("10.0.0.1", 80))
+        for address in (
+            "engine.example:80",
+            "localhost:80",
+            "a..b:80",
+            ":80",
+            "10.0.0.256:80",
+            "10.0.0.1:-1",
+            "10.0.0.1:65536",
+            "[::1]:80",
+        ):
+            with self.subTest(address), self.assertRaises(DecodeError):
+                self.decode_address(entry, address)
+
+    def decode_address(self, entry: dict, address: str) -> tuple[str, int]:
+        decoded = decode_server("k", orjson.dumps({**entry, "address": address}))
+        return decoded.host, decoded.port
+
     def test_truncated_keyed_records(self):
         complete = (
             bytes(16) + encode_keyed_record("a", b"1") + encode_keyed_record("b", b"2")
