Answer a request for which the core raises

What callers would see: if the core raises when it gets a request, for instance before it is among the requests in progress, the request gets neither an answer nor a refusal, not at its deadline either; its connection counts as busy and is never closed.

Cause: only the effects of a message are performed one by one; if the message itself fails there are none.

The exception goes on to the loop, which logs it. None was found in the logs.

Evidence: test_request_is_answered_when_the_core_raises failed before (no response), passes now; test_unanswered_requests, test_daemon_io and test_corpus pass.

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -84,6 +84,14 @@
         (lost,) = [m for m in self.core.messages if isinstance(m, ResponseLost)]
         self.assertFalse(lost.is_sent)
 
+    def test_request_is_answered_when_the_core_raises(self):
+        with (
+            mock.patch.object(self.core, "handle", side_effect=KeyError),
+            self.assertRaises(KeyError),
+        ):
+            self.exchange(REQUEST + b"\r\n")
+        self.assertIn(b"HTTP/1.1 502", self.exchange(b""))
+
     def test_request_with_unreadable_numbers_is_refused(self):
         for header in (
             b"X-Request-Deadline: \xb2",
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -24,6 +24,7 @@
     RouteRequest,
     SendErrorResponse,
 )
+from briarrelay_core.reasons import FailureReason
 from briarrelay_daemon.callerserver import CallerServer, RawExchange
 from briarrelay_daemon.eventsplit import MAX_EVENT_BYTES, EventSplitter
 from briarrelay_daemon.host import Host
@@ -249,7 +250,12 @@
             return
         self._pending[request_id] = _PendingExchange(exchange, perf_counter())
         self._request_ids[exchange] = request_id
-        self.host.dispatch(request)
+        try:
+            self.host.dispatch(request)
+        except Exception:
+            # What the core decided is lost, and it may not know the request.
+            self._answer_failure(request_id, Failed(FailureReason.SERVER_LOST))
+            raise
 
     def _on_disconnect(self, exchange: RawExchange) -> None:
         request_id = self._request_ids.get(exchange)
@@ -350,7 +356,10 @@
             pending.exchange.abort()
 
     def _send_error_response(self, effect: SendErrorResponse) -> None:
-        pending = self._remove(effect.request_id)
+        self._answer_failure(effect.request_id, effect.outcome)
+
+    def _answer_failure(self, request_id: int, outcome: NotRun | Failed) -> None:
+        pending = self._remove(request_id)
         if pending is not None:
             exchange = pending.exchange
-            exchange.reply(*self.dialect.write_refusal(effect.outcome, exchange))
+            exchange.reply(*self.dialect.write_refusal(outcome, exchange))
