Count a request as begun if it came behind another one in a segment

What a caller that pipelines would see: if the first part of a request comes in the segment of the request before it, the connection counts as idle once that is answered: it is closed when idle ones are in a planned stop, and the rest of the request runs into a closed connection; the limit on the header's time does not apply.

Cause: bytes are counted for the request that is being read when they arrive.

The parser says when a request begins.

Ruled out as a cause of the reports: their callers send one request at a time on a connection, and this one was not read whole.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -219,6 +219,25 @@
         run_reactor(self.reactor, lambda: len(self.requests) > 1, 0.3)
         self.assertEqual(self.requests[-1].target, b"/2")
 
+    def test_connection_with_a_request_in_part_is_not_idle(self):
+        """It may have come in the same segment as the one before it."""
+        first = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(first + b"GET /2 HTTP/1.1\r\nHo", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        run_reactor(self.reactor, lambda: False, 0.05)
+        self.server.close_idle()
+        self.send(b"st: h\r\n\r\n", lambda: len(self.requests) > 1)
+        self.assertEqual(self.requests[-1].target, b"/2")
+
+    def test_request_in_part_behind_another_times_out_as_others_do(self):
+        self.server.limits = CallerLimits(header_s=0.2, idle_s=30.0)
+        first = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(first + b"GET /2 HTTP/1.1\r\nHo", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        self.assertIn(b" 200 ", self.receive()[:16])
+        run_reactor(self.reactor, lambda: False, 1.0)
+        self.assertIn(b" 408 ", self.receive()[:16])
+
     def receive_slowly(self, size: int) -> int:
         """Read up to `size` bytes of a response in small parts; return their number."""
         self.sock.setblocking(False)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callermessage.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callermessage.py
@@ -11,12 +11,14 @@
 class CallerMessage:
     """A request that is being read.
 
+    :param is_begun: its first byte has been received.
     :param head_bytes: bytes received before the header was complete.
     """
 
     target: bytes = b""
     headers: list[tuple[bytes, bytes]] = field(factory=list)
     body: bytearray = field(factory=bytearray)
+    is_begun: bool = False
     head_bytes: int = 0
     is_head_complete: bool = False
     method: str = ""
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -202,6 +202,10 @@
 
     # Callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        """Mark the request that is being read as begun."""
+        self._partial_message.is_begun = True
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
         self._partial_message.target += url
@@ -282,7 +286,7 @@
             self.refuse(*refusal)
         elif message is not None:
             self.has_pending_bytes = bool(
-                self._queued_messages or self._partial_message.head_bytes
+                self._queued_messages or self._partial_message.is_begun
             )
             self._exchange = RawExchange(
                 method=message.method,
