Answer pipelined requests before a stop closes their connection

What a caller that pipelines would see in a planned stop: the requests behind the one that is being answered end without an answer, although they were read whole: from SIGTERM on each response closes its connection.

Cause: a response announced the close without a look at what had arrived behind it.

The close is announced in the last response. A stream whose head was sent before the further requests came still closes after its end, as announced.

Ruled out as a cause of the reports: their callers send one request at a time on a connection.

Evidence: test_requests_that_were_read_... failed before (the second request was never handled), passes now, with one close announced, in the last response; CallerServerTest passes.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -238,6 +238,21 @@
         run_reactor(self.reactor, lambda: False, 1.0)
         self.assertIn(b" 408 ", self.receive()[:16])
 
+    def test_requests_that_were_read_are_answered_though_the_server_closes(self):
+        """As it does with each connection after a response once it stops."""
+        template = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(template % 1 + template % 2, lambda: self.requests)
+        self.send(template % 3)
+        self.server.keeps_alive = False
+        for number in range(1, 4):
+            run_reactor(self.reactor, lambda n=number: len(self.requests) == n, 0.5)
+            self.requests[number - 1].reply(200, [], b"%d" % number)
+        responses = self.receive()
+        self.assertEqual(responses.count(b"HTTP/1.1 200 "), 3)
+        self.assertEqual(responses.count(b"Connection: close"), 1)
+        self.assertIn(b"Connection: close", responses[-60:])
+        self.assertEqual(self.receive(), b"")
+
     def receive_slowly(self, size: int) -> int:
         """Read up to `size` bytes of a response in small parts; return their number."""
         self.sock.setblocking(False)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -113,9 +113,12 @@
     def _encode_head(self, status: int, headers: list) -> bytes:
         """Return the encoded status line and headers.
 
-        Clears `keeps_alive` if the server closes its connections after a response.
+        Clears `keeps_alive` if the server closes its connections after a response,
+        unless the caller has sent further requests, which are answered first.
         """
-        self.keeps_alive = self.keeps_alive and self._connection.server.keeps_alive
+        connection = self._connection
+        if not connection.server.keeps_alive and not connection.has_further_requests:
+            self.keeps_alive = False
         try:
             phrase = HTTPStatus(status).phrase
         except ValueError:
@@ -182,6 +185,13 @@
             return False
         return not self.has_unread_bytes
 
+    @property
+    def has_further_requests(self) -> bool:
+        """Whether the caller has sent more than the request being answered."""
+        if self._queued_messages or self._unparsed:
+            return True
+        return self.has_unread_bytes
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that are not sent yet."""
