Ask callers that wait for it to send their body

Cause: the header is dropped as one that concerns a single connection, and no interim response was sent.

A caller of HTTP/1.1 gets 100 Continue once its header is complete, unless a part of the body came with it or the header is refused; behind another request, after that one's response.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -94,6 +94,50 @@
         self.assertEqual(self.requests, [])
         self.assertIn(b" %d " % status, self.receive()[:16])
 
+    def test_caller_that_waits_to_send_its_body_is_asked_for_it(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        for framing, body in (
+            (b"Content-Length: 3\r\n\r\n", b"abc"),
+            (b"Transfer-Encoding: chunked\r\n\r\n", b"3\r\nabc\r\n0\r\n\r\n"),
+        ):
+            with self.subTest(framing):
+                self.send(head + framing, seconds=0.05)
+                self.assertEqual(self.receive(), b"HTTP/1.1 100 Continue\r\n\r\n")
+                self.send(body, lambda: self.requests)
+                request = self.requests.pop()
+                self.assertEqual(request.body, b"abc")
+                request.reply(200, [], b"")
+                self.assertTrue(self.receive().startswith(b"HTTP/1.1 200 "))
+
+    def test_caller_that_waits_behind_another_request_is_asked_after_its_response(self):
+        first = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        self.send(first + head + b"Content-Length: 3\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        self.assertTrue(self.receive().endswith(b"\r\n1HTTP/1.1 100 Continue\r\n\r\n"))
+        self.send(b"abc", lambda: len(self.requests) > 1)
+        self.assertEqual(self.requests[1].body, b"abc")
+
+    def test_caller_is_not_asked_for_a_body_that_it_sends_or_must_not_send(self):
+        head = b"POST / HTTP/1.%d\r\nHost: h\r\nExpect: 100-continue\r\n"
+        length = b"Content-Length: %d\r\n\r\n"
+        for data, status in (
+            (head % 1 + length % 3 + b"abc", b"200"),
+            (head % 1 + length % 99_999_999, b"413"),
+        ):
+            with self.subTest(status):
+                self.requests.clear()
+                self.send(data, lambda: self.requests, 0.1)
+                for request in self.requests:
+                    request.reply(200, [], b"")
+                self.assertTrue(self.receive().startswith(b"HTTP/1.1 " + status))
+        self.sock = socket.create_connection(("127.0.0.1", self.server.port))
+        self.addCleanup(self.sock.close)
+        self.send(head % 0 + length % 3, seconds=0.05)
+        self.send(b"abc", lambda: self.requests)
+        self.requests[-1].reply(200, [], b"")
+        self.assertTrue(self.receive().startswith(b"HTTP/1.1 200 "))
+
     def test_conflicting_content_lengths_are_rejected(self):
         self.check_rejected(
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callermessage.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callermessage.py
@@ -13,6 +13,8 @@
 
     :param is_begun: its first byte has been received.
     :param head_bytes: bytes received before the header was complete.
+    :param awaits_continue: the caller sends the body after an interim response, which
+        it has not got yet.
     """
 
     target: bytes = b""
@@ -21,9 +23,18 @@
     is_begun: bool = False
     head_bytes: int = 0
     is_head_complete: bool = False
+    awaits_continue: bool = False
     method: str = ""
     keeps_alive: bool = False
 
+    @property
+    def expects_continue(self) -> bool:
+        """Whether the header asks for an interim response before the body."""
+        return any(
+            name.lower() == b"expect" and value.strip().lower() == b"100-continue"
+            for name, value in self.headers
+        )
+
     def check_limits(self, limits: CallerLimits) -> tuple[int, bytes] | None:
         """Return status and text of a refusal if the request is over a limit."""
         head = sum(len(name) + len(value) + 4 for name, value in self.headers)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -226,11 +226,15 @@
 
     def on_headers_complete(self) -> None:
         """Mark the header as complete."""
-        self._partial_message.is_head_complete = True
+        message = self._partial_message
+        message.is_head_complete = True
+        is_older = self._parser.get_http_version() == "1.0"
+        message.awaits_continue = message.expects_continue and not is_older
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._partial_message.body += data
+        self._partial_message.awaits_continue = False
 
     def on_message_complete(self) -> None:
         """Queue a complete request; the next one may follow in the same bytes."""
@@ -307,6 +311,9 @@
                 connection=self,
             )
             self.server.on_request(self._exchange)
+        elif self._partial_message.awaits_continue:
+            self._partial_message.awaits_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _disconnect(self) -> None:
         """Close the connection and report an unfinished exchange as disconnected.
@@ -392,7 +399,8 @@
         if not exchange.keeps_alive:
             self._is_closing = True
             return
-        if self._queued_messages or self._unparsed:
+        is_awaited = self._partial_message.awaits_continue
+        if self._queued_messages or self._unparsed or is_awaited:
             self.server.reactor.defer(self._resume)
 
     def _start_timeout(self) -> None:
