Show that a server that does not read for a second is given up (red)

What callers would see: a request whose body the server's receive buffer does not hold is lost after 1.3 s in which a sound server reads nothing: repeatable ones are sent to another server, others get 502.

Not mended: the bound keeps a request from being delivered late to a server that leaves, and the socket option can't tell the two apart. Telling them apart needs the time of the last acknowledgement (TCP_INFO), since a server that is merely silent acknowledges probes of its closed window.

--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -612,6 +612,12 @@
         limit = connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         self.assertEqual(limit, 1_000)
 
+    def test_server_that_reads_nothing_for_a_second_is_waited_for(self):
+        """It is silent but sound; its system acknowledges that its buffer is full."""
+        call, _ = self.start_stalled_call()
+        run_reactor(self.reactor, lambda: call.is_over, 1.5)
+        self.assertFalse(call.is_over, call.problem)
+
     def test_cancelled_call_with_acknowledged_bytes_is_closed_cleanly(self):
         sink = _RecordingSink()
         call = self.client.call(
