--- a/features/properties/test_http_connections.py
+++ b/features/properties/test_http_connections.py
@@ -94,6 +94,50 @@
         self.assertEqual(self.requests, [])
         self.assertIn(b" %d " % status, self.receive()[:16])
 
+    def test_caller_that_waits_to_send_its_body_is_asked_for_it(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        for framing, body in (
+            (b"Content-Length: 3\r\n\r\n", b"abc"),
+            (b"Transfer-Encoding: chunked\r\n\r\n", b"3\r\nabc\r\n0\r\n\r\n"),
+        ):
+            with self.subTest(framing):
+                self.send(head + framing, seconds=0.05)
+                self.assertEqual(self.receive(), b"HTTP/1.1 100 Continue\r\n\r\n")
+                self.send(body, lambda: self.requests)
+                request = self.requests.pop()
+                self.assertEqual(request.body, b"abc")
+                request.reply(200, [], b"")
+                self.assertTrue(self.receive().startswith(b"HTTP/1.1 200 "))
+
+    def test_caller_that_waits_behind_another_request_is_asked_after_its_response(self):
+        first = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        self.send(first + head + b"Content-Length: 3\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        self.assertTrue(self.receive().endswith(b"\r\n1HTTP/1.1 100 Continue\r\n\r\n"))
+        self.send(b"abc", lambda: len(self.requests) > 1)
+        self.assertEqual(self.requests[1].body, b"abc")
+
+    def test_caller_is_not_asked_for_a_body_that_it_sends_or_must_not_send(self):
+        head = b"POST / HTTP/1.%d\r\nHost: h\r\nExpect: 100-continue\r\n"
+        length = b"Content-Length: %d\r\n\r\n"
+        for data, status in (
+            (head % 1 + length % 3 + b"abc", b"200"),
+            (head % 1 + length % 99_999_999, b"413"),
+        ):
+            with self.subTest(status):
+                self.requests.clear()
+                self.send(data, lambda: self.requests, 0.1)
+                for request in self.requests:
+                    request.reply(200, [], b"")
+                self.assertTrue(self.receive().startswith(b"HTTP/1.1 " + status))
+        self.sock = socket.create_connection(("127.0.0.1", self.server.port))
+        self.addCleanup(self.sock.close)
+        self.send(head % 0 + length % 3, seconds=0.05)
+        self.send(b"abc", lambda: self.requests)
+        self.requests[-1].reply(200, [], b"")
+        self.assertTrue(self.receive().startswith(b"HTTP/1.1 200 "))
+
     def test_conflicting_content_lengths_are_rejected(self):
         self.check_rejected(
             b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
@@ -127,6 +171,58 @@
         self.send(b"GET / HTTP/1.1\r\nX-A", seconds=1.2)
         self.assertIn(b" 408 ", self.receive()[:16])
 
+    def test_body_that_is_arriving_outlasts_the_idle_limit(self):
+        self.server.limits = CallerLimits(idle_s=0.2)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n"
+        self.send(head, seconds=0.1)
+        for _ in range(10):
+            self.send(b"a" * 100, lambda: self.requests, 0.1)
+        self.assertEqual([len(r.body) for r in self.requests], [1_000])
+
+    def test_request_whose_body_stops_arriving_is_refused(self):
+        self.server.limits = CallerLimits(idle_s=0.2)
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n"
+        self.send(head + b"a", seconds=1.2)
+        self.assertIn(b" 408 ", self.receive()[:16])
+
+    def test_header_whose_rest_has_arrived_unread_does_not_time_out(self):
+        """The process may have been suspended meanwhile."""
+        self.server.limits = CallerLimits(header_s=0.2)
+        self.send(b"GET /2 HTTP/1.1\r\nHos", seconds=0.05)
+        self.sock.sendall(b"t: h\r\n\r\n")
+        self.server._check_timeouts(self.reactor.clock() + 5.0)
+        run_reactor(self.reactor, lambda: self.requests, 0.3)
+        self.assertEqual([r.target for r in self.requests], [b"/2"])
+
+    def test_refusal_arrives_although_the_request_is_not_read_to_its_end(self):
+        """A reset may discard the refusal at the caller, which would see no answer."""
+        body = b"a" * 300_000
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % (2 * len(body))
+        for fields, status in (
+            (b"", 413),
+            (b"X-A: " + b"a" * 20_000 + b"\r\n", 431),
+            (b"Content-Length: 1\r\n", 400),
+        ):
+            with self.subTest(status):
+                self.server.limits = CallerLimits(body_bytes=100_000)
+                self.sock = socket.create_connection(("127.0.0.1", self.server.port))
+                self.addCleanup(self.sock.close)
+                self.send(head + fields + b"\r\n" + body)
+                self.send(body)
+                response = self.receive()
+                self.assertIn(b" %d " % status, response[:16])
+                self.assertIn(b"Connection: close", response)
+                self.assertEqual(self.receive(), b"")
+
+    def test_refused_caller_that_stays_is_disconnected(self):
+        self.check_rejected(b"GET / HTTP/1.1\r\nX-A: " + b"a" * 20_000, 431)
+        for _ in range(20):
+            try:
+                self.send(b"a" * 1_000, lambda: not self.server._connections, 0.1)
+            except OSError:
+                break
+        self.assertFalse(self.server._connections)
+
     def test_lower_idle_limit_does_not_apply_to_idle_time_that_began_before(self):
         """The caller may still reuse its connection under the limit that it knows."""
         self.server.limits = CallerLimits(idle_s=30.0)
@@ -167,6 +263,77 @@
         run_reactor(self.reactor, lambda: len(self.requests) > 1, 0.3)
         self.assertEqual(self.requests[-1].target, b"/2")
 
+    def test_connection_with_a_request_in_part_is_not_idle(self):
+        """It may have come in the same segment as the one before it."""
+        first = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(first + b"GET /2 HTTP/1.1\r\nHo", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        run_reactor(self.reactor, lambda: False, 0.05)
+        self.server.close_idle()
+        self.send(b"st: h\r\n\r\n", lambda: len(self.requests) > 1)
+        self.assertEqual(self.requests[-1].target, b"/2")
+
+    def test_request_in_part_behind_another_times_out_as_others_do(self):
+        self.server.limits = CallerLimits(header_s=0.2, idle_s=30.0)
+        first = b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(first + b"GET /2 HTTP/1.1\r\nHo", lambda: self.requests)
+        self.requests[0].reply(200, [], b"1")
+        self.assertIn(b" 200 ", self.receive()[:16])
+        run_reactor(self.reactor, lambda: False, 1.0)
+        self.assertIn(b" 408 ", self.receive()[:16])
+
+    def test_requests_that_were_read_are_answered_though_the_server_closes(self):
+        """As it does with each connection after a response once it stops."""
+        template = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+        self.send(template % 1 + template % 2, lambda: self.requests)
+        self.send(template % 3)
+        self.server.keeps_alive = False
+        for number in range(1, 4):
+            run_reactor(self.reactor, lambda n=number: len(self.requests) == n, 0.5)
+            self.requests[number - 1].reply(200, [], b"%d" % number)
+        responses = self.receive()
+        self.assertEqual(responses.count(b"HTTP/1.1 200 "), 3)
+        self.assertEqual(responses.count(b"Connection: close"), 1)
+        self.assertIn(b"Connection: close", responses[-60:])
+        self.assertEqual(self.receive(), b"")
+
+    def receive_slowly(self, size: int) -> int:
+        """Read up to `size` bytes of a response in small parts; return their number."""
+        self.sock.setblocking(False)
+        received, end = 0, monotonic() + 5.0
+        while received < size and monotonic() < end:
+            run_reactor(self.reactor, lambda: False, 0.03)
+            try:
+                data = self.sock.recv(300_000)
+            except BlockingIOError:
+                continue
+            except ConnectionResetError:
+                break
+            if not data:
+                break
+            received += len(data)
+        return received
+
+    def test_response_that_the_caller_is_reading_outlasts_the_idle_limit(self):
+        """No idle time passes while a response is being sent."""
+        for fields in (b"", b"Connection: close\r\n"):
+            with self.subTest(fields):
+                self.requests.clear()
+                self.server.limits = CallerLimits(idle_s=0.2)
+                self.sock = socket.create_connection(("127.0.0.1", self.server.port))
+                self.addCleanup(self.sock.close)
+                request = b"GET / HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\n"
+                self.send(request, lambda: self.requests)
+                self.requests[0].reply(200, [], b"x" * 16_000_000)
+                self.assertGreaterEqual(self.receive_slowly(16_000_000), 16_000_000)
+
+    def test_caller_that_does_not_read_its_response_is_disconnected(self):
+        self.server.limits = CallerLimits(idle_s=0.2)
+        self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
+        self.requests[0].reply(200, [], b"x" * 16_000_000)
+        run_reactor(self.reactor, lambda: not self.server._connections, 3.0)
+        self.assertFalse(self.server._connections)
+
     def test_caller_disconnect_is_reported(self):
         self.send(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", lambda: self.requests)
         self.sock.close()
@@ -445,6 +612,12 @@
         limit = connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
         self.assertEqual(limit, 1_000)
 
+    def test_server_that_reads_nothing_for_a_second_is_waited_for(self):
+        """It is silent but sound; its system acknowledges that its buffer is full."""
+        call, _ = self.start_stalled_call()
+        run_reactor(self.reactor, lambda: call.is_over, 1.5)
+        self.assertFalse(call.is_over, call.problem)
+
     def test_cancelled_call_with_acknowledged_bytes_is_closed_cleanly(self):
         sink = _RecordingSink()
         call = self.client.call(
--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 from time import monotonic
+from unittest import mock
 
 from logbook import Logger, NullHandler
 
@@ -15,6 +16,7 @@
     SendErrorResponse,
 )
 from briarrelay_core.reasons import FailureReason
+from briarrelay_core.routes.silence import SilenceChecker
 from briarrelay_core.timers import TimerService
 from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.host import Host
@@ -22,6 +24,7 @@
 from briarrelay_daemon.reactor import Reactor
 from briarrelay_daemon.routeport import RoutePort
 from briarrelay_platform.dialect import PlatformDialect
+from properties.routeworld import RouteWorld
 from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
 
 REQUEST = b"GET /look/x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
@@ -81,6 +84,14 @@
         (lost,) = [m for m in self.core.messages if isinstance(m, ResponseLost)]
         self.assertFalse(lost.is_sent)
 
+    def test_request_is_answered_when_the_core_raises(self):
+        with (
+            mock.patch.object(self.core, "handle", side_effect=KeyError),
+            self.assertRaises(KeyError),
+        ):
+            self.exchange(REQUEST + b"\r\n")
+        self.assertIn(b"HTTP/1.1 502", self.exchange(b""))
+
     def test_request_with_unreadable_numbers_is_refused(self):
         for header in (
             b"X-Request-Deadline: \xb2",
@@ -121,6 +132,24 @@
         self.assertEqual(disconnected, [])
 
 
+class _FailingTimersCore:
+    """Core whose timers raise once."""
+
+    def __init__(self):
+        self.calls = 0
+
+    @property
+    def next_due(self) -> float | None:
+        return 1.0 if self.calls < 2 else None
+
+    def start(self, now: float) -> list:
+        return []
+
+    def run_timers(self, now: float) -> list:
+        self.calls += 1
+        return [1 // 0] if self.calls == 1 else []
+
+
 class FailingCallbackTest(unittest.TestCase):
     """A callback that raises does not take others with it."""
 
@@ -145,3 +174,35 @@
             timers.run_due(1.0)
         timers.run_due(1.2)
         self.assertEqual(calls, [1.0, 1.2])
+
+    def test_effects_of_timers_before_one_that_raises_are_returned(self):
+        """They may hold the answer to a request that is no longer in progress."""
+        timers = TimerService()
+        timers.at(1.0, lambda now: ["answer"])
+        timers.at(1.0, lambda now: [1 // 0])
+        with self.assertRaises(ZeroDivisionError):
+            timers.run_due(1.0)
+        self.assertEqual(timers.next_due, 1.0)
+        self.assertEqual(timers.run_due(1.0), ["answer"])
+
+    def test_timers_of_the_core_run_after_one_that_raises(self):
+        """Without other messages, nothing else would set the timer again."""
+        reactor, core = Reactor(lambda: 1.0), _FailingTimersCore()
+        host = Host(core, reactor, Metrics(), Logger("test"))
+        host.start()
+        with self.assertRaises(ZeroDivisionError):
+            reactor.timers.run_due(1.0)
+        reactor.timers.run_due(1.0)
+        self.assertEqual(core.calls, 2)
+
+    def test_deadlines_are_kept_while_other_checks_raise(self):
+        world = RouteWorld()
+        world.request("look")
+        with mock.patch.object(SilenceChecker, "check", side_effect=KeyError):
+            effects = []
+            for _ in range(100):
+                try:
+                    effects += world.advance(0.1)
+                except KeyError:
+                    effects += world.advance(0.0)
+        self.assertEqual(len(world.of_type(effects, SendErrorResponse)), 1)
