Wait for a server that acknowledges while it reads nothing of a large request

What callers saw, in a test: a request that the server's receive buffer does not hold was lost after 1.3 s in which a sound server read nothing.

Cause: TCP_USER_TIMEOUT (1 s) bounds the time that bytes stay unacknowledged as well as that for which the server's window is closed; one limit for two states. From 64 KiB on a call now gets a limit of 4 s and is checked each 0.25 s: it fails when the server has acknowledged nothing for 1.6 s (TCP_INFO), which includes the probes of a closed window, seen 0.25 and 1.3 s apart on a local link. With the check that is within the 2 s in which all instances observe that a server leaves. Where the kernel tells nothing, and for smaller requests, the limit stays 1 s.

--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -3,7 +3,7 @@
 import errno
 import socket
 from fcntl import ioctl
-from struct import pack, unpack
+from struct import Struct, pack, unpack
 from termios import TIOCOUTQ
 
 from attrs import define, field
@@ -47,6 +47,23 @@
 A server must not receive them after it has announced its shutdown, which all
 instances observe within 2 s."""
 
+LARGE_MESSAGE_BYTES = 65_536
+"""Bytes of a request from which a server's receive buffer may not hold it."""
+
+MAX_BLOCKED_MS = 4_000
+"""Milliseconds for which a server that acknowledges may read nothing of a large request
+before the connection fails."""
+
+MAX_SILENT_MS = 1_600
+"""Milliseconds without an acknowledgement after which a connection with a large request
+fails. Those of the probes of a full buffer come up to 1.3 s apart."""
+
+ACKNOWLEDGEMENT_CHECK_S = 0.25
+"""Seconds between checks whether a server still acknowledges a large request."""
+
+LAST_ACKNOWLEDGEMENT = Struct("56xI")
+"""Beginning of the kernel's tcp_info, to the milliseconds since the last one."""
+
 KEEP_ALIVE_PROBES = 2
 """Unanswered probes after which a connection fails."""
 
@@ -109,6 +126,33 @@
             due = reactor.clock() + min(CONNECT_TIMEOUT_S, timeout)
             self._connect_timer = reactor.timers.at(due, self._on_connect_timeout)
         reactor.watch(connection.sock, WRITE | READ, self._on_ready)
+        if len(message) >= LARGE_MESSAGE_BYTES:
+            self._allow_blocking(reactor.clock())
+
+    def _allow_blocking(self, now: float) -> None:
+        """Let the server read nothing for some time, as long as it acknowledges.
+
+        The kernel's limit on unacknowledged bytes also holds while the server's receive
+        buffer is full.
+        """
+        sock = self._connection.sock
+        if _silent_ms(sock) is not None:
+            _set_user_timeout(sock, MAX_BLOCKED_MS)
+            due = now + ACKNOWLEDGEMENT_CHECK_S
+            self._client.reactor.timers.at(due, self._check_acknowledgements)
+
+    def _check_acknowledgements(self, now: float) -> list:
+        if self.is_over:
+            return []
+        connection = self._connection
+        if not connection.unsent and not _unacknowledged_bytes(connection.sock):
+            _set_user_timeout(connection.sock, MAX_UNACKNOWLEDGED_MS)
+        elif (_silent_ms(connection.sock) or 0) > MAX_SILENT_MS:
+            self._fail("the server acknowledges nothing")
+        else:
+            due = now + ACKNOWLEDGEMENT_CHECK_S
+            self._client.reactor.timers.at(due, self._check_acknowledgements)
+        return []
 
     def _on_timeout(self, _: float) -> list:
         self.problem = "timed out before the response was complete"
@@ -387,9 +431,23 @@
         return 1  # unknown: reset, so that nothing is delivered later
 
 
+def _silent_ms(sock: socket.socket) -> int | None:
+    """Return the milliseconds since the peer acknowledged anything, None if unknown."""
+    size = LAST_ACKNOWLEDGEMENT.size
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+    except OSError:
+        return None
+    return LAST_ACKNOWLEDGEMENT.unpack(info)[0] if len(info) == size else None
+
+
+def _set_user_timeout(sock: socket.socket, milliseconds: int) -> None:
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 def _enable_liveness_checks(sock: socket.socket) -> None:
     """Let the kernel detect a peer that vanished without closing the connection."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, MAX_UNACKNOWLEDGED_MS)
+    _set_user_timeout(sock, MAX_UNACKNOWLEDGED_MS)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_S)
