Keep a split stream until memory for its move is granted

What callers saw: a stream whose prompt several engines hold was aborted when its lead was silent for about two seconds. Then memory for its move was requested; if that was denied, the stream was queued without an engine and cut.

The memory is now reserved by a prepared attempt that is not sent. Once all of it is granted, the old attempt is aborted and the prepared one sent, in this order, so that no two attempts are sent at a time. The prepared attempt is dropped with its load and memory when the old one sends anything, ends in any way or is lost (the request is then placed anew), when an engine denies memory, when its servers leave, when no retry or no run is left at the grant, and when memory is not granted by all within the bound on unused memory. It counts as an attempt, and draws on the retry budget, only when it is sent.

Not possible: where a stream's own memory is all that is missing, an engine can't hold both. It is then given up first, as before, but only after 2 s of silence (the longest pause seen of a sound server is 1.6 s) and if no engine has denied memory to the request. 3 s was tried and ruled out: the time left to the caller is then too short for reading the prompt again, and the stream never leaves a dark lead (the test for that failed).

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -4,14 +4,20 @@
 
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.control import DrainRequested, ExitProcess, ProcessResumed
-from briarrelay_core.ports.directory import Topic, TopicChange
-from briarrelay_core.ports.memory import Reserve, ReserveResponse
+from briarrelay_core.ports.directory import ServerState, Topic, TopicChange
+from briarrelay_core.ports.memory import Release, Reserve, ReserveResponse
 from briarrelay_core.ports.route import (
     AbortAttempt,
     AbortResponse,
+    CallerDisconnected,
     ForwardRequest,
+    RelayEnd,
+    RelayEvent,
+    ResponseComplete,
+    ResponseEvent,
     ResponseHead,
     ResponseKind,
+    ResponseLost,
     SendErrorResponse,
 )
 from briarrelay_core.routes.budget import RetryLimits
@@ -20,6 +26,7 @@
     RouteWorld,
     engine_names,
     make_configuration,
+    make_entry,
     make_route,
     start_response,
 )
@@ -122,6 +129,156 @@
             reserves += world.of_type(world.advance(0.1), Reserve)
         self.assertNotEqual({r.reservation_id for r in reserves} - own, set())
 
+    def test_stream_keeps_its_own_memory_in_a_pause_of_a_sound_lead(self):
+        """Pauses of up to 1.6 s were seen; its own memory is all that is missing."""
+        world = RouteWorld(engines=3)
+        route = make_route(
+            "file",
+            RouteKind.STREAM,
+            "llm",
+            is_resumable=True,
+            gap_limit_s=0.2,
+            target_latency_s=3.0,
+            timeout_s=15.0,
+        )
+        change = TopicChange("config", make_configuration(2, routes=(route,)))
+        world.deliver_changes(Topic.CONFIGURATION, change)
+        start_response(world, self.start(world, 600_000))
+        effects = world.advance(1.7)
+        self.assertEqual(world.of_type(effects, AbortAttempt), [])
+
+
+class PreparedMoveTest(unittest.TestCase):
+    """The old attempt of a stream goes on until memory for the new one is granted."""
+
+    def setUp(self):
+        self.world = RouteWorld(engines=8)
+        effects = self.world.request("file", prompt_tokens=900_000, time_limit_s=15.0)
+        (self.sent,) = self.world.forwards(effects + self.answer(effects))
+        start_response(self.world, self.sent.attempt_id)
+        self.old_memory = self.world.open_reservations
+
+    def answer(self, effects: list, is_granted: bool = True) -> list:
+        """Let engines answer orders to reserve memory; return the effects."""
+        answers = []
+        for reserve in self.world.of_type(effects, Reserve):
+            answers += self.world.deliver(
+                ReserveResponse(reserve.reservation_id, is_granted)
+            )
+        return answers
+
+    def prepare(self) -> list[Reserve]:
+        """Let the lead be silent until memory is requested for a move."""
+        effects = []
+        for _ in range(30):
+            step = self.world.advance(0.1)
+            effects += step
+            new = self.new_reserves(step)
+            if new:
+                self.assertEqual(self.ends(effects), [])
+                return new
+        self.fail("no memory requested")
+
+    def new_reserves(self, effects: list) -> list[Reserve]:
+        reserves = self.world.of_type(effects, Reserve)
+        return [r for r in reserves if r.reservation_id not in self.old_memory]
+
+    def ends(self, effects: list) -> list:
+        classes = (AbortAttempt, AbortResponse, SendErrorResponse, ForwardRequest)
+        return [e for e in effects if isinstance(e, classes)]
+
+    def grant_late(self, reserves: list[Reserve]) -> None:
+        """Check that grants for a dropped move send nothing and are released."""
+        ids = {reserve.reservation_id for reserve in reserves}
+        self.assertEqual(self.world.open_reservations & ids, set())
+        effects = self.answer(reserves)
+        self.assertEqual(self.ends(effects), [])
+        released = {e.reservation_id for e in self.world.of_type(effects, Release)}
+        self.assertEqual(released, ids)
+
+    def check_nothing_left(self) -> None:
+        controller = self.world.instance.controller
+        self.assertEqual(self.world.open_reservations, set())
+        self.assertEqual(controller.load.own_loads(self.world.now), {})
+        self.assertEqual(controller.requests, {})
+
+    def test_stream_moves_once_all_its_memory_is_granted(self):
+        reserves = self.prepare()
+        effects = self.answer(reserves)
+        abort, forward = self.ends(effects)
+        self.assertEqual(abort, AbortAttempt(self.sent.attempt_id))
+        self.assertIsInstance(forward, ForwardRequest)
+        self.assertEqual(forward.resume_after, "1")
+        self.assertNotEqual(forward.server, self.sent.server)
+        released = {e.reservation_id for e in self.world.of_type(effects, Release)}
+        self.assertEqual(released, self.old_memory)
+        self.world.deliver(ResponseEvent(forward.attempt_id, "2", b"2"))
+        self.world.deliver(ResponseComplete(forward.attempt_id))
+        self.check_nothing_left()
+
+    def test_move_is_dropped_when_the_old_attempt_goes_on(self):
+        reserves = self.prepare()
+        effects = self.world.deliver(ResponseEvent(self.sent.attempt_id, "2", b"2"))
+        self.assertEqual(len(self.world.of_type(effects, RelayEvent)), 1)
+        self.grant_late(reserves)
+        self.world.deliver(ResponseComplete(self.sent.attempt_id))
+        self.check_nothing_left()
+
+    def test_move_is_dropped_when_the_old_attempt_is_complete(self):
+        reserves = self.prepare()
+        effects = self.world.deliver(ResponseComplete(self.sent.attempt_id))
+        self.assertEqual(len(self.world.of_type(effects, RelayEnd)), 1)
+        self.grant_late(reserves)
+        self.check_nothing_left()
+
+    def test_move_is_dropped_when_the_caller_leaves(self):
+        reserves = self.prepare()
+        self.world.deliver(CallerDisconnected(self.sent.request_id))
+        self.grant_late(reserves)
+        self.check_nothing_left()
+
+    def test_stream_is_placed_anew_when_the_old_attempt_is_lost(self):
+        reserves = self.prepare()
+        lost = ResponseLost(self.sent.attempt_id, True, "closed", True)
+        effects = self.world.deliver(lost)
+        self.assertEqual(self.world.of_type(effects, AbortResponse), [])
+        self.grant_late(reserves)
+        effects += self.world.advance(0.1)
+        (forward,) = self.world.forwards(self.answer(self.new_reserves(effects)))
+        self.assertEqual(forward.resume_after, "1")
+
+    def test_old_attempt_goes_on_when_no_retry_is_left_at_the_grant(self):
+        reserves = self.prepare()
+        self.world.instance.controller.budget.limits = RetryLimits(ratio=0.0, slack=0.0)
+        self.assertEqual(self.ends(self.answer(reserves)), [])
+        self.assertEqual(self.world.open_reservations, self.old_memory)
+
+    def test_old_attempt_goes_on_when_the_new_lead_leaves(self):
+        reserves = self.prepare()
+        routed = self.world.instance.controller.requests[self.sent.request_id]
+        name = routed.prepared_attempt.server
+        entry = make_entry(name, "llm", state=ServerState.DRAINING)
+        self.world.deliver_changes(Topic.SERVERS, TopicChange(name, entry))
+        self.assertEqual(self.ends(self.answer(reserves)), [])
+        self.assertEqual(self.world.open_reservations, self.old_memory)
+
+    def test_memory_that_is_not_granted_by_all_is_released(self):
+        """The users' bound is 9 s; the caller waits up to 12 s for an event."""
+        first, *others = self.prepare()
+        self.assertTrue(others)
+        self.assertEqual(self.ends(self.answer([first])), [])
+        ids = {reserve.reservation_id for reserve in (first, *others)}
+        self.world.advance(8.3)
+        self.assertEqual(self.world.open_reservations & ids, set())
+
+    def test_denied_move_does_not_stop_others_from_being_tried(self):
+        denied = self.prepare()
+        self.assertEqual(self.ends(self.answer(denied, is_granted=False)), [])
+        effects = self.world.advance(0.1)
+        reserves = self.new_reserves(effects)
+        self.assertNotIn(denied[0].host, {reserve.host for reserve in reserves})
+        self.assertEqual(len(self.ends(self.answer(reserves))), 2)
+
 
 class UnusedMemoryTest(unittest.TestCase):
     """Memory is not reserved for long without being used."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -18,6 +18,7 @@
     """Starts and ends attempts.
 
     :param by_id: requests by the id of their active attempt.
+    :param prepared: requests by the id of their prepared attempt.
     """
 
     servers: ServerTable
@@ -25,16 +26,54 @@
     reservations: Reservations
     observations: ServerObservations
     by_id: dict[int, RoutedRequest] = field(factory=dict)
+    prepared: dict[int, RoutedRequest] = field(factory=dict)
     _last_id: int = 0
 
     def start(self, routed: RoutedRequest, placement: Placement, now: float) -> list:
         """Start an attempt: send the request, or reserve its memory first."""
+        attempt = self._add(routed, placement, now)
+        self._activate(routed, attempt, now)
+        if not placement.memory_shares:
+            return [self.forward(routed, placement, now)]
+        return self._reserve(attempt, placement, now)
+
+    def prepare(self, routed: RoutedRequest, placement: Placement, now: float) -> list:
+        """Reserve the memory of an attempt that is to replace the active one.
+
+        Nothing is sent, and the active attempt goes on.
+        """
+        attempt = self._add(routed, placement, now)
+        routed.prepared_attempt = attempt
+        self.prepared[attempt.attempt_id] = routed
+        return self._reserve(attempt, placement, now)
+
+    def send_prepared(self, routed: RoutedRequest, now: float) -> ForwardRequest:
+        """Make the prepared attempt of a request the active one, and send it.
+
+        The request has no active attempt any more, and the memory is reserved.
+        """
+        attempt, routed.prepared_attempt = routed.prepared_attempt, None
+        del self.prepared[attempt.attempt_id]
+        placement, attempt.pending_placement = attempt.pending_placement, None
+        attempt.sent_at = attempt.progress_at = now
+        self._activate(routed, attempt, now)
+        return self.forward(routed, placement, now)
+
+    def drop_prepared(self, routed: RoutedRequest, now: float) -> None:
+        """Release the load and memory of the prepared attempt, if there is one."""
+        attempt, routed.prepared_attempt = routed.prepared_attempt, None
+        if attempt is not None:
+            del self.prepared[attempt.attempt_id]
+            self._release(attempt, now)
+
+    def _add(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> AttemptState:
+        """Return a new attempt, whose load is added."""
         self._last_id += 1
-        attempt_id = self._last_id
-        routed.attempt_count += 1
-        routed.tried.append(placement.lead)
-        routed.active_attempt = AttemptState(
-            attempt_id=attempt_id,
+        self._add_load(routed, placement, self._last_id, now)
+        return AttemptState(
+            attempt_id=self._last_id,
             server=placement.lead,
             server_born=self.servers.get(placement.lead).entry.born,
             helpers=placement.helpers,
@@ -42,17 +81,23 @@
             expected_s=placement.expected_s,
             progress_at=now,
         )
-        self.by_id[attempt_id] = routed
-        self.observations.pauses.record_send(placement.lead, now)
-        self._add_load(routed, placement, attempt_id, now)
-        if not placement.memory_shares:
-            return [self.forward(routed, placement, now)]
-        routed.active_attempt.pending_placement = placement
+
+    def _activate(
+        self, routed: RoutedRequest, attempt: AttemptState, now: float
+    ) -> None:
+        routed.attempt_count += 1
+        routed.tried.append(attempt.server)
+        routed.active_attempt = attempt
+        self.by_id[attempt.attempt_id] = routed
+        self.observations.pauses.record_send(attempt.server, now)
+
+    def _reserve(self, attempt: AttemptState, placement: Placement, now: float) -> list:
+        attempt.pending_placement = placement
         memory_shares = [
             (self.servers.get(name).entry, tokens)
             for name, tokens in placement.memory_shares
         ]
-        return self.reservations.reserve_all(attempt_id, memory_shares, now)
+        return self.reservations.reserve_all(attempt.attempt_id, memory_shares, now)
 
     def forward(
         self, routed: RoutedRequest, placement: Placement, now: float
@@ -111,6 +156,9 @@
         attempt = routed.active_attempt
         routed.active_attempt = None
         del self.by_id[attempt.attempt_id]
+        self._release(attempt, now)
+        return attempt
+
+    def _release(self, attempt: AttemptState, now: float) -> None:
         self.load.remove(attempt.attempt_id)
         self.reservations.release(attempt.attempt_id, now)
-        return attempt
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -1,6 +1,6 @@
 """Handles the requests of routes: admission, placement, attempts and retries."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from briarrelay_core.agreement.configuration import Objective
 from briarrelay_core.membership.rendezvous import unit_hash
@@ -54,6 +54,10 @@
 """Seconds after a request's deadline in which the server's own response is still
 awaited."""
 
+MAX_SOUND_SILENCE_S = 2.0
+"""Silence in seconds after which a request may give up memory that its next attempt
+needs; the longest pause that was seen of a sound server is 1.6 s."""
+
 MIN_RETRY_AFTER_S = 0.3
 """Smallest Retry-After in seconds; about the time that a short response takes, after
 which a slot becomes free."""
@@ -235,17 +239,34 @@
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
     ) -> list:
+        self._record_probe(routed, placement, now)
+        return self._attempt_table.start(routed, placement, now)
+
+    def _record_probe(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> None:
+        """Record that contents of a request that may crash a server are tried again."""
         suspects = self.quarantine.suspects(routed.contents)
         if suspects:
             self.quarantine.record_probe(suspects, placement.expected_s, now)
-        return self._attempt_table.start(routed, placement, now)
 
     def end_attempt(self, routed: RoutedRequest, now: float) -> AttemptState:
-        """End the active attempt of a request and release its load and memory."""
+        """End the active attempt of a request and release its load and memory.
+
+        An attempt that was to replace it is dropped; the request is placed anew.
+        """
+        self._attempt_table.drop_prepared(routed, now)
         return self._attempt_table.end(routed, now)
 
+    def record_progress(self, routed: RoutedRequest, now: float) -> None:
+        """Record that the active attempt of a request goes on; it is not replaced."""
+        routed.active_attempt.progress_at = now
+        self._attempt_table.drop_prepared(routed, now)
+
     def on_granted(self, attempt_id: int, now: float) -> list:
         """Send a request after all its memory has been reserved."""
+        if attempt_id in self._attempt_table.prepared:
+            return self._move_to_prepared(self._attempt_table.prepared[attempt_id], now)
         routed = self.attempts[attempt_id]
         placement = routed.active_attempt.pending_placement
         routed.active_attempt.pending_placement = None
@@ -258,14 +279,19 @@
     def on_denied(self, attempt_id: int, engine: str, now: float) -> list:
         """Queue a request again because its memory could not be reserved.
 
-        The attempt is not counted, since nothing was sent.
+        The attempt is not counted, since nothing was sent. If it was to replace another
+        attempt, that one goes on.
 
         :param engine: the engine that denied the reservation, empty if a server of the
             placement became unusable while memory was being reserved.
         """
-        routed = self.attempts[attempt_id]
+        prepared = self._attempt_table.prepared.get(attempt_id)
+        routed = prepared or self.attempts[attempt_id]
         if engine:
             routed.excluded.add(engine)
+        if prepared:
+            self._attempt_table.drop_prepared(routed, now)
+            return []
         self.end_attempt(routed, now)
         routed.tried.pop()
         routed.attempt_count -= 1
@@ -342,7 +368,16 @@
             placement = self.selector.choose(routed, eligible_servers, now)
         if placement is None or should_defer(routed, placement, now):
             return None
-        return placement
+        if not placement.memory_shares:
+            return placement
+        beside = self.selector.choose(routed, eligible_servers, now)
+        if beside is not None:
+            return beside
+        # Only its own memory is missing, as far as is known.
+        silent_s = now - routed.active_attempt.progress_at
+        if silent_s <= MAX_SOUND_SILENCE_S or routed.excluded:
+            return None
+        return evolve(placement, replaces_memory=True)
 
     def move(
         self,
@@ -353,9 +388,47 @@
     ) -> list:
         """Abort the active attempt of a request and send the request elsewhere.
 
+        If memory has to be reserved for that, it is reserved first and the active
+        attempt goes on until then, unless its own memory is needed.
+
         :param placement: from :meth:`find_alternative` at the same time.
         """
-        attempt = self.end_attempt(routed, now)
+        if placement.memory_shares and not placement.replaces_memory:
+            return self._attempt_table.prepare(routed, placement, now)
+        return [
+            *self._abort_for_move(routed, reason, now),
+            *self._start_attempt(routed, placement, now),
+        ]
+
+    def _move_to_prepared(self, routed: RoutedRequest, now: float) -> list:
+        """Replace the active attempt by the prepared one, whose memory is reserved."""
+        prepared = routed.prepared_attempt
+        placement = prepared.pending_placement
+        server_names = (placement.lead, *placement.helpers)
+        if (
+            not self._may_retry(routed, routed.possible_runs + 1, now)
+            or not self.budget.allows(routed.service, now)
+            or not all(self.servers.is_usable(name, now) for name in server_names)
+        ):
+            self._attempt_table.drop_prepared(routed, now)
+            return []
+        self._record_probe(routed, placement, now)
+        return [
+            *self._abort_for_move(routed, RetryReason.SERVER_SILENT, now),
+            self._attempt_table.send_prepared(routed, now),
+        ]
+
+    def drop_old_moves(self, before: float, now: float) -> None:
+        """Drop the moves whose memory was requested before a time, but not granted."""
+        for routed in list(self._attempt_table.prepared.values()):
+            if routed.prepared_attempt.sent_at < before:
+                self._attempt_table.drop_prepared(routed, now)
+
+    def _abort_for_move(
+        self, routed: RoutedRequest, reason: RetryReason, now: float
+    ) -> list:
+        """Abort the active attempt of a request, which is sent elsewhere at once."""
+        attempt = self._attempt_table.end(routed, now)
         routed.possible_runs += 1
         self.budget.withdraw(routed.service, now)
         return [
@@ -363,7 +436,6 @@
             # Its memory is released first, since the placement may need it.
             *self.reservations.pop_effects(),
             *self._log_retry(routed, reason, now),
-            *self._start_attempt(routed, placement, now),
         ]
 
     def abandon(self, routed: RoutedRequest, reason: RetryReason, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -130,6 +130,7 @@
         the prompt.
     :param memory_shares: helpers that store part of the prompt's memory, and the tokens
         that each reserves.
+    :param replaces_memory: the memory of the request's active attempt is needed.
     """
 
     lead: str
@@ -140,6 +141,7 @@
     stream_cost: float = 0.0
     backlog_s: float = 0.0
     memory_shares: tuple[tuple[str, int], ...] = ()
+    replaces_memory: bool = False
 
 
 def _expected_loss(usage: float) -> float:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -64,6 +64,8 @@
 
     :param deadline: time by which the response must be complete.
     :param active_attempt: the attempt in progress, None while the request waits.
+    :param prepared_attempt: the attempt that replaces the active one once its memory
+        has been reserved, None if there is none.
     :param tried: servers that it was sent to, in order.
     :param excluded: engines not to use for it: those that caused a refusal or denied
         memory.
@@ -90,6 +92,7 @@
     deadline: float
     content: str = ""
     active_attempt: AttemptState | None = None
+    prepared_attempt: AttemptState | None = None
     tried: list[str] = field(factory=list)
     excluded: set[str] = field(factory=set)
     attempt_count: int = 0
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -42,7 +42,7 @@
         attempt.kind = message.kind
         attempt.status = message.status
         attempt.is_stream = message.is_stream
-        attempt.progress_at = now
+        self.controller.record_progress(routed, now)
         if message.kind is ResponseKind.OTHER_SERVER:
             return self._on_replaced(routed, now)
         effects = self._apply_announcements(routed, message, now)
@@ -139,7 +139,7 @@
         if routed.is_head_relayed:
             routed.longest_gap_s = max(routed.longest_gap_s, now - routed.last_event_at)
         routed.last_event_at = now
-        attempt.progress_at = now
+        self.controller.record_progress(routed, now)
         self.controller.observations.record_response(attempt.server, now)
         attempt.events += 1
         effects = []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -86,11 +86,14 @@
                 continue
             if controller.reservations.ids_of(attempt_id):
                 effects += controller.abandon(routed, RetryReason.SERVER_SILENT, now)
+        controller.drop_old_moves(now - self.max_unused_s, now)
         return effects
 
     def _find_silent(self, now: float) -> list[tuple[RoutedRequest, float]]:
         """Return the requests that should move, and the time for their first event.
 
+        Requests that will move once their memory has been reserved are left out.
+
         That time is the largest one in seconds within which a server has to be expected
         to send it.
         """
@@ -110,7 +113,7 @@
                 found.append((routed, _remaining_patience_s(routed, now)))
             elif silent_s > MOVE_FRACTION * leaves_after_s:
                 found.append((routed, leaves_after_s - silent_s))
-        return found
+        return [pair for pair in found if pair[0].prepared_attempt is None]
 
     def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
         """Return seconds for which an attempt may be silent while its engines read."""
