Let begun streams wait for an engine to come back

What callers saw: a stream that had begun was cut at once when its engine was lost and no other was eligible, though an engine came back within the time for which the caller waits. The same with several engines if those left could not hold its prompt.

Cause: without eligible servers, or with too few for the prompt, a request is ended at once, which is right only while it can still be refused. And a server that a request was sent to last was skipped by name, so that its next incarnation was skipped as well.

A begun stream now waits in both cases, as it does when engines are full (`remaining_wait_s`); it may return to the last engine once that has restarted, and to earlier engines if those untried can't hold its prompt. Requests that have not begun are refused at once, as before.

Ruled out: a return to the same incarnation after it closed the connection. It would use up the attempts of the route, most likely on an engine that is about to end.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -280,6 +280,94 @@
         self.assertEqual(len(self.ends(self.answer(reserves))), 2)
 
 
+class NoEngineTest(unittest.TestCase):
+    """A begun stream without an eligible engine waits as long as its caller does."""
+
+    def lose(self, world: RouteWorld, **changes) -> list:
+        """Let the only engine of a begun stream close its connection."""
+        (self.sent,) = world.forwards(world.request("chat", **changes))
+        start_response(world, self.sent.attempt_id)
+        return world.deliver(ResponseLost(self.sent.attempt_id, True, "closed", True))
+
+    def list_engine(self, world: RouteWorld, name: str, **changes) -> list:
+        change = TopicChange(name, make_entry(name, "llm", **changes))
+        return world.deliver_changes(Topic.SERVERS, change)
+
+    def check_resumed(self, world: RouteWorld, server: str) -> None:
+        (resumed,) = world.forwards(world.advance(0.2))
+        self.assertEqual((resumed.server, resumed.resume_after), (server, "1"))
+
+    def test_stream_goes_on_at_a_new_engine(self):
+        world = RouteWorld(engines=1)
+        effects = self.lose(world) + world.advance(1.0)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        self.list_engine(world, "engine-2")
+        self.check_resumed(world, "engine-2")
+
+    def test_stream_goes_on_at_its_engine_after_a_restart(self):
+        world = RouteWorld(engines=1)
+        effects = self.lose(world) + world.advance(1.0)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        self.list_engine(world, "engine-1", born=2.0)
+        self.check_resumed(world, "engine-1")
+
+    def test_stream_is_cut_once_its_caller_has_waited_long_enough(self):
+        """The users' callers disconnect after 2 s without an event."""
+        world = RouteWorld(engines=1)
+        effects = self.lose(world) + world.advance(1.9)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        effects = world.advance(0.3)
+        self.assertEqual(
+            world.of_type(effects, AbortResponse), [AbortResponse(self.sent.request_id)]
+        )
+        self.list_engine(world, "engine-2")
+        self.assertEqual(world.forwards(world.advance(1.0)), [])
+
+    def test_stream_ends_while_it_waits_at_its_deadline(self):
+        world = RouteWorld(engines=1)
+        effects = self.lose(world, time_limit_s=0.5) + world.advance(0.45)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        effects = world.advance(0.3)
+        self.assertEqual(len(world.of_type(effects, AbortResponse)), 1)
+
+    def test_caller_may_leave_while_its_stream_waits(self):
+        world = RouteWorld(engines=1)
+        self.lose(world)
+        world.deliver(CallerDisconnected(self.sent.request_id))
+        self.list_engine(world, "engine-2")
+        effects = world.advance(3.0)
+        self.assertEqual(world.forwards(effects), [])
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+
+    def lose_split_stream(self, world: RouteWorld) -> str:
+        """Lose a stream that all three engines hold; return its lead."""
+        effects = world.request("file", prompt_tokens=1_200_000, time_limit_s=15.0)
+        for reserve in world.of_type(effects, Reserve):
+            effects += world.deliver(ReserveResponse(reserve.reservation_id, True))
+        (sent,) = world.forwards(effects)
+        start_response(world, sent.attempt_id)
+        effects = world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        effects += world.advance(1.0)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        return sent.server
+
+    def test_stream_waits_while_too_few_engines_can_hold_its_prompt(self):
+        world = RouteWorld(engines=3)
+        self.lose_split_stream(world)
+        self.list_engine(world, "engine-4")
+        self.assertNotEqual(world.of_type(world.advance(0.2), Reserve), [])
+
+    def test_stream_waits_for_a_restart_if_all_engines_have_to_hold_its_prompt(self):
+        world = RouteWorld(engines=3)
+        self.list_engine(world, self.lose_split_stream(world), born=2.0)
+        self.assertNotEqual(world.of_type(world.advance(0.2), Reserve), [])
+
+    def test_request_that_has_not_begun_is_refused_at_once(self):
+        world = RouteWorld(engines=0)
+        (refusal,) = world.of_type(world.request("chat"), SendErrorResponse)
+        self.assertIsInstance(refusal.outcome, NotRun)
+
+
 class UnusedMemoryTest(unittest.TestCase):
     """Memory is not reserved for long without being used."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -135,7 +135,8 @@
         """Send a request to the best server, or queue it until one has room.
 
         A request that is out of time, too large or has no eligible server is ended; see
-        `give_up`.
+        `give_up`. A stream that has begun waits for servers instead, since one may come
+        back while its caller is there.
         """
         if routed.deadline - now < MIN_ATTEMPT_TIME_S:
             return self.give_up(routed, now)
@@ -146,7 +147,9 @@
             return self._retry_when_allowed(routed, now)
         eligible_servers = self.selector.candidates(routed, now)
         if eligible_servers and is_too_large(routed, len(eligible_servers)):
-            return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
+            if not routed.is_head_relayed:
+                return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
+            eligible_servers = []
         placement = (
             self.selector.choose(routed, eligible_servers, now)
             if eligible_servers
@@ -159,7 +162,7 @@
         ):
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
-        if not eligible_servers and not self._can_wait_for_pause(routed, now):
+        if not eligible_servers and not self._can_wait_for_server(routed, now):
             return self.give_up(routed, now, RefusalReason.NO_ENGINE)
         if routed.request.request_id in self._waiting:
             return []
@@ -229,8 +232,13 @@
         )
         return self.give_up(routed, now, reason)
 
-    def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
-        """Return whether a paused server is expected to take a request in its time."""
+    def _can_wait_for_server(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a request waits although no server may get it now.
+
+        One that has not begun waits if a paused server is expected to take it in time.
+        """
+        if routed.is_head_relayed:
+            return True
         resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
         if resumes_in_s is None:
             return False
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -67,6 +67,7 @@
     :param prepared_attempt: the attempt that replaces the active one once its memory
         has been reserved, None if there is none.
     :param tried: servers that it was sent to, in order.
+    :param last_incarnation: incarnation of the server that it was sent to last.
     :param excluded: engines not to use for it: those that caused a refusal or denied
         memory.
     :param attempt_count: attempts so far.
@@ -94,6 +95,7 @@
     active_attempt: AttemptState | None = None
     prepared_attempt: AttemptState | None = None
     tried: list[str] = field(factory=list)
+    last_incarnation: str = ""
     excluded: set[str] = field(factory=set)
     attempt_count: int = 0
     undelivered: int = 0
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -71,10 +71,12 @@
         Servers that were tried, excluded or paused are left out. Healthy servers in
         reachable data centres are preferred, first those without a pause for a peer,
         then other healthy servers, then unhealthy ones. A stream that has begun may
-        return to a server that it was sent to before the last one.
+        return to a server that it was sent to before the last one, and to the last one
+        after a restart.
         """
         usable, untried, healthy = self._filter(routed, now)
-        if routed.is_head_relayed and not untried:
+        is_enough = untried and not is_too_large(routed, len(untried))
+        if routed.is_head_relayed and not is_enough:
             return self._earlier_servers(routed, usable, now)
         suspects = self._suspect_data_centres(healthy, now)
         reachable = [s for s in healthy if s.entry.data_centre not in suspects]
@@ -117,8 +119,12 @@
         self, routed: RoutedRequest, usable: list[KnownServer], now: float
     ) -> list[KnownServer]:
         """Return the servers that a stream may return to, healthy ones if there are."""
-        skipped = routed.excluded.union(routed.tried[-1:])
-        earlier = [s for s in usable if s.entry.name not in skipped]
+        earlier = [
+            s
+            for s in usable
+            if s.entry.name not in routed.excluded
+            and s.incarnation != routed.last_incarnation
+        ]
         health = self.observations.health
         healthy = [s for s in earlier if not health.is_ejected(s.entry.name, now)]
         return healthy or earlier
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -55,6 +55,11 @@
     is_address_reused: bool = False
     blocked_until: float = float("-inf")
 
+    @property
+    def incarnation(self) -> str:
+        """Its incarnation, ``name@born``."""
+        return f"{self.entry.name}@{self.entry.born}"
+
     def is_usable(self, now: float) -> bool:
         """Return whether it may get new requests."""
         if self.is_leaving or self.is_address_reused or now < self.blocked_until:
