Do not end begun streams for refusals that did not run

What callers saw: a stream that was moved from a silent engine, or had lost its engine, was cut after a few refusals (five attempts with two runs allowed, or seven connections that failed), although it might still run once more and its caller would have waited. With a single engine, one refusal was enough in practice: the stream could not return.

Cause: the limit on refused attempts, meant for requests that can still be refused themselves, also ended streams that can only be cut.

Refused and undelivered attempts (421, "not run", no connection) no longer end a begun stream. Beyond the limit it is sent at most once in 0.5 s after a refusal, each time with a retry of the service's budget, until its caller leaves. It may return to the server that refused it last after 0.5 s. Requests that have not begun end as before.

What can't be done: after a 500 or a reset the request may have run, as it may have on the engine that it was moved from; with two attempts allowed no run is left. Two attempts must not be sent at a time, so that the first can't be kept in reserve either.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -68,6 +68,122 @@
         self.assertEqual(world.of_type(effects, AbortResponse), [])
 
 
+class OftenRefusedStreamTest(unittest.TestCase):
+    """Attempts that did not run never end a begun stream; possible runs are limited."""
+
+    def begin(self, world: RouteWorld) -> ForwardRequest:
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        return sent
+
+    def refuse_all(self, world: RouteWorld, effects: list, answer, until: float):
+        """Answer each attempt in the same way until a time; the stream is not cut.
+
+        :param answer: returns the message for an attempt's id.
+        :returns: the attempts.
+        """
+        attempts = []
+        while world.now < until:
+            for sent in world.forwards(effects):
+                attempts.append(sent)
+                effects = world.deliver(answer(sent.attempt_id))
+                self.assertEqual(world.of_type(effects, AbortResponse), [])
+                break
+            else:
+                effects = world.advance(0.05)
+                self.assertEqual(world.of_type(effects, AbortResponse), [])
+        return attempts
+
+    def check_resumed(self, world: RouteWorld) -> None:
+        (sent,) = world.forwards(world.advance(0.6))
+        self.assertEqual(sent.resume_after, "1")
+        head = ResponseHead(
+            attempt_id=sent.attempt_id,
+            kind=ResponseKind.SUCCESS,
+            status=200,
+            is_stream=True,
+        )
+        effects = world.deliver(head)
+        effects += world.deliver(ResponseEvent(sent.attempt_id, "2", b"2"))
+        effects += world.deliver(ResponseComplete(sent.attempt_id))
+        self.assertEqual([e.data for e in world.of_type(effects, RelayEvent)], [b"2"])
+        self.assertEqual(len(world.of_type(effects, RelayEnd)), 1)
+
+    def test_refusals_do_not_end_a_begun_stream(self):
+        world = RouteWorld()
+        began_at = world.now
+        sent = self.begin(world)
+        lost = world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        attempts = self.refuse_all(
+            world,
+            lost,
+            lambda n: ResponseHead(attempt_id=n, kind=ResponseKind.NOT_RUN, status=503),
+            began_at + 1.3,
+        )
+        self.assertGreater(len(attempts), 4)
+        self.assertLessEqual(len(attempts), 4 + 3, "one each 0.5 s after the first 4")
+        self.check_resumed(world)
+
+    def test_unreachable_servers_do_not_end_a_begun_stream(self):
+        world = RouteWorld(engines=12)
+        began_at = world.now
+        sent = self.begin(world)
+        lost = world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        attempts = self.refuse_all(
+            world, lost, lambda n: ResponseLost(n, False, "no route"), began_at + 1.3
+        )
+        self.assertGreater(len(attempts), 7)
+        self.assertLessEqual(len(attempts), 7 + 3, "one each 0.5 s after the first 7")
+        self.check_resumed(world)
+
+    def test_stream_returns_to_the_only_engine_after_its_refusal(self):
+        world = RouteWorld(engines=1)
+        sent = self.begin(world)
+        world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        change = TopicChange("engine-1", make_entry("engine-1", "llm", born=2.0))
+        world.deliver_changes(Topic.SERVERS, change)
+        (again,) = world.forwards(world.advance(0.2))
+        effects = refuse(world, again.attempt_id) + world.advance(0.4)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        self.assertEqual(world.forwards(effects), [])
+        self.check_resumed(world)
+
+    def test_stream_returns_to_its_engine_when_the_next_one_is_another(self):
+        world = RouteWorld(engines=2)
+        sent = self.begin(world)
+        (moved,) = world.forwards(world.advance(SILENCE_S))
+        head = ResponseHead(
+            attempt_id=moved.attempt_id, kind=ResponseKind.OTHER_SERVER, status=421
+        )
+        (returned,) = world.forwards(world.deliver(head) + world.advance(0.2))
+        self.assertEqual((returned.server, returned.resume_after), (sent.server, "1"))
+
+    def test_stream_never_runs_more_often_than_its_route_allows(self):
+        """A 500, a reset and an abort promise nothing, so that they count as runs."""
+        for message in (
+            lambda n: ResponseLost(n, True, "reset", True),
+            lambda n: ResponseHead(attempt_id=n, kind=ResponseKind.FAILURE, status=500),
+        ):
+            world = RouteWorld()
+            self.begin(world)
+            (moved,) = world.forwards(world.advance(SILENCE_S))
+            effects = world.deliver(message(moved.attempt_id))
+            effects += world.deliver(ResponseComplete(moved.attempt_id))
+            effects += world.advance(3.0)
+            self.assertEqual(world.forwards(effects), [])
+            self.assertEqual(len(world.of_type(effects, AbortResponse)), 1)
+
+    def test_request_that_has_not_begun_is_refused_after_few_refusals(self):
+        world = RouteWorld(engines=12)
+        effects, count = world.request("chat"), 0
+        while forwards := world.forwards(effects):
+            count += 1
+            effects = refuse(world, forwards[0].attempt_id)
+        self.assertEqual(count, 5)
+        (refusal,) = world.of_type(effects, SendErrorResponse)
+        self.assertIsInstance(refusal.outcome, NotRun)
+
+
 class UselessMoveTest(unittest.TestCase):
     """A stream stays where no other engine is known to work in time."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -105,6 +105,7 @@
         """Return the effect that sends the request of an attempt."""
         attempt_id = routed.active_attempt.attempt_id
         routed.last_incarnation = routed.active_attempt.incarnation
+        routed.refused_at = float("-inf")
         reserved = self.reservations.ids_of(attempt_id)
         entry = self.servers.get(placement.lead).entry
         return ForwardRequest(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -35,7 +35,7 @@
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
 from briarrelay_core.routes.servers import ServerTable
-from briarrelay_core.routes.waiting import remaining_wait_s
+from briarrelay_core.routes.waiting import RETURN_PAUSE_S, remaining_wait_s
 
 __all__ = ["RequestController"]
 
@@ -47,6 +47,9 @@
 """Attempts of a request that may fail to reach a server. An unreachable data centre
 uses up two of them before it is suspected and gets no further requests."""
 
+_NOT_RUN_REASONS = (RetryReason.SERVER_REFUSED, RetryReason.SERVER_REPLACED)
+"""Reasons of retries after an attempt that provably did not run."""
+
 MIN_ATTEMPT_TIME_S = 0.02
 """Shortest time in seconds before its deadline at which a request is still sent."""
 
@@ -334,12 +337,19 @@
     ) -> list:
         """Retry a request if that is allowed, otherwise end it.
 
+        A begun stream is not ended by refusals, only retried less often.
+
         :param was_delivered: whether the last attempt reached its server; only then
             does the retry use the retry budget.
         """
-        if not self._may_retry(routed, routed.possible_runs, now):
+        if reason in _NOT_RUN_REASONS or not was_delivered:
+            routed.refused_at = now
+        if not self._may_run_again(routed, routed.possible_runs, now):
             return self.give_up(routed, now)
-        if was_delivered and not self.budget.withdraw(routed.service, now):
+        must_wait = not _has_attempts_left(routed)
+        if not must_wait and was_delivered:
+            must_wait = not self.budget.withdraw(routed.service, now)
+        if must_wait:
             if not routed.is_head_relayed:
                 return self.give_up(routed, now)
             routed.awaited_retry = reason
@@ -347,8 +357,14 @@
         return self._log_retry(routed, reason, now) + self.place(routed, now)
 
     def _retry_when_allowed(self, routed: RoutedRequest, now: float) -> list:
-        """Retry a begun stream once the budget allows it; until then it is queued."""
-        if not self.budget.withdraw(routed.service, now):
+        """Retry a begun stream once the budget allows it; until then it is queued.
+
+        One that has been refused often also waits for some time after a refusal.
+        """
+        is_paused = now - routed.refused_at < RETURN_PAUSE_S
+        if (is_paused and not _has_attempts_left(routed)) or not self.budget.withdraw(
+            routed.service, now
+        ):
             self._waiting[routed.request.request_id] = routed
             return []
         reason, routed.awaited_retry = routed.awaited_retry, None
@@ -472,19 +488,23 @@
     def _may_retry(self, routed: RoutedRequest, possible_runs: int, now: float) -> bool:
         """Return whether a request may get another attempt, if the budget allows it.
 
+        :param possible_runs: attempts after which it may have run.
+        """
+        return _has_attempts_left(routed) and self._may_run_again(
+            routed, possible_runs, now
+        )
+
+    def _may_run_again(
+        self, routed: RoutedRequest, possible_runs: int, now: float
+    ) -> bool:
+        """Return whether a request may run again, however often it was refused.
+
         :param possible_runs: attempts after which it may have run.
         """
         if possible_runs and not routed.route.is_repeatable:
             return False
         if possible_runs >= routed.route.attempts:
             return False
-        if routed.undelivered > MAX_UNDELIVERED_ATTEMPTS:
-            return False
-        if (
-            routed.attempt_count - routed.undelivered
-            >= routed.route.attempts + MAX_REFUSED_ATTEMPTS
-        ):
-            return False
         return routed.deadline - now >= MIN_ATTEMPT_TIME_S
 
     # Final responses
@@ -626,6 +646,17 @@
         return effects
 
 
+def _has_attempts_left(routed: RoutedRequest) -> bool:
+    """Return whether a request was refused, and not delivered, less often than it may.
+
+    Only requests that have not begun end for this.
+    """
+    if routed.undelivered > MAX_UNDELIVERED_ATTEMPTS:
+        return False
+    delivered = routed.attempt_count - routed.undelivered
+    return delivered < routed.route.attempts + MAX_REFUSED_ATTEMPTS
+
+
 def _count_active_attempt(routed: RoutedRequest) -> None:
     """Count the active attempt of a request as a possible run, if it has been sent."""
     attempt = routed.active_attempt
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -72,6 +72,8 @@
         memory.
     :param attempt_count: attempts so far.
     :param undelivered: attempts that never reached their server.
+    :param refused_at: time at which its last attempt was refused or failed to reach its
+        server, minus infinity if it did not end so.
     :param possible_runs: attempts after which the request may have run.
     :param awaited_retry: reason of a retry that the budget does not allow yet, else
         None.
@@ -99,6 +101,7 @@
     excluded: set[str] = field(factory=set)
     attempt_count: int = 0
     undelivered: int = 0
+    refused_at: float = float("-inf")
     possible_runs: int = 0
     awaited_retry: RetryReason | None = None
     is_head_relayed: bool = False
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -19,6 +19,7 @@
 )
 from briarrelay_core.routes.requeststate import RoutedRequest
 from briarrelay_core.routes.servers import KnownServer, ServerTable
+from briarrelay_core.routes.waiting import RETURN_PAUSE_S
 
 __all__ = ["ServerSelector", "is_too_large"]
 
@@ -72,7 +73,7 @@
         reachable data centres are preferred, first those without a pause for a peer,
         then other healthy servers, then unhealthy ones. A stream that has begun may
         return to a server that it was sent to before the last one, and to the last one
-        after a restart.
+        after a restart, or `RETURN_PAUSE_S` after that refused it.
         """
         usable, untried, healthy = self._filter(routed, now)
         is_enough = untried and not is_too_large(routed, len(untried))
@@ -119,11 +120,12 @@
         self, routed: RoutedRequest, usable: list[KnownServer], now: float
     ) -> list[KnownServer]:
         """Return the servers that a stream may return to, healthy ones if there are."""
+        may_return = RETURN_PAUSE_S <= now - routed.refused_at < float("inf")
         earlier = [
             s
             for s in usable
             if s.entry.name not in routed.excluded
-            and s.incarnation != routed.last_incarnation
+            and (may_return or s.incarnation != routed.last_incarnation)
         ]
         health = self.observations.health
         healthy = [s for s in earlier if not health.is_ejected(s.entry.name, now)]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/waiting.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/waiting.py
@@ -3,12 +3,16 @@
 from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.requeststate import RoutedRequest
 
-__all__ = ["caller_timeout_s", "max_wait_s", "remaining_wait_s"]
+__all__ = ["RETURN_PAUSE_S", "caller_timeout_s", "max_wait_s", "remaining_wait_s"]
 
 MAX_WAIT_FRACTION = 0.25
 """Fraction of the time from a request's arrival to its deadline that it may wait for a
 free slot."""
 
+RETURN_PAUSE_S = 0.5
+"""Seconds after a refusal before a begun stream may return to the server that refused
+it; also between its attempts once it has been refused often."""
+
 CALLER_MIN_TIMEOUT_S = 2.0
 """Shortest silence in seconds after which a caller of a stream may disconnect, as the
 users' requirements state."""
