Release memory that not all engines of a prompt grant in time

What callers would see: a prompt whose memory one engine granted and another one never answered for waited until its deadline (15 s in the test), and the memory granted, renewed each 1.1 s, could be used by nobody.

Cause: only memory of attempts that have been sent was released when unused; one that waits for the rest of its memory was left out.

After `max_unused_s` (8 s) such an attempt now ends as if its memory had been denied, which excludes no engine. A request that has waited too long by then is refused as not run; a prepared move is dropped by the same bound already.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -502,6 +502,17 @@
                     world.deliver(ReserveResponse(reserve.reservation_id, True))
         self.assertEqual(world.open_reservations & reserved, set())
 
+    def test_memory_of_a_prompt_is_released_if_an_engine_does_not_answer(self):
+        world = RouteWorld(engines=8)
+        effects = world.request("file", prompt_tokens=900_000, time_limit_s=15.0)
+        first, *others = world.of_type(effects, Reserve)
+        self.assertTrue(others)
+        world.deliver(ReserveResponse(first.reservation_id, True))
+        effects = world.advance(8.5)
+        self.assertEqual(world.open_reservations, set())
+        (refusal,) = world.of_type(effects, SendErrorResponse)
+        self.assertIsInstance(refusal.outcome, NotRun)
+
 
 class EndOfStopTest(unittest.TestCase):
     """Requests whose response has not begun when the process ends get an answer."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -74,17 +74,18 @@
     def _end_unused_reservations(self, now: float) -> list:
         """End attempts whose memory is reserved too long before a first event.
 
-        The engine may not have begun to read, and others wait for that memory.
+        Some of the memory may not be granted yet. If it is, the engine may not have
+        begun to read, and others wait for that memory.
         """
         controller = self.controller
         effects = []
         for attempt_id, routed in list(controller.attempts.items()):
             attempt = routed.active_attempt
-            if attempt.events or not attempt.is_sent:
+            if attempt.events or now - attempt.sent_at <= self.max_unused_s:
                 continue
-            if now - attempt.sent_at <= self.max_unused_s:
-                continue
-            if controller.reservations.ids_of(attempt_id):
+            if not attempt.is_sent:
+                effects += controller.on_denied(attempt_id, "", now)
+            elif controller.reservations.ids_of(attempt_id):
                 effects += controller.abandon(routed, RetryReason.SERVER_SILENT, now)
         controller.drop_old_moves(now - self.max_unused_s, now)
         return effects
