Let begun streams return to engines that denied them memory

What callers would see: a begun stream that had lost its engine waited, and was cut when its caller's time was over, though an engine that had once denied it memory, or was named in a refusal, had room again half a second later.

Cause: such engines are excluded for the whole request, which suits requests that can be refused within seconds.

A begun stream that has no other engines left, or too few for its prompt, may use excluded engines again 0.5 s after the last one was excluded, so that it asks at most twice a second. Requests that have not begun still avoid them.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -478,6 +478,24 @@
         self.list_engine(world, self.lose_split_stream(world), born=2.0)
         self.assertNotEqual(world.of_type(world.advance(0.2), Reserve), [])
 
+    def test_stream_returns_to_an_engine_that_denied_it_memory(self):
+        """The two engines left have to hold it, and the denial was for a moment."""
+        world = RouteWorld(engines=3)
+        effects = world.request("file", prompt_tokens=600_000, time_limit_s=15.0)
+        for reserve in world.of_type(effects, Reserve):
+            effects += world.deliver(ReserveResponse(reserve.reservation_id, True))
+        (sent,) = world.forwards(effects)
+        start_response(world, sent.attempt_id)
+        effects = world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+        (denied,) = world.of_type(effects + world.advance(0.1), Reserve)
+        world.deliver(ReserveResponse(denied.reservation_id, False))
+        self.assertEqual(world.of_type(world.advance(0.4), Reserve), [])
+        (again,) = world.of_type(world.advance(0.2), Reserve)
+        self.assertEqual(again.host, denied.host)
+        effects = world.deliver(ReserveResponse(again.reservation_id, True))
+        (resumed,) = world.forwards(effects)
+        self.assertEqual(resumed.resume_after, "1")
+
     def test_request_that_has_not_begun_is_refused_at_once(self):
         world = RouteWorld(engines=0)
         (refusal,) = world.of_type(world.request("chat"), SendErrorResponse)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -299,7 +299,7 @@
         prepared = self._attempt_table.prepared.get(attempt_id)
         routed = prepared or self.attempts[attempt_id]
         if engine:
-            routed.excluded.add(engine)
+            routed.exclude(engine, now)
         if prepared:
             self._attempt_table.drop_prepared(routed, now)
             return []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -70,6 +70,7 @@
     :param last_incarnation: incarnation of the server that it was sent to last.
     :param excluded: engines not to use for it: those that caused a refusal or denied
         memory.
+    :param excluded_at: time at which an engine was last excluded.
     :param attempt_count: attempts so far.
     :param undelivered: attempts that never reached their server.
     :param refused_at: time at which its last attempt was refused or failed to reach its
@@ -99,6 +100,7 @@
     tried: list[str] = field(factory=list)
     last_incarnation: str = ""
     excluded: set[str] = field(factory=set)
+    excluded_at: float = float("-inf")
     attempt_count: int = 0
     undelivered: int = 0
     refused_at: float = float("-inf")
@@ -112,6 +114,11 @@
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
 
+    def exclude(self, engine: str, now: float) -> None:
+        """Exclude an engine that caused a refusal or denied memory."""
+        self.excluded.add(engine)
+        self.excluded_at = now
+
     @property
     def resume_after(self) -> str:
         """Id of the last event that the caller has, from any response so far."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -99,7 +99,7 @@
             "info", "not_run", routed.request.caller_request_id, fields
         )
         if refusing_server != attempt.server:
-            routed.excluded.add(refusing_server)
+            routed.exclude(refusing_server, now)
             self.controller.observations.health.record_failure(refusing_server, now)
         effects = [log_event, AbortAttempt(attempt.attempt_id)]
         return effects + self.controller.retry_or_give_up(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -73,7 +73,8 @@
         reachable data centres are preferred, first those without a pause for a peer,
         then other healthy servers, then unhealthy ones. A stream that has begun may
         return to a server that it was sent to before the last one, and to the last one
-        after a restart, or `RETURN_PAUSE_S` after that refused it.
+        after a restart, or `RETURN_PAUSE_S` after that refused it. It may also use
+        excluded engines again, that long after the last one was excluded.
         """
         usable, untried, healthy = self._filter(routed, now)
         is_enough = untried and not is_too_large(routed, len(untried))
@@ -121,10 +122,12 @@
     ) -> list[KnownServer]:
         """Return the servers that a stream may return to, healthy ones if there are."""
         may_return = RETURN_PAUSE_S <= now - routed.refused_at < float("inf")
+        is_recent = now - routed.excluded_at < RETURN_PAUSE_S
+        excluded = routed.excluded if is_recent else ()
         earlier = [
             s
             for s in usable
-            if s.entry.name not in routed.excluded
+            if s.entry.name not in excluded
             and (may_return or s.incarnation != routed.last_incarnation)
         ]
         health = self.observations.health
--- a/packages/briarrelay-core/src/briarrelay_core/routes/waiting.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/waiting.py
@@ -10,8 +10,8 @@
 free slot."""
 
 RETURN_PAUSE_S = 0.5
-"""Seconds after a refusal before a begun stream may return to the server that refused
-it; also between its attempts once it has been refused often."""
+"""Seconds after a refusal, or a denial of memory, before a begun stream may return to
+the server; also between its attempts once it has been refused often."""
 
 CALLER_MIN_TIMEOUT_S = 2.0
 """Shortest silence in seconds after which a caller of a stream may disconnect, as the
