--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -1,6 +1,6 @@
 """Handles the requests of routes: admission, placement, attempts and retries."""
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from briarrelay_core.agreement.configuration import Objective
 from briarrelay_core.membership.rendezvous import unit_hash
@@ -35,7 +35,7 @@
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
 from briarrelay_core.routes.servers import ServerTable
-from briarrelay_core.routes.waiting import remaining_wait_s
+from briarrelay_core.routes.waiting import RETURN_PAUSE_S, remaining_wait_s
 
 __all__ = ["RequestController"]
 
@@ -47,6 +47,9 @@
 """Attempts of a request that may fail to reach a server. An unreachable data centre
 uses up two of them before it is suspected and gets no further requests."""
 
+_NOT_RUN_REASONS = (RetryReason.SERVER_REFUSED, RetryReason.SERVER_REPLACED)
+"""Reasons of retries after an attempt that provably did not run."""
+
 MIN_ATTEMPT_TIME_S = 0.02
 """Shortest time in seconds before its deadline at which a request is still sent."""
 
@@ -54,6 +57,10 @@
 """Seconds after a request's deadline in which the server's own response is still
 awaited."""
 
+MAX_SOUND_SILENCE_S = 2.0
+"""Silence in seconds after which a request may give up memory that its next attempt
+needs; the longest pause that was seen of a sound server is 1.6 s."""
+
 MIN_RETRY_AFTER_S = 0.3
 """Smallest Retry-After in seconds; about the time that a short response takes, after
 which a slot becomes free."""
@@ -131,7 +138,8 @@
         """Send a request to the best server, or queue it until one has room.
 
         A request that is out of time, too large or has no eligible server is ended; see
-        `give_up`.
+        `give_up`. A stream that has begun waits for servers instead, since one may come
+        back while its caller is there.
         """
         if routed.deadline - now < MIN_ATTEMPT_TIME_S:
             return self.give_up(routed, now)
@@ -142,7 +150,9 @@
             return self._retry_when_allowed(routed, now)
         eligible_servers = self.selector.candidates(routed, now)
         if eligible_servers and is_too_large(routed, len(eligible_servers)):
-            return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
+            if not routed.is_head_relayed:
+                return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
+            eligible_servers = []
         placement = (
             self.selector.choose(routed, eligible_servers, now)
             if eligible_servers
@@ -155,7 +165,7 @@
         ):
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
-        if not eligible_servers and not self._can_wait_for_pause(routed, now):
+        if not eligible_servers and not self._can_wait_for_server(routed, now):
             return self.give_up(routed, now, RefusalReason.NO_ENGINE)
         if routed.request.request_id in self._waiting:
             return []
@@ -234,8 +244,13 @@
         )
         return self.give_up(routed, now, reason)
 
-    def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
-        """Return whether a paused server is expected to take a request in its time."""
+    def _can_wait_for_server(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a request waits although no server may get it now.
+
+        One that has not begun waits if a paused server is expected to take it in time.
+        """
+        if routed.is_head_relayed:
+            return True
         resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
         if resumes_in_s is None:
             return False
@@ -244,18 +259,35 @@
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
     ) -> list:
+        self._record_probe(routed, placement, now)
+        return self._attempt_table.start(routed, placement, now)
+
+    def _record_probe(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> None:
+        """Record that contents of a request that may crash a server are tried again."""
         suspects = self.quarantine.suspects(routed.contents)
         if suspects:
             expected_s = placement.expected_s or routed.route.target_latency_s
             self.quarantine.record_probe(suspects, expected_s, now)
-        return self._attempt_table.start(routed, placement, now)
 
     def end_attempt(self, routed: RoutedRequest, now: float) -> AttemptState:
-        """End the active attempt of a request and release its load and memory."""
+        """End the active attempt of a request and release its load and memory.
+
+        An attempt that was to replace it is dropped; the request is placed anew.
+        """
+        self._attempt_table.drop_prepared(routed, now)
         return self._attempt_table.end(routed, now)
 
+    def record_progress(self, routed: RoutedRequest, now: float) -> None:
+        """Record that the active attempt of a request goes on; it is not replaced."""
+        routed.active_attempt.progress_at = now
+        self._attempt_table.drop_prepared(routed, now)
+
     def on_granted(self, attempt_id: int, now: float) -> list:
         """Send a request after all its memory has been reserved."""
+        if attempt_id in self._attempt_table.prepared:
+            return self._move_to_prepared(self._attempt_table.prepared[attempt_id], now)
         routed = self.attempts[attempt_id]
         placement = routed.active_attempt.pending_placement
         routed.active_attempt.pending_placement = None
@@ -268,14 +300,19 @@
     def on_denied(self, attempt_id: int, engine: str, now: float) -> list:
         """Queue a request again because its memory could not be reserved.
 
-        The attempt is not counted, since nothing was sent.
+        The attempt is not counted, since nothing was sent. If it was to replace another
+        attempt, that one goes on.
 
         :param engine: the engine that denied the reservation, empty if a server of the
             placement became unusable while memory was being reserved.
         """
-        routed = self.attempts[attempt_id]
+        prepared = self._attempt_table.prepared.get(attempt_id)
+        routed = prepared or self.attempts[attempt_id]
         if engine:
-            routed.excluded.add(engine)
+            routed.exclude(engine, now)
+        if prepared:
+            self._attempt_table.drop_prepared(routed, now)
+            return []
         self.end_attempt(routed, now)
         routed.tried.pop()
         routed.attempt_count -= 1
@@ -310,12 +347,19 @@
     ) -> list:
         """Retry a request if that is allowed, otherwise end it.
 
+        A begun stream is not ended by refusals, only retried less often.
+
         :param was_delivered: whether the last attempt reached its server; only then
             does the retry use the retry budget.
         """
-        if not self._may_retry(routed, routed.possible_runs, now):
+        if reason in _NOT_RUN_REASONS or not was_delivered:
+            routed.refused_at = now
+        if not self._may_run_again(routed, routed.possible_runs, now):
             return self.give_up(routed, now)
-        if was_delivered and not self.budget.withdraw(routed.service, now):
+        must_wait = not _has_attempts_left(routed)
+        if not must_wait and was_delivered:
+            must_wait = not self.budget.withdraw(routed.service, now)
+        if must_wait:
             if not routed.is_head_relayed:
                 return self.give_up(routed, now)
             routed.awaited_retry = reason
@@ -323,8 +367,14 @@
         return self._log_retry(routed, reason, now) + self.place(routed, now)
 
     def _retry_when_allowed(self, routed: RoutedRequest, now: float) -> list:
-        """Retry a begun stream once the budget allows it; until then it is queued."""
-        if not self.budget.withdraw(routed.service, now):
+        """Retry a begun stream once the budget allows it; until then it is queued.
+
+        One that has been refused often also waits for some time after a refusal.
+        """
+        is_paused = now - routed.refused_at < RETURN_PAUSE_S
+        if (is_paused and not _has_attempts_left(routed)) or not self.budget.withdraw(
+            routed.service, now
+        ):
             self._waiting[routed.request.request_id] = routed
             return []
         reason, routed.awaited_retry = routed.awaited_retry, None
@@ -352,7 +402,16 @@
             placement = self.selector.choose(routed, eligible_servers, now)
         if placement is None or should_defer(routed, placement, now):
             return None
-        return placement
+        if not placement.memory_shares:
+            return placement
+        beside = self.selector.choose(routed, eligible_servers, now)
+        if beside is not None:
+            return beside
+        # Only its own memory is missing, as far as is known.
+        silent_s = now - routed.active_attempt.progress_at
+        if silent_s <= MAX_SOUND_SILENCE_S or routed.excluded:
+            return None
+        return evolve(placement, replaces_memory=True)
 
     def move(
         self,
@@ -363,9 +422,47 @@
     ) -> list:
         """Abort the active attempt of a request and send the request elsewhere.
 
+        If memory has to be reserved for that, it is reserved first and the active
+        attempt goes on until then, unless its own memory is needed.
+
         :param placement: from :meth:`find_alternative` at the same time.
         """
-        attempt = self.end_attempt(routed, now)
+        if placement.memory_shares and not placement.replaces_memory:
+            return self._attempt_table.prepare(routed, placement, now)
+        return [
+            *self._abort_for_move(routed, reason, now),
+            *self._start_attempt(routed, placement, now),
+        ]
+
+    def _move_to_prepared(self, routed: RoutedRequest, now: float) -> list:
+        """Replace the active attempt by the prepared one, whose memory is reserved."""
+        prepared = routed.prepared_attempt
+        placement = prepared.pending_placement
+        server_names = (placement.lead, *placement.helpers)
+        if (
+            not self._may_retry(routed, routed.possible_runs + 1, now)
+            or not self.budget.allows(routed.service, now)
+            or not all(self.servers.is_usable(name, now) for name in server_names)
+        ):
+            self._attempt_table.drop_prepared(routed, now)
+            return []
+        self._record_probe(routed, placement, now)
+        return [
+            *self._abort_for_move(routed, RetryReason.SERVER_SILENT, now),
+            self._attempt_table.send_prepared(routed, now),
+        ]
+
+    def drop_old_moves(self, before: float, now: float) -> None:
+        """Drop the moves whose memory was requested before a time, but not granted."""
+        for routed in list(self._attempt_table.prepared.values()):
+            if routed.prepared_attempt.sent_at < before:
+                self._attempt_table.drop_prepared(routed, now)
+
+    def _abort_for_move(
+        self, routed: RoutedRequest, reason: RetryReason, now: float
+    ) -> list:
+        """Abort the active attempt of a request, which is sent elsewhere at once."""
+        attempt = self._attempt_table.end(routed, now)
         routed.possible_runs += 1
         self.budget.withdraw(routed.service, now)
         return [
@@ -373,7 +470,6 @@
             # Its memory is released first, since the placement may need it.
             *self.reservations.pop_effects(),
             *self._log_retry(routed, reason, now),
-            *self._start_attempt(routed, placement, now),
         ]
 
     def abandon(self, routed: RoutedRequest, reason: RetryReason, now: float) -> list:
@@ -402,19 +498,23 @@
     def _may_retry(self, routed: RoutedRequest, possible_runs: int, now: float) -> bool:
         """Return whether a request may get another attempt, if the budget allows it.
 
+        :param possible_runs: attempts after which it may have run.
+        """
+        return _has_attempts_left(routed) and self._may_run_again(
+            routed, possible_runs, now
+        )
+
+    def _may_run_again(
+        self, routed: RoutedRequest, possible_runs: int, now: float
+    ) -> bool:
+        """Return whether a request may run again, however often it was refused.
+
         :param possible_runs: attempts after which it may have run.
         """
         if possible_runs and not routed.route.is_repeatable:
             return False
         if possible_runs >= routed.route.attempts:
             return False
-        if routed.undelivered > MAX_UNDELIVERED_ATTEMPTS:
-            return False
-        if (
-            routed.attempt_count - routed.undelivered
-            >= routed.route.attempts + MAX_REFUSED_ATTEMPTS
-        ):
-            return False
         return routed.deadline - now >= MIN_ATTEMPT_TIME_S
 
     # Final responses
@@ -556,6 +656,17 @@
         return effects
 
 
+def _has_attempts_left(routed: RoutedRequest) -> bool:
+    """Return whether a request was refused, and not delivered, less often than it may.
+
+    Only requests that have not begun end for this.
+    """
+    if routed.undelivered > MAX_UNDELIVERED_ATTEMPTS:
+        return False
+    delivered = routed.attempt_count - routed.undelivered
+    return delivered < routed.route.attempts + MAX_REFUSED_ATTEMPTS
+
+
 def _count_active_attempt(routed: RoutedRequest) -> None:
     """Count the active attempt of a request as a possible run, if it has been sent."""
     attempt = routed.active_attempt
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -66,11 +66,17 @@
 
     :param deadline: time by which the response must be complete.
     :param active_attempt: the attempt in progress, None while the request waits.
+    :param prepared_attempt: the attempt that replaces the active one once its memory
+        has been reserved, None if there is none.
     :param tried: servers that it was sent to, in order.
+    :param last_incarnation: incarnation of the server that it was sent to last.
     :param excluded: engines not to use for it: those that caused a refusal or denied
         memory.
+    :param excluded_at: time at which an engine was last excluded.
     :param attempt_count: attempts so far.
     :param undelivered: attempts that never reached their server.
+    :param refused_at: time at which its last attempt was refused or failed to reach its
+        server, minus infinity if it did not end so.
     :param possible_runs: attempts after which the request may have run.
     :param awaited_retry: reason of a retry that the budget does not allow yet, else
         None.
@@ -92,10 +98,14 @@
     deadline: float
     content: str = ""
     active_attempt: AttemptState | None = None
+    prepared_attempt: AttemptState | None = None
     tried: list[str] = field(factory=list)
+    last_incarnation: str = ""
     excluded: set[str] = field(factory=set)
+    excluded_at: float = float("-inf")
     attempt_count: int = 0
     undelivered: int = 0
+    refused_at: float = float("-inf")
     possible_runs: int = 0
     awaited_retry: RetryReason | None = None
     is_head_relayed: bool = False
@@ -106,6 +116,11 @@
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
 
+    def exclude(self, engine: str, now: float) -> None:
+        """Exclude an engine that caused a refusal or denied memory."""
+        self.excluded.add(engine)
+        self.excluded_at = now
+
     @property
     def resume_after(self) -> str:
         """Id of the last event that the caller has, from any response so far."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -74,23 +74,27 @@
     def _end_unused_reservations(self, now: float) -> list:
         """End attempts whose memory is reserved too long before a first event.
 
-        The engine may not have begun to read, and others wait for that memory.
+        Some of the memory may not be granted yet. If it is, the engine may not have
+        begun to read, and others wait for that memory.
         """
         controller = self.controller
         effects = []
         for attempt_id, routed in list(controller.attempts.items()):
             attempt = routed.active_attempt
-            if attempt.events or not attempt.is_sent:
+            if attempt.events or now - attempt.sent_at <= self.max_unused_s:
                 continue
-            if now - attempt.sent_at <= self.max_unused_s:
-                continue
-            if controller.reservations.ids_of(attempt_id):
+            if not attempt.is_sent:
+                effects += controller.on_denied(attempt_id, "", now)
+            elif controller.reservations.ids_of(attempt_id):
                 effects += controller.abandon(routed, RetryReason.SERVER_SILENT, now)
+        controller.drop_old_moves(now - self.max_unused_s, now)
         return effects
 
     def _find_silent(self, now: float) -> list[tuple[RoutedRequest, float]]:
         """Return the requests that should move, and the time for their first event.
 
+        Requests that will move once their memory has been reserved are left out.
+
         That time is the largest one in seconds within which a server has to be expected
         to send it.
         """
@@ -110,7 +114,7 @@
                 found.append((routed, _remaining_patience_s(routed, now)))
             elif silent_s > MOVE_FRACTION * leaves_after_s:
                 found.append((routed, leaves_after_s - silent_s))
-        return found
+        return [pair for pair in found if pair[0].prepared_attempt is None]
 
     def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
         """Return seconds for which an attempt may be silent while its engines read."""
