--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -316,6 +316,8 @@
         self.end_attempt(routed, now)
         routed.tried.pop()
         routed.attempt_count -= 1
+        if remaining_wait_s(routed, now) < 0:
+            return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
         self._waiting[routed.request.request_id] = routed
         return []
 
