Do not move a begun stream with a quarantined content

A silent stream was moved without a look at the quarantine, which would crash the next server. find_alternative finds none for it; the stream goes on with its server, or waits. The test failed before: the stream was moved.

--- a/features/properties/test_request_quarantine.py
+++ b/features/properties/test_request_quarantine.py
@@ -21,7 +21,12 @@
 from briarrelay_platform.dialect import is_part
 from briarrelay_platform.fields import DecodeError
 from properties.crashworld import DOWN_S, CrashWorld
-from properties.routeworld import KEY, RouteWorld, make_configuration
+from properties.routeworld import (
+    KEY,
+    RouteWorld,
+    make_configuration,
+    start_response,
+)
 
 BAD = "bad"
 """Fingerprint of a request on which each server crashes."""
@@ -179,6 +184,20 @@
         self.assertIn(quarantined, outcome.message)
         self.assertTrue(30.0 <= outcome.retry_after <= 60.0)
 
+    def test_begun_stream_with_a_quarantined_content_is_not_moved(self):
+        """Its server is silent; another one would crash as well."""
+        for is_quarantined in (False, True):
+            world = RouteWorld(engines=3, plain_servers=9)
+            effects = world.request("chat", fingerprint=BAD)
+            attempt_id = world.forwards(effects)[0].attempt_id
+            start_response(world, attempt_id)
+            if is_quarantined:
+                content = request_content(BAD, "owners")
+                record = QuarantineRecord(duration_s=600.0, written_at=1.0)
+                world.list_topic(Topic.QUARANTINE, TopicChange(content, record))
+            moved = world.forwards(world.advance(1.9))
+            self.assertEqual(len(moved), 0 if is_quarantined else 1)
+
     def quarantine(self, world: RouteWorld) -> str:
         """Crash servers under the bad request until it is quarantined."""
         table = world.instance.controller.quarantine
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -385,11 +385,13 @@
     def find_alternative(self, routed: RoutedRequest, now: float) -> Placement | None:
         """Return where a request could be sent now instead of to its active server.
 
-        :returns: None if no further attempt is allowed, or no server that is not
-            ejected has room.
+        :returns: None if no further attempt is allowed, if it has a quarantined
+            content, or no server that is not ejected has room.
         """
         if not self._may_retry(routed, routed.possible_runs + 1, now):
             return None
+        if self.quarantine.find(routed.contents, now):
+            return None
         if not self.budget.allows(routed.service, now):
             return None
         health = self.observations.health
