Reserve no memory on engines that have none free

What callers saw: a prompt that exceeds one engine waited in the queue again after engines had been chosen for it, also a begun stream that moved from a silent engine.

Cause: engines were added to the holders of a spread prompt in order of preference, also those whose memory is full. Their part is 0 tokens, engines deny that reservation, and one denial queues the whole request again, without that engine. A begun stream has been aborted at its first engine by then. Class: an order that can only be refused.

--- a/features/properties/test_route_load.py
+++ b/features/properties/test_route_load.py
@@ -20,6 +20,7 @@
     TopicFailed,
     TopicPolled,
 )
+from briarrelay_core.ports.memory import Reserve
 from briarrelay_core.ports.route import (
     AbortResponse,
     CallerDisconnected,
@@ -37,7 +38,9 @@
 from briarrelay_core.routes.budget import RetryLimits
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.model import KeyHolder
+from briarrelay_core.routes.placement import USABLE_MEMORY_FRACTION
 from properties.routeworld import (
+    PROFILE,
     RouteWorld,
     engine_names,
     make_configuration,
@@ -196,6 +199,24 @@
         self.assertTrue(digests[0].digest.loads)
 
 
+class SpreadMemoryTest(unittest.TestCase):
+    """A prompt that exceeds the memory of one engine is spread over several."""
+
+    def test_no_memory_is_reserved_on_an_engine_without_free_memory(self):
+        """Engines deny a reservation of no tokens, and the prompt waits again."""
+        world = RouteWorld(engines=4)
+        load = world.instance.controller.load
+        full_tokens = int(PROFILE.memory_tokens * USABLE_MEMORY_FRACTION)
+        load.add("full", "engine-2", world.now, tokens=full_tokens)
+        for name in ("engine-3", "engine-4"):
+            tokens = full_tokens - 120_000
+            load.add(name, name, world.now, tokens=tokens, read_s=0.3)
+        effects = world.request("file", prompt_tokens=600_000, time_limit_s=15.0)
+        reserved = {r.host: r.tokens for r in world.of_type(effects, Reserve)}
+        self.assertEqual(len(reserved), 2)
+        self.assertNotIn(0, reserved.values())
+
+
 class MissingEntriesTest(unittest.TestCase):
     """Server entries that are missing after the store was unreachable for 3 s."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -269,7 +269,8 @@
 ) -> Placement | None:
     """Return the cheapest placement that spreads a prompt's memory over engines.
 
-    Engines are added in order of preference until they can hold the prompt together.
+    Engines with free memory are added in order of preference until they can hold the
+    prompt together; engines deny a reservation of no tokens.
 
     :returns: None if they cannot, or if no engine has a slot for a lead.
     """
@@ -291,7 +292,9 @@
     for candidate in ranked:
         if sum(_free_tokens(profile, c) for c in holders) >= need:
             break
-        if candidate is not lead and candidate.load.helper_requests < candidate.slots:
+        if candidate is lead or not _free_tokens(profile, candidate):
+            continue
+        if candidate.load.helper_requests < candidate.slots:
             holders.append(candidate)
     shares = _divide_tokens([_free_tokens(profile, c) for c in holders], need)
     if shares is None or len(holders) > MAX_HELPERS:
