Let a begun stream without an eligible engine wait as long as its caller does

What callers saw: a stream whose engine closed the connection was cut at once if no other engine was known, also if one was about to register.

Cause: placement gave up every request without an eligible server, unless a paused one was expected back. A request that has not begun can be refused; a begun stream can only be cut.

--- a/features/properties/test_given_up_responses.py
+++ b/features/properties/test_given_up_responses.py
@@ -12,6 +12,7 @@
     ForwardRequest,
     ResponseHead,
     ResponseKind,
+    ResponseLost,
     SendErrorResponse,
 )
 from briarrelay_core.routes.budget import RetryLimits
@@ -20,6 +21,7 @@
     RouteWorld,
     engine_names,
     make_configuration,
+    make_entry,
     make_route,
     start_response,
 )
@@ -85,6 +87,32 @@
         self.assertEqual(world.of_type(effects, AbortAttempt), [])
 
 
+class LastEngineTest(unittest.TestCase):
+    """The only engine closes the connection of a begun stream."""
+
+    def lose_stream(self, world: RouteWorld) -> list:
+        """Begin a stream and close its connection; return the effects of the close."""
+        (sent,) = world.forwards(world.request("chat"))
+        start_response(world, sent.attempt_id)
+        return world.deliver(ResponseLost(sent.attempt_id, True, "closed", True))
+
+    def test_stream_goes_on_when_an_engine_is_added(self):
+        world = RouteWorld(engines=1)
+        effects = self.lose_stream(world) + world.advance(1.0)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        entry = make_entry("engine-2", "llm")
+        effects = world.deliver_changes(Topic.SERVERS, TopicChange("engine-2", entry))
+        (sent,) = world.forwards(effects + world.advance(0.2))
+        self.assertEqual((sent.server, sent.resume_after), ("engine-2", "1"))
+
+    def test_stream_ends_when_its_caller_is_expected_to_have_left(self):
+        world = RouteWorld(engines=1)
+        effects = self.lose_stream(world) + world.advance(1.9)
+        self.assertEqual(world.of_type(effects, AbortResponse), [])
+        effects = world.advance(0.3)
+        self.assertEqual(len(world.of_type(effects, AbortResponse)), 1)
+
+
 class SplitMoveTest(unittest.TestCase):
     """A prompt that several engines hold together moves from a silent lead."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -155,7 +155,7 @@
         ):
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
-        if not eligible_servers and not self._can_wait_for_pause(routed, now):
+        if not eligible_servers and not self._can_wait_for_server(routed, now):
             return self.give_up(routed, now, RefusalReason.NO_ENGINE)
         if routed.request.request_id in self._waiting:
             return []
@@ -225,8 +225,15 @@
         )
         return self.give_up(routed, now, reason)
 
-    def _can_wait_for_pause(self, routed: RoutedRequest, now: float) -> bool:
-        """Return whether a paused server is expected to take a request in its time."""
+    def _can_wait_for_server(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a request without an eligible server waits for one.
+
+        A stream that has begun waits as long as its caller does, since it can no longer
+        be refused. Other requests wait if a paused server is expected to take them in
+        their time.
+        """
+        if routed.is_head_relayed:
+            return remaining_wait_s(routed, now) > 0
         resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
         if resumes_in_s is None:
             return False
