--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -245,12 +245,14 @@
         return self.give_up(routed, now, reason)
 
     def _can_wait_for_server(self, routed: RoutedRequest, now: float) -> bool:
-        """Return whether a request waits although no server may get it now.
+        """Return whether a request without an eligible server waits for one.
 
-        One that has not begun waits if a paused server is expected to take it in time.
+        A stream that has begun waits as long as its caller does, since it can no longer
+        be refused. Other requests wait if a paused server is expected to take them in
+        their time.
         """
         if routed.is_head_relayed:
-            return True
+            return remaining_wait_s(routed, now) > 0
         resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
         if resumes_in_s is None:
             return False
