--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -130,6 +130,7 @@
         the prompt.
     :param memory_shares: helpers that store part of the prompt's memory, and the tokens
         that each reserves.
+    :param replaces_memory: the memory of the request's active attempt is needed.
     """
 
     lead: str
@@ -140,6 +141,7 @@
     stream_cost: float = 0.0
     backlog_s: float = 0.0
     memory_shares: tuple[tuple[str, int], ...] = ()
+    replaces_memory: bool = False
 
 
 def _expected_loss(usage: float) -> float:
@@ -269,7 +271,8 @@
 ) -> Placement | None:
     """Return the cheapest placement that spreads a prompt's memory over engines.
 
-    Engines are added in order of preference until they can hold the prompt together.
+    Engines with free memory are added in order of preference until they can hold the
+    prompt together; engines deny a reservation of no tokens.
 
     :returns: None if they cannot, or if no engine has a slot for a lead.
     """
@@ -291,7 +294,9 @@
     for candidate in ranked:
         if sum(_free_tokens(profile, c) for c in holders) >= need:
             break
-        if candidate is not lead and candidate.load.helper_requests < candidate.slots:
+        if candidate is lead or not _free_tokens(profile, candidate):
+            continue
+        if candidate.load.helper_requests < candidate.slots:
             holders.append(candidate)
     shares = _divide_tokens([_free_tokens(profile, c) for c in holders], need)
     if shares is None or len(holders) > MAX_HELPERS:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -38,6 +38,11 @@
 TIMEOUT_CHECK_S = 0.5
 """Seconds between checks for idle connections and slow headers."""
 
+LINGER_S = 1.0
+"""Seconds for which what a caller still sends after its last response is read and
+dropped. Closing with unread bytes would reset the connection, and the caller might lose
+that response."""
+
 
 @define(slots=True, eq=False)
 class RawExchange:
@@ -108,9 +113,12 @@
     def _encode_head(self, status: int, headers: list) -> bytes:
         """Return the encoded status line and headers.
 
-        Clears `keeps_alive` if the server closes its connections after a response.
+        Clears `keeps_alive` if the server closes its connections after a response,
+        unless the caller has sent further requests, which are answered first.
         """
-        self.keeps_alive = self.keeps_alive and self._connection.server.keeps_alive
+        connection = self._connection
+        if not connection.server.keeps_alive and not connection.has_further_requests:
+            self.keeps_alive = False
         try:
             phrase = HTTPStatus(status).phrase
         except ValueError:
@@ -132,12 +140,14 @@
     :ivar _queued_messages: complete requests that are not being answered yet.
     :ivar _unparsed: bytes received while a request is answered.
     :ivar _unsent: bytes of responses that are not sent yet.
-    :ivar _is_closing: the connection is closed once `_unsent` is sent.
+    :ivar _is_closing: the connection is closed once `_unsent` is sent; what arrives
+        from then on is dropped.
+    :ivar _is_lingering: all is sent, and the connection closes when the caller does.
     :ivar has_pending_bytes: bytes were received beyond the requests passed on so
         far.
     :ivar timeout_started_at: start of the idle or header timeout: when the connection
-        was accepted, the first byte of a request was received or the last response
-        ended, whichever is latest.
+        was accepted, the first byte of a request or a part of its body was received, or
+        a part of the last response was sent, whichever is latest.
     :ivar idle_limit_s: limit on the idle time in seconds when that timeout started.
     """
 
@@ -149,6 +159,7 @@
         self._unparsed = bytearray()
         self._exchange: RawExchange | None = None
         self._is_closing = False
+        self._is_lingering = False
         self._is_flush_scheduled = False
         self._on_ready = self._handle_ready
         self.is_closed = False
@@ -174,6 +185,18 @@
             return False
         return not self.has_unread_bytes
 
+    @property
+    def has_further_requests(self) -> bool:
+        """Whether the caller has sent more than the request being answered."""
+        if self._queued_messages or self._unparsed:
+            return True
+        return self.has_unread_bytes
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that are not sent yet."""
+        return len(self._unsent)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes of a request wait in the socket."""
@@ -189,6 +212,10 @@
 
     # Callbacks of the parser
 
+    def on_message_begin(self) -> None:
+        """Mark the request that is being read as begun."""
+        self._partial_message.is_begun = True
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
         self._partial_message.target += url
@@ -199,11 +226,15 @@
 
     def on_headers_complete(self) -> None:
         """Mark the header as complete."""
-        self._partial_message.is_head_complete = True
+        message = self._partial_message
+        message.is_head_complete = True
+        is_older = self._parser.get_http_version() == "1.0"
+        message.awaits_continue = message.expects_continue and not is_older
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._partial_message.body += data
+        self._partial_message.awaits_continue = False
 
     def on_message_complete(self) -> None:
         """Queue a complete request; the next one may follow in the same bytes."""
@@ -228,6 +259,8 @@
             data = b""
         if not data:
             self._disconnect()
+        elif self._is_closing:
+            pass
         elif self._exchange is not None:
             self._buffer_pipelined(data)
         else:
@@ -241,7 +274,7 @@
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes and pass on the first request that they complete."""
-        if not self.has_pending_bytes:
+        if not self.has_pending_bytes or self._partial_message.is_head_complete:
             self.has_pending_bytes = True
             self._start_timeout()
         if not self._partial_message.is_head_complete:
@@ -267,7 +300,7 @@
             self.refuse(*refusal)
         elif message is not None:
             self.has_pending_bytes = bool(
-                self._queued_messages or self._partial_message.head_bytes
+                self._queued_messages or self._partial_message.is_begun
             )
             self._exchange = RawExchange(
                 method=message.method,
@@ -278,6 +311,9 @@
                 connection=self,
             )
             self.server.on_request(self._exchange)
+        elif self._partial_message.awaits_continue:
+            self._partial_message.awaits_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _disconnect(self) -> None:
         """Close the connection and report an unfinished exchange as disconnected.
@@ -326,6 +362,8 @@
             while self._unsent:
                 sent_bytes = self._sock.send(self._unsent)
                 del self._unsent[:sent_bytes]
+                if not self.is_busy and not self.has_pending_bytes:
+                    self._start_timeout()  # the caller is still reading
         except BlockingIOError:
             self._watch(READ | WRITE)
             return
@@ -333,8 +371,20 @@
             self._disconnect()
             return
         self._watch(READ)
-        if self._is_closing:
+        if self._is_closing and not self._is_lingering:
+            self._close_after_response()
+
+    def _close_after_response(self) -> None:
+        """Close the connection; if the caller is still sending, only for writing."""
+        if not self.has_pending_bytes and not self.has_unread_bytes:
             self.close()
+            return
+        self._is_lingering = True
+        self._start_timeout()
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()  # the caller has reset the connection
 
     def _watch(self, events: int) -> None:
         if events != self._watched_events:
@@ -349,13 +399,36 @@
         if not exchange.keeps_alive:
             self._is_closing = True
             return
-        if self._queued_messages or self._unparsed:
+        is_awaited = self._partial_message.awaits_continue
+        if self._queued_messages or self._unparsed or is_awaited:
             self.server.reactor.defer(self._resume)
 
     def _start_timeout(self) -> None:
         self.timeout_started_at = self.server.reactor.clock()
         self.idle_limit_s = self.server.limits.idle_s
 
+    def check_timeout(self, now: float) -> None:
+        """Refuse a request that is slow to arrive; close an idle connection."""
+        if self.is_busy:
+            return
+        if self._is_lingering:
+            if now - self.timeout_started_at > LINGER_S:
+                self.close()
+            return
+        limits = self.server.limits
+        is_in_head = self.has_pending_bytes and not self.is_head_complete
+        limit_s = (
+            limits.header_s if is_in_head else max(limits.idle_s, self.idle_limit_s)
+        )
+        if now - self.timeout_started_at <= limit_s or self.has_unread_bytes:
+            return
+        if self._is_closing or not self.has_pending_bytes:
+            self.close()
+        elif is_in_head:
+            self.refuse(408, b"the header took too long; send it at once")
+        else:
+            self.refuse(408, b"the body stopped arriving; send it at once")
+
     def _resume(self) -> None:
         """Process the requests received while the last one was answered."""
         self._dispatch_next()
@@ -413,6 +486,11 @@
         """Port on which the server listens."""
         return self._sock.getsockname()[1]
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that are buffered for callers."""
+        return sum(connection.unsent_bytes for connection in self._connections)
+
     def _accept(self, _: int) -> None:
         while True:
             try:
@@ -434,15 +512,7 @@
                 connection.close()
 
     def _check_timeouts(self, now: float) -> list:
-        """Refuse requests with a slow header; close idle or stalled connections."""
+        """Refuse requests that arrive slowly; close idle or stalled connections."""
         for connection in list(self._connections):
-            if connection.is_busy:
-                continue
-            elapsed_s = now - connection.timeout_started_at
-            if connection.has_pending_bytes and not connection.is_head_complete:
-                if elapsed_s > self.limits.header_s:
-                    connection.refuse(408, b"the header took too long; send it at once")
-            elif elapsed_s > max(self.limits.idle_s, connection.idle_limit_s):
-                if not connection.has_unread_bytes:
-                    connection.close()
+            connection.check_timeout(now)
         return []
