Count the rest of a resumed stream as survival only from four events on

Cause: any complete response counted as survival, also one that is shorter than what the engine before crashed on. A resumed attempt now needs four events as well.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -106,6 +106,7 @@
         attempt_id = routed.active_attempt.attempt_id
         routed.last_incarnation = routed.active_attempt.incarnation
         routed.refused_at = float("-inf")
+        routed.active_attempt.is_resumption = bool(routed.resume_after)
         reserved = self.reservations.ids_of(attempt_id)
         entry = self.servers.get(placement.lead).entry
         return ForwardRequest(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -29,7 +29,7 @@
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.probes import PROBE_JITTER_S
-from briarrelay_core.routes.quarantine import ContentQuarantine
+from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS, ContentQuarantine
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
@@ -203,9 +203,14 @@
     def record_survival(
         self, routed: RoutedRequest, attempt: AttemptState, now: float
     ) -> list:
-        """Record that a server has run a request without a crash."""
+        """Record that a server has run a request without a crash.
+
+        The rest of a stream may be shorter than what another server crashed on.
+        """
         if attempt.is_survived:
             return []
+        if attempt.is_resumption and attempt.events < SURVIVAL_EVENTS:
+            return []
         attempt.is_survived = True
         return self.quarantine.record_survival(routed.contents, now)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -26,6 +26,7 @@
         once the request has been sent.
     :param kind: kind of the response's head, None before it arrives.
     :param events: events received in this attempt.
+    :param is_resumption: the server sends the rest of a stream, from some event on.
     :param is_survived: it has shown that its contents do not crash the server.
     :param silence_counted_at: time at which its silence was last counted as a failure
         of the server.
@@ -45,6 +46,7 @@
     status: int = 0
     is_stream: bool = False
     events: int = 0
+    is_resumption: bool = False
     is_survived: bool = False
     silence_counted_at: float = float("-inf")
     searched_at: float = float("-inf")
