Ignore a peer's quarantine that is older than a known survival

Cause: the report of a peer that had not heard of a survival set back the beginning of a newer quarantine, which the next report of that survival then ended. Such a report is answered with the survival, as it was where nothing was quarantined. The test failed before (the newer quarantine was gone).

--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -546,6 +546,22 @@
         tables[0].apply_digest(digest_of(tables[1], now), now)
         self.assertEqual(tables[0].contents, ())
 
+    def test_older_quarantine_of_a_peer_does_not_end_a_newer_one(self):
+        """The peer has not heard yet that an engine survived the part between them."""
+        survived = make_digest(survived={BAD_PART: 4.0})
+        older = QuarantineReport(content=BAD_PART, remaining_s=600.0, since_age_s=5.0)
+        newer = QuarantineReport(content=BAD_PART, remaining_s=600.0, since_age_s=2.0)
+        table = ContentQuarantine()
+        for digest in (
+            survived,
+            make_digest(quarantined=(newer,)),
+            make_digest(quarantined=(older,)),
+            survived,
+        ):
+            table.apply_digest(digest, 100.0)
+        self.assertEqual(table.contents, (BAD_PART,))
+        self.assertEqual(set(table.own_survived(100.0)), {BAD_PART})
+
     def test_memory_is_bounded_without_peers(self):
         table = ContentQuarantine()
         for number in range(500):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -514,6 +514,10 @@
         """
         since = now - report.since_age_s
         until = now + min(report.remaining_s, QUARANTINE_S)
+        if self._survived.get(report.content, float("-inf")) > since:
+            self._answer(report.content, now)
+            self.has_urgent_change = True
+            return []
         known = self._quarantined.get(report.content)
         if known is not None:
             known.until = max(known.until, until)
@@ -521,10 +525,6 @@
             return []
         if report.remaining_s < REPORT_S:
             return []
-        if self._survived.get(report.content, float("-inf")) > since:
-            self._answer(report.content, now)
-            self.has_urgent_change = True
-            return []
         effects = self._quarantine(report.content, until, since, report.servers, "peer")
         self._drop_explained()
         return effects
