--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -217,7 +217,7 @@
     def end_quarantined(self, now: float) -> list:
         """End the requests with contents quarantined since the last call.
 
-        A request whose response has begun goes on.
+        A request goes on if its server has already sent an event.
         """
         effects = []
         for content in self.quarantine.pop_new():
