--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -43,7 +43,7 @@
         attempt.kind = message.kind
         attempt.status = message.status
         attempt.is_stream = message.is_stream
-        attempt.progress_at = now
+        self.controller.record_progress(routed, now)
         if message.kind is ResponseKind.OTHER_SERVER:
             return self._on_replaced(routed, now)
         effects = self._apply_announcements(routed, message, now)
@@ -100,7 +100,7 @@
             "info", "not_run", routed.request.caller_request_id, fields
         )
         if refusing_server != attempt.server:
-            routed.excluded.add(refusing_server)
+            routed.exclude(refusing_server, now)
             self.controller.observations.health.record_failure(refusing_server, now)
         effects = [log_event, AbortAttempt(attempt.attempt_id)]
         return effects + self.controller.retry_or_give_up(
@@ -140,7 +140,7 @@
         if routed.is_head_relayed:
             routed.longest_gap_s = max(routed.longest_gap_s, now - routed.last_event_at)
         routed.last_event_at = now
-        attempt.progress_at = now
+        self.controller.record_progress(routed, now)
         self.controller.observations.record_response(attempt.server, now)
         attempt.events += 1
         effects = []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -19,6 +19,7 @@
 )
 from briarrelay_core.routes.requeststate import RoutedRequest
 from briarrelay_core.routes.servers import KnownServer, ServerTable
+from briarrelay_core.routes.waiting import RETURN_PAUSE_S
 
 __all__ = ["ServerSelector", "is_too_large"]
 
@@ -71,10 +72,13 @@
         Servers that were tried, excluded or paused are left out. Healthy servers in
         reachable data centres are preferred, first those without a pause for a peer,
         then other healthy servers, then unhealthy ones. A stream that has begun may
-        return to a server that it was sent to before the last one.
+        return to a server that it was sent to before the last one, and to the last one
+        after a restart, or `RETURN_PAUSE_S` after that refused it. It may also use
+        excluded engines again, that long after the last one was excluded.
         """
         usable, untried, healthy = self._filter(routed, now)
-        if routed.is_head_relayed and not untried:
+        is_enough = untried and not is_too_large(routed, len(untried))
+        if routed.is_head_relayed and not is_enough:
             return self._earlier_servers(routed, usable, now)
         suspects = self._suspect_data_centres(healthy, now)
         reachable = [s for s in healthy if s.entry.data_centre not in suspects]
@@ -117,8 +121,15 @@
         self, routed: RoutedRequest, usable: list[KnownServer], now: float
     ) -> list[KnownServer]:
         """Return the servers that a stream may return to, healthy ones if there are."""
-        skipped = routed.excluded.union(routed.tried[-1:])
-        earlier = [s for s in usable if s.entry.name not in skipped]
+        may_return = RETURN_PAUSE_S <= now - routed.refused_at < float("inf")
+        is_recent = now - routed.excluded_at < RETURN_PAUSE_S
+        excluded = routed.excluded if is_recent else ()
+        earlier = [
+            s
+            for s in usable
+            if s.entry.name not in excluded
+            and (may_return or s.incarnation != routed.last_incarnation)
+        ]
         health = self.observations.health
         healthy = [s for s in earlier if not health.is_ejected(s.entry.name, now)]
         return healthy or earlier
