--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -468,6 +468,26 @@
             found.append(table.contents)
         self.assertEqual(found, [(BAD_PART,), (BAD_PART,)], "by order of reports")
 
+    def test_one_of_two_parts_with_equal_evidence_is_not_quarantined(self):
+        """Until one more crash, which the users tolerate, tells them apart."""
+        names = [request_content(f"{number}", "owners") for number in range(4)]
+        bad, sound = (FIRST_PART, BAD_PART), (FIRST_PART, SOUND_PART)
+        both = (FIRST_PART, BAD_PART, SOUND_PART, names[2])
+        crashes = (
+            ((*bad, names[0]), (*sound, names[1])),
+            ((*bad, names[0]), (*sound, names[1])),
+            (both,),
+            (both, (FIRST_PART, names[3])),
+            ((*bad, names[3]),),
+        )
+        table = ContentQuarantine()
+        for number, attempts in enumerate(crashes):
+            now = 100.0 + number
+            for contents in attempts:
+                table.record_crash(contents, f"engine-{number}@1.0", now - 0.1, now)
+            self.assertNotIn(SOUND_PART, table.contents, f"after crash {number + 1}")
+        self.assertEqual(table.contents, (BAD_PART,))
+
     def test_quarantine_is_renewed_by_requests_and_lapses(self):
         table = ContentQuarantine()
         now = quarantine(table, 100.0)
