Wait for one more crash if two suspect parts have the same evidence

Cause: neither counted as the rarer one, so both were quarantined. A fifth crash, which the users tolerate, tells them apart: a part that is as likely as another one needs five strikes.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -298,10 +298,16 @@
             return False
         if count >= STRIKES_IF_SHARED:
             return True
-        return not is_sound and not any(
-            name not in self._survived and struck.is_explained_by(other)
+        rivals = [
+            other
             for name, other in self._struck.items()
-        )
+            if other is not struck and name not in self._survived
+        ]
+        if is_sound or any(struck.is_explained_by(rival) for rival in rivals):
+            return False
+        # one more crash tells two contents with the same evidence apart
+        is_first = count == STRIKES_TO_QUARANTINE
+        return not (is_first and any(struck.is_as_likely_as(r) for r in rivals))
 
     def _unexplained(self, crash: Crash) -> list[tuple[int, str]]:
         """Return the contents that a crash strikes, with their places.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -78,12 +78,20 @@
 
         It was at nearly all of them, and it is rarer.
         """
-        if other.count < SUSPECT_STRIKES:
+        return other._covers(self) and other._is_rarer_than(self)
+
+    def is_as_likely_as(self, other: "StruckContent") -> bool:
+        """Return whether nothing tells which of two contents is the cause."""
+        if not (self._covers(other) and other._covers(self)):
             return False
-        strikes = [s for name, s in self.strikes.items() if name not in other.strikes]
-        if _count_in_sequence(strikes) >= SUSPECT_STRIKES:
+        return not (self._is_rarer_than(other) or other._is_rarer_than(self))
+
+    def _covers(self, other: "StruckContent") -> bool:
+        """Return whether it was at nearly all crashes that another content was at."""
+        if self.count < SUSPECT_STRIKES:
             return False
-        return other._is_rarer_than(self)
+        strikes = [s for name, s in other.strikes.items() if name not in self.strikes]
+        return _count_in_sequence(strikes) < SUSPECT_STRIKES
 
     def _is_rarer_than(self, other: "StruckContent") -> bool:
         """Return whether fewer attempts had it, at the crashes that both were at.
