--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -39,13 +39,13 @@
 
 MAX_PROBE_S = 3.0
 """Longest time in seconds for which a request with a suspect content keeps others with
-it from engines."""
+it from servers."""
 
 MAX_QUARANTINE_REPORTS = 16
 """Most quarantined contents that a digest reports."""
 
 MAX_REPORT_SERVERS = 8
-"""Most engines named as the reason for a quarantine."""
+"""Most servers named as the reason for a quarantine."""
 
 MAX_SURVIVED_REPORTS = 32
 """Most contents that a digest reports as sound."""
@@ -89,11 +89,11 @@
 
 @frozen(slots=True, kw_only=True)
 class QuarantineReport:
-    """A content is quarantined, since it crashes engines.
+    """A content is quarantined, since it crashes servers.
 
     :param remaining_s: seconds until the quarantine lapses.
     :param since_age_s: seconds since the attempt of the first counted strike was sent.
-    :param servers: engines that it crashed, as ``name@born``.
+    :param servers: servers that it crashed, as ``name@born``.
     """
 
     content: str
@@ -119,8 +119,8 @@
         ``name@born``.
     :param paused: seconds for which backend servers asked the sender for no further
         requests, by name.
-    :param crashes: engines that closed connections to the sender lately.
-    :param quarantined: contents that the sender keeps from engines.
+    :param crashes: servers that closed connections to the sender lately.
+    :param quarantined: contents that the sender keeps from servers.
     :param probed: seconds for which peers hold requests with suspect contents, since
         the sender has sent one.
     :param survived: seconds since a server survived a content that was reported struck.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/probes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/probes.py
@@ -12,7 +12,7 @@
 
 PROBE_FACTOR = 2.0
 """Multiple of the expected time to its first event for which such a request keeps
-others with its suspect content from engines, besides `PROBE_SLACK_S`."""
+others with its suspect content from servers, besides `PROBE_SLACK_S`."""
 
 PROBE_SLACK_S = 0.6
 """Seconds added to that time, in which the engine sends the events that show that it
@@ -25,7 +25,7 @@
 
 @define(slots=True)
 class ProbeTable:
-    """Suspect contents of requests that are on engines.
+    """Suspect contents of requests that are on servers.
 
     :ivar _own: contents of own requests, and the time until which peers wait.
     :ivar _of_peers: contents of requests of peers, and the time until which this
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -1,4 +1,4 @@
-"""Finds contents that crash engines, and keeps requests with them away.
+"""Finds contents that crash servers, and keeps requests with them away.
 
 A content is a part of prompts or a whole request. It is struck when a server closes the
 connection of an attempt with it early. Strikes count in sequence, so that the loss of
@@ -32,6 +32,7 @@
 
 __all__ = [
     "QUARANTINE_S",
+    "STRIKES_OF_REQUEST",
     "STRIKES_TO_QUARANTINE",
     "SURVIVAL_EVENTS",
     "ContentQuarantine",
@@ -82,9 +83,9 @@
     """A quarantined content.
 
     :param until: time at which the quarantine lapses unless a request renews it.
-    :param since: time at which the attempt of the first strike was sent; a later first
+    :param since: time at which the attempt of the first strike was sent; a later
         survival shows that the content is sound.
-    :param servers: engines that it crashed, as ``name@born``.
+    :param servers: servers that it crashed, as ``name@born``.
     :param is_own: this instance found it, not a peer.
     """
 
@@ -305,7 +306,7 @@
         ]
         if is_sound or any(struck.is_explained_by(rival) for rival in rivals):
             return False
-        # one more crash tells two contents with the same evidence apart
+        # after one more crash, two contents rarely have the same evidence
         is_first = count == STRIKES_TO_QUARANTINE
         return not (is_first and any(struck.is_as_likely_as(r) for r in rivals))
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -1,4 +1,4 @@
-"""Strikes against contents that were at crashes of engines."""
+"""Strikes against contents that were at crashes of servers."""
 
 from collections.abc import Iterable
 from operator import itemgetter
@@ -81,7 +81,7 @@
         return other._covers(self) and other._is_rarer_than(self)
 
     def is_as_likely_as(self, other: "StruckContent") -> bool:
-        """Return whether nothing tells which of two contents is the cause."""
+        """Return whether two contents have the same evidence against them."""
         if not (self._covers(other) and other._covers(self)):
             return False
         return not (self._is_rarer_than(other) or other._is_rarer_than(self))
