Log the limits that backend servers name

The header is decoded, and its first naming, a change and its end are logged and counted. No decision uses it yet.

Ruled out: a line for each response that names it, which is one per request.

--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -14,6 +14,7 @@
     "ForwardRequest",
     "HelperAddress",
     "InvalidRequest",
+    "RateLimit",
     "RelayEnd",
     "RelayEvent",
     "RelayFullResponse",
@@ -142,6 +143,16 @@
     UNPROVEN = "unproven"
 
 
+@frozen(slots=True)
+class RateLimit:
+    """Limit that a backend server names for requests of all instances together.
+
+    :param per_s: requests per second.
+    """
+
+    per_s: float
+
+
 @frozen(slots=True, kw_only=True)
 class ResponseHead:
     """Status and headers of a response arrived.
@@ -151,6 +162,7 @@
     :param is_stream: the body is an event stream.
     :param is_leaving: the server announces that it is shutting down.
     :param pause_s: seconds for which the server asks for no further requests.
+    :param limit: the limit on requests that the server names, None if it names none.
     :param problem: why a header has been ignored or bounded, empty if none was.
     """
 
@@ -161,6 +173,7 @@
     is_stream: bool = False
     is_leaving: bool = False
     pause_s: float = 0.0
+    limit: RateLimit | None = None
     problem: str = ""
 
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -5,6 +5,7 @@
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
+from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.slowdown import SlowdownTable
 from briarrelay_core.routing.health import HealthTable
@@ -14,7 +15,7 @@
 
 @define(slots=True, eq=False)
 class ServerObservations:
-    """Health, slowdown, reachability and pauses of servers, as this instance saw them.
+    """Health, slowdown, reachability, pauses and limits of servers.
 
     :param last_response_at: time of the last message from each server.
     """
@@ -25,6 +26,7 @@
     reachability: ReachabilityTable = field(factory=ReachabilityTable)
     pauses: PauseTable = field(factory=PauseTable)
     crashes: CrashTable = field(factory=CrashTable)
+    limits: ServerLimitTable = field(factory=ServerLimitTable)
     last_response_at: dict[str, float] = field(factory=dict)
 
     def record_response(self, server: str, now: float) -> None:
@@ -46,4 +48,5 @@
         self.health.forget(name)
         self.slowdown.forget(name)
         self.pauses.forget(name)
+        self.limits.forget(name)
         self.last_response_at.pop(name, None)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -23,6 +23,9 @@
 
 __all__ = ["ResponseHandler"]
 
+_KINDS_WITH_LIMIT = (ResponseKind.SUCCESS, ResponseKind.NOT_RUN)
+"""Kinds of responses in which a server names its limit while it has one."""
+
 
 @define(slots=True, eq=False)
 class ResponseHandler:
@@ -56,7 +59,7 @@
     def _apply_announcements(
         self, routed: RoutedRequest, message: ResponseHead, now: float
     ) -> list:
-        """Apply what the head says about the server itself: shutdown, pause."""
+        """Apply what the head says about the server itself: shutdown, limit, pause."""
         attempt = routed.active_attempt
         pauses = self.controller.observations.pauses
         effects = []
@@ -72,6 +75,7 @@
             effects += self.controller.servers.apply_announcement(
                 attempt.server, attempt.server_born, now
             )
+        effects += self._apply_limit(attempt, message, now)
         if not message.pause_s:
             pauses.record_response(attempt.server, attempt.sent_at)
             return effects
@@ -84,6 +88,19 @@
             IncrementCounter("route.server_paused"),
         ]
 
+    def _apply_limit(
+        self, attempt: AttemptState, message: ResponseHead, now: float
+    ) -> list:
+        """Apply the limit on requests that the head names, or that it names none."""
+        limits = self.controller.observations.limits
+        server, born = attempt.server, attempt.server_born
+        if message.limit is not None:
+            return limits.record_limit(server, born, message.limit, now)
+        # An invalid value, or an error response, does not show that there is no limit.
+        if message.problem or message.kind not in _KINDS_WITH_LIMIT:
+            return []
+        return limits.record_no_limit(server, born, attempt.sent_at)
+
     def _on_refused(
         self, routed: RoutedRequest, message: ResponseHead, now: float
     ) -> list:
