Reproduce servers that get more than the limit they name (red)

Simulated instances in front of six engines and three plain servers, of which three name a limit in every response.

--- a/features/properties/crashworld.py
+++ b/features/properties/crashworld.py
@@ -218,25 +218,23 @@
             self._complete(n, attempt_id)
             return
         if number == 1:
-            head = ResponseHead(
-                attempt_id=attempt_id,
-                kind=ResponseKind.SUCCESS,
-                status=200,
-                is_stream=True,
-            )
-            self.deliver(n, head)
+            self.deliver(n, self.make_head(attempt_id, engine, is_stream=True))
         if number > self.event_count:
             self._finish(n, attempt_id)
             return
         self.deliver(n, ResponseEvent(attempt_id, str(number), b"x"))
         self.schedule(EVENT_SPACING_S, partial(self._write, n, attempt_id, number + 1))
 
+    def make_head(self, attempt_id: int, server: str, **fields) -> ResponseHead:
+        """Return the head of a server's response."""
+        return ResponseHead(
+            attempt_id=attempt_id, kind=ResponseKind.SUCCESS, status=200, **fields
+        )
+
     def _complete(self, n: int, attempt_id: int) -> None:
         """Let a server of the plain service send its response."""
-        head = ResponseHead(
-            attempt_id=attempt_id, kind=ResponseKind.SUCCESS, status=200
-        )
-        self.deliver(n, head)
+        server, _ = self._attempts[n, attempt_id]
+        self.deliver(n, self.make_head(attempt_id, server))
         self._finish(n, attempt_id)
 
     def _finish(self, n: int, attempt_id: int) -> None:
--- /dev/null
+++ b/features/properties/limitworld.py
@@ -0,0 +1,91 @@
+"""Simulation of several route instances whose backend servers name limits."""
+
+from functools import partial
+
+from attrs import define, field
+
+from briarrelay_core.ports.route import ForwardRequest, RateLimit, ResponseHead
+from properties.crashworld import CallerView, CrashWorld
+
+WINDOW_S = 4.0
+"""Seconds of each window in which requests are counted."""
+
+LEARNING_S = 3.0
+"""Seconds after a server first named its limit from which the limit must be kept."""
+
+
+@define(slots=True, eq=False)
+class LimitedServer:
+    """A server that names a limit.
+
+    :param named_at: time of its first response that named one.
+    :param arrivals: times of the requests that were sent to it, or that it helped with.
+    """
+
+    per_s: float
+    named_at: float = float("inf")
+    arrivals: list[float] = field(factory=list)
+
+    @property
+    def allowed(self) -> float:
+        """Most requests in `WINDOW_S`, as the users' rule states."""
+        return 1.5 * self.per_s * WINDOW_S + 5
+
+    def most_in_window(self) -> int:
+        """Return the most requests that arrived in a window after `LEARNING_S`."""
+        counted = [t for t in self.arrivals if t >= self.named_at + LEARNING_S]
+        return max(
+            (sum(t <= a < t + WINDOW_S for a in counted) for t in counted), default=0
+        )
+
+
+class LimitWorld(CrashWorld):
+    """Drives instances in front of servers that name limits in all responses.
+
+    :ivar limited: servers that name a limit, by name.
+    """
+
+    def __init__(self, instance_count: int, server_count: int, **options):
+        self.limited: dict[str, LimitedServer] = {}
+        super().__init__(instance_count, server_count, **options)
+
+    def limit(self, name: str, per_s: float) -> LimitedServer:
+        """Let a server name a limit from now on."""
+        self.limited[name] = LimitedServer(per_s)
+        return self.limited[name]
+
+    def make_head(self, attempt_id: int, server: str, **fields) -> ResponseHead:
+        limited = self.limited.get(server)
+        if limited is not None:
+            limited.named_at = min(limited.named_at, self.now)
+            fields["limit"] = RateLimit(limited.per_s)
+        return super().make_head(attempt_id, server, **fields)
+
+    def run_effects(self, n: int, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, ForwardRequest):
+                helpers = {helper.address for helper in effect.helpers}
+                for name, limited in self.limited.items():
+                    address = self.current_entries[name][1].address
+                    if name == effect.server or address in helpers:
+                        limited.arrivals.append(self.now)
+        super().run_effects(n, effects)
+
+    def schedule_requests(
+        self, per_s: float, seconds: float, route: str = "chat"
+    ) -> list[CallerView]:
+        """Let each instance get requests at random times; return their views, later.
+
+        :param per_s: mean number of requests per second and instance.
+        """
+        views: list[CallerView] = []
+
+        def arrive(n: int) -> None:
+            views.append(self.send(n, (), route))
+
+        for n in range(len(self.instances)):
+            at = self.random.expovariate(per_s)
+            while at < seconds:
+                self.schedule(at, partial(arrive, n))
+                at += self.random.expovariate(per_s)
+        return views
--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -8,6 +8,7 @@
 from briarrelay_core.ports.route import RateLimit, ResponseHead, ResponseKind
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_platform.announcements import read_limit
+from properties.limitworld import LimitedServer, LimitWorld
 from properties.routeworld import RouteWorld
 
 
@@ -77,5 +78,39 @@
         self.assertNotIn("server_unlimited", logged)
 
 
+class LimitOfAllInstancesTest(unittest.TestCase):
+    """A server gets no more than its limit, from all instances together."""
+
+    def run_limited(
+        self, per_s: float, instance_count: int = 4, load_per_s: float = 8.0
+    ) -> list[LimitedServer]:
+        """Return servers that name a limit while all instances send requests."""
+        world = LimitWorld(instance_count, 6, plain_count=3)
+        world.advance(2.0)
+        limited = [world.limit(name, per_s) for name in ("engine-1", "engine-4")]
+        limited.append(world.limit("desk-1", per_s))
+        world.schedule_requests(load_per_s / 4, 20.0, "look")
+        world.schedule_requests(load_per_s, 20.0)
+        world.advance(22.0)
+        return limited
+
+    def check(self, limited: list[LimitedServer]) -> None:
+        for server in limited:
+            self.assertLess(server.named_at, float("inf"))
+            self.assertLessEqual(server.most_in_window(), server.allowed)
+
+    def test_limit_of_about_one_a_second(self):
+        self.check(self.run_limited(1.1))
+
+    def test_limit_below_one_a_second(self):
+        self.check(self.run_limited(0.4))
+
+    def test_limit_of_some_a_second(self):
+        self.check(self.run_limited(4.0, load_per_s=24.0))
+
+    def test_limit_shared_by_many_instances(self):
+        self.check(self.run_limited(1.1, instance_count=25, load_per_s=2.0))
+
+
 if __name__ == "__main__":
     unittest.main()
