Keep to the limits that backend servers name, over all instances

Seen by callers and servers: a server that named a limit of 1.1 requests a second got 12 in 4 s from instances that it had told, as many as without the limit.

Cause: the header was not read; placement went on by load alone. Class of fault: what a server says of itself in a response is not a part of placement.

Ruled out by the record: each instance keeping the limit by itself (one alone sent 21 requests in 7 s) and retries (at most 1 of 23 arrivals).

Why this works: an instance sends to a limited server only at its turn among all registered instances, heard or not, so that all together keep the limit without messages.

--- a/features/properties/crashworld.py
+++ b/features/properties/crashworld.py
@@ -48,6 +48,8 @@
     :param outcome: ``done``, ``cut``, or the reason of an error response; empty while
         the request is in progress.
     :param is_not_run: the error response promises that the request did not run.
+    :param ended_at: time of the error response.
+    :param retry_after_s: what the error response tells the caller to wait.
     """
 
     request: RouteRequest
@@ -57,6 +59,8 @@
     begun_at: float = float("inf")
     outcome: str = ""
     is_not_run: bool = False
+    ended_at: float = float("inf")
+    retry_after_s: float = 0.0
 
 
 class CrashWorld(DirectoryWorld):
@@ -106,6 +110,7 @@
         parts: tuple[str, ...],
         route: str = "chat",
         fingerprint: str = "",
+        prompt_tokens: int = 5_000,
     ) -> CallerView:
         """Deliver a request to an instance, a prompt unless its service is plain."""
         request_id = len(self.views) + 1
@@ -117,7 +122,7 @@
             path=f"/{route}/x",
             key=KEY,
             time_limit_s=8.0,
-            prompt_tokens=5_000 if is_prompt else 0,
+            prompt_tokens=prompt_tokens if is_prompt else 0,
             output_tokens=500 if is_prompt else 0,
             prompt_parts=parts,
             fingerprint=fingerprint or f"{request_id}",
@@ -183,6 +188,8 @@
                 view = self.views[effect.request_id]
                 view.outcome = effect.outcome.reason.value
                 view.is_not_run = isinstance(effect.outcome, NotRun)
+                view.ended_at = self.now
+                view.retry_after_s = getattr(effect.outcome, "retry_after", 0.0)
                 assert view.is_not_run or isinstance(effect.outcome, Failed)
             elif isinstance(effect, LogEvent):
                 self.logs.append((self.now, n, effect))
--- a/features/properties/limitworld.py
+++ b/features/properties/limitworld.py
@@ -1,5 +1,6 @@
 """Simulation of several route instances whose backend servers name limits."""
 
+from collections import defaultdict
 from functools import partial
 
 from attrs import define, field
@@ -47,6 +48,7 @@
 
     def __init__(self, instance_count: int, server_count: int, **options):
         self.limited: dict[str, LimitedServer] = {}
+        self._sent: defaultdict[str, list[float]] = defaultdict(list)
         super().__init__(instance_count, server_count, **options)
 
     def limit(self, name: str, per_s: float) -> LimitedServer:
@@ -54,6 +56,10 @@
         self.limited[name] = LimitedServer(per_s)
         return self.limited[name]
 
+    def lift(self, name: str) -> None:
+        """Let a server name no limit any more."""
+        del self.limited[name]
+
     def make_head(self, attempt_id: int, server: str, **fields) -> ResponseHead:
         limited = self.limited.get(server)
         if limited is not None:
@@ -64,6 +70,7 @@
     def run_effects(self, n: int, effects: list) -> None:
         for effect in effects:
             if isinstance(effect, ForwardRequest):
+                self._sent[effect.server].append(self.now)
                 helpers = {helper.address for helper in effect.helpers}
                 for name, limited in self.limited.items():
                     address = self.current_entries[name][1].address
@@ -71,8 +78,16 @@
                         limited.arrivals.append(self.now)
         super().run_effects(n, effects)
 
+    def sent_to(self, server: str) -> list[float]:
+        """Return the times at which requests were forwarded to a server."""
+        return self._sent[server]
+
     def schedule_requests(
-        self, per_s: float, seconds: float, route: str = "chat"
+        self,
+        per_s: float,
+        seconds: float,
+        route: str = "chat",
+        prompt_tokens: int = 5_000,
     ) -> list[CallerView]:
         """Let each instance get requests at random times; return their views, later.
 
@@ -81,7 +96,7 @@
         views: list[CallerView] = []
 
         def arrive(n: int) -> None:
-            views.append(self.send(n, (), route))
+            views.append(self.send(n, (), route, prompt_tokens=prompt_tokens))
 
         for n in range(len(self.instances)):
             at = self.random.expovariate(per_s)
--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -5,12 +5,23 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from briarrelay_core.ports.digest import LimitReport, LoadDigest
+from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.route import RateLimit, ResponseHead, ResponseKind
 from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.routes.serverlimits import ServerLimitTable
+from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_platform.announcements import read_limit
-from properties.limitworld import LimitedServer, LimitWorld
+from properties.limitworld import (
+    LEARNING_S,
+    WINDOW_S,
+    LimitedServer,
+    LimitWorld,
+)
 from properties.routeworld import RouteWorld
 
+PEER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
+
 
 def respond(world: RouteWorld, attempt_id: int, limit: RateLimit | None) -> list:
     """Deliver the head of a stream, which may name a limit."""
@@ -111,6 +122,193 @@
     def test_limit_shared_by_many_instances(self):
         self.check(self.run_limited(1.1, instance_count=25, load_per_s=2.0))
 
+    def test_long_prompts_that_other_engines_help_with(self):
+        world = LimitWorld(4, 8)
+        world.advance(2.0)
+        limited = [world.limit(f"engine-{n}", 1.1) for n in (1, 4)]
+        world.schedule_requests(1.0, 20.0, "file", prompt_tokens=210_000)
+        world.schedule_requests(4.0, 20.0)
+        world.advance(22.0)
+        self.check(limited)
+
+    def test_instances_that_do_not_hear_each_other(self):
+        world = LimitWorld(4, 6)
+        world.advance(2.0)
+        limited = world.limit("engine-1", 1.1)
+        world.schedule_requests(8.0, 30.0)
+        world.advance(3.0)
+        world.partitioned = {0, 2}
+        world.advance(27.0)
+        self.check([limited])
+
+    def test_instance_that_is_suspended(self):
+        world = LimitWorld(4, 6)
+        world.advance(2.0)
+        limited = world.limit("engine-1", 1.1)
+        world.schedule_requests(8.0, 20.0)
+        world.advance(5.0)
+        world.suspended = {1}
+        world.advance(6.0)
+        world.suspended = set()
+        world.advance(9.0)
+        self.check([limited])
+
+    def test_limited_server_is_still_used(self):
+        [server, *_] = self.run_limited(1.1)
+        used_s = 20.0 - LEARNING_S
+        count = sum(t >= server.named_at + LEARNING_S for t in server.arrivals)
+        self.assertGreater(count, 0.5 * 1.1 * used_s)
+
+    def test_limit_that_ends_is_no_longer_kept(self):
+        world = LimitWorld(4, 6)
+        world.advance(2.0)
+        world.limit("engine-0", 0.4)
+        views = world.schedule_requests(8.0, 25.0)
+        world.advance(10.0)
+        world.lift("engine-0")
+        world.advance(8.0)
+        sent_before = len(world.sent_to("engine-0"))
+        world.advance(4.0)
+        self.assertGreater(len(world.sent_to("engine-0")) - sent_before, 8)
+        self.assertTrue(views)
+
+    def test_limit_that_changes(self):
+        world = LimitWorld(4, 6)
+        world.advance(2.0)
+        world.limit("engine-0", 4.0)
+        world.schedule_requests(8.0, 25.0)
+        world.advance(10.0)
+        lowered = world.limit("engine-0", 0.4)
+        world.advance(15.0)
+        self.check([lowered])
+
+    def test_limit_of_zero_ends(self):
+        world = LimitWorld(4, 6)
+        world.advance(2.0)
+        limited = world.limit("engine-0", 0.0)
+        world.schedule_requests(8.0, 70.0)
+        world.advance(20.0)
+        self.check([limited])
+        world.lift("engine-0")
+        world.advance(45.0)
+        sent_before = len(world.sent_to("engine-0"))
+        world.advance(4.0)
+        self.assertGreater(len(world.sent_to("engine-0")) - sent_before, 8)
+
+    def test_restarted_server_begins_without_a_limit(self):
+        world = LimitWorld(4, 6)
+        world.advance(2.0)
+        world.limit("engine-0", 0.4)
+        world.schedule_requests(8.0, 20.0)
+        world.advance(8.0)
+        world.lift("engine-0")
+        world.update("engine-0", born=world.now)
+        world.advance(3.0)
+        sent_before = len(world.sent_to("engine-0"))
+        world.advance(4.0)
+        self.assertGreater(len(world.sent_to("engine-0")) - sent_before, 8)
+
+
+class AllServersLimitedTest(unittest.TestCase):
+    def test_what_cannot_be_served_is_refused_at_once(self):
+        world = LimitWorld(2, 2)
+        world.advance(2.0)
+        limited = [world.limit(f"engine-{n}", 2.0) for n in range(2)]
+        views = world.schedule_requests(20.0, 15.0)
+        world.advance(20.0)
+        for server in limited:
+            self.assertLessEqual(server.most_in_window(), server.allowed)
+        late = [view for view in views if view.at > 1_006.0]
+        refused = [view for view in late if view.outcome == "servers_limited"]
+        served = [view for view in late if view.outcome == "done"]
+        self.assertEqual(len(refused) + len(served), len(late))
+        self.assertGreater(len(served), 0.5 * 4.0 * 10.0)
+        for view in refused:
+            self.assertTrue(view.is_not_run)
+            self.assertLess(view.ended_at - view.at, 0.05)
+            self.assertGreater(view.retry_after_s, 0.0)
+
+
+class LimitReportTest(unittest.TestCase):
+    """Peers learn of limits from digests."""
+
+    def make_digest(self, *reports: LimitReport) -> LoadDigest:
+        return LoadDigest(
+            sender=PEER, incarnation=1, number=1, version=1, limits=reports, members=7
+        )
+
+    @given(
+        st.lists(
+            st.builds(
+                LimitReport,
+                server=st.text(max_size=40),
+                born=st.floats(0, 1e9),
+                limit=st.none() | st.builds(RateLimit, st.floats(0, 1e9)),
+                age_s=st.integers(0, 9).map(float),
+                since_age_s=st.integers(0, 9).map(float),
+            ),
+            min_size=1,
+            max_size=4,
+        )
+    )
+    def test_digest_keeps_reports(self, reports):
+        digest = self.make_digest(*reports)
+        self.assertEqual(decode_digest(encode_digest(digest)), digest)
+
+    def test_digest_with_an_invalid_limit_is_rejected(self):
+        report = LimitReport(
+            server="engine-1", born=1.0, limit=RateLimit(2.5), age_s=0, since_age_s=0
+        )
+        data = encode_digest(self.make_digest(report))
+        for value in (b"-1", b'"2"', b"true", b"1e999"):
+            with self.assertRaises(DigestError):
+                decode_digest(data.replace(b"2.5", value))
+
+    def test_earlier_news_do_not_replace_later_ones(self):
+        table = ServerLimitTable()
+        table.record_limit("engine-1", 1.0, RateLimit(2.0), 10.0)
+        named, ended = (
+            LimitReport(
+                server="engine-1", born=1.0, limit=limit, age_s=3.0, since_age_s=3.0
+            )
+            for limit in (RateLimit(9.0), None)
+        )
+        table.apply_digest(self.make_digest(named, ended), 12.0)
+        self.assertEqual(table.own_reports(12.0)[0].limit, RateLimit(2.0))
+        table.apply_digest(self.make_digest(ended), 14.0)
+        self.assertFalse(table.is_limited("engine-1", 1.0))
+
+
+class ManyInstancesTest(unittest.TestCase):
+    """The size of the users' deployment in two years, with the table alone."""
+
+    def test_390_instances_share_a_limit_of_about_one_a_second(self):
+        tables = []
+        for rank in range(390):
+            table = ServerLimitTable()
+            table.set_members(390, rank, 0.0)
+            table.record_limit("engine-1", 1.0, RateLimit(1.1), 0.001 * rank)
+            tables.append(table)
+        digest = LoadDigest(
+            sender=PEER,
+            incarnation=1,
+            number=1,
+            version=1,
+            limits=tables[0].own_reports(0.4),
+        )
+        for table in tables[1:]:
+            table.apply_digest(digest, 0.4)
+        arrivals = []
+        for step in range(4_000):
+            now = 0.5 + 0.1 * step
+            for table in tables:
+                if not table.admits_in_s("engine-1", 1.0, now):
+                    table.record_send("engine-1", 1.0, now)
+                    arrivals.append(now)
+        most = max(sum(t <= a < t + WINDOW_S for a in arrivals) for t in arrivals)
+        self.assertLessEqual(most, 1.5 * 1.1 * WINDOW_S + 5)
+        self.assertGreater(len(arrivals), 0.8 * 1.1 * 400.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-bench/src/briarrelay_bench/routeexperiment.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routeexperiment.py
@@ -49,9 +49,16 @@
         return self.selector.name
 
     def resumes_in_s(
-        self, routed: RoutedRequest, now: float, is_untried: bool = False
+        self,
+        routed: RoutedRequest,
+        now: float,
+        is_untried: bool = False,
+        requests_ahead: int = 0,
     ) -> float | None:
-        return self.selector.resumes_in_s(routed, now, is_untried)
+        return self.selector.resumes_in_s(routed, now, is_untried, requests_ahead)
+
+    def has_limited(self, service: str, now: float) -> bool:
+        return self.selector.has_limited(service, now)
 
     def candidates(self, routed: RoutedRequest, now: float) -> list[KnownServer]:
         return self.selector.candidates(routed, now)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -4,11 +4,13 @@
 
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
+from briarrelay_core.ports.route import RateLimit
 
 __all__ = [
     "MAX_CRASH_REPORTS",
     "MAX_CONTENTS",
     "MAX_CONTENT_CHARS",
+    "MAX_LIMIT_REPORTS",
     "MAX_PROBE_S",
     "MAX_QUARANTINE_REPORTS",
     "MAX_REPORT_SERVERS",
@@ -16,6 +18,7 @@
     "UNKNOWN_AGE_S",
     "CrashReport",
     "DigestReceived",
+    "LimitReport",
     "LoadDigest",
     "PeerResponse",
     "QuarantineReport",
@@ -44,6 +47,9 @@
 MAX_QUARANTINE_REPORTS = 16
 """Most quarantined contents that a digest reports."""
 
+MAX_LIMIT_REPORTS = 16
+"""Most limits of servers that a digest reports."""
+
 MAX_REPORT_SERVERS = 8
 """Most servers named as the reason for a quarantine."""
 
@@ -102,6 +108,25 @@
     servers: tuple[str, ...] = ()
 
 
+@frozen(slots=True, kw_only=True)
+class LimitReport:
+    """A server named a limit on the requests of all instances, or named none again.
+
+    :param server: its name.
+    :param born: start of the server, in Unix seconds.
+    :param limit: None if it is no longer in force.
+    :param age_s: seconds since the last response that named it; if it is no longer in
+        force, since the request was sent whose response did not.
+    :param since_age_s: seconds since the instances' turns are counted.
+    """
+
+    server: str
+    born: float
+    limit: RateLimit | None
+    age_s: float
+    since_age_s: float
+
+
 @frozen(slots=True, kw_only=True)
 class LoadDigest:
     """State that an entry instance sends to its peers; the newest replaces the others.
@@ -124,6 +149,9 @@
     :param probed: seconds for which peers hold requests with suspect contents, since
         the sender has sent one.
     :param survived: seconds since a server survived a content that was reported struck.
+    :param limits: limits of servers that the sender observed lately.
+    :param members: number of instances that the sender knows, itself included; 1 if it
+        reports no limits.
     """
 
     sender: PeerAddress
@@ -142,6 +170,8 @@
     quarantined: tuple[QuarantineReport, ...] = ()
     survived: dict[str, float] = field(factory=dict)
     probed: dict[str, float] = field(factory=dict)
+    limits: tuple[LimitReport, ...] = ()
+    members: int = 1
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/reasons.py
+++ b/packages/briarrelay-core/src/briarrelay_core/reasons.py
@@ -25,6 +25,7 @@
     NO_ENGINE = "no_engine"
     SERVERS_FULL = "servers_full"
     SERVERS_REFUSED = "servers_refused"
+    SERVERS_LIMITED = "servers_limited"
     NO_SERVICE = "no_service"
     KEY_INVALID = "key_invalid"
     KEY_EXPIRED = "key_expired"
@@ -104,6 +105,9 @@
     RefusalReason.SERVERS_REFUSED: (
         "Send again after Retry-After seconds; the backend servers did not take it."
     ),
+    RefusalReason.SERVERS_LIMITED: (
+        "Send again after Retry-After seconds; the backend servers limit their rate."
+    ),
     RefusalReason.UNAUTHORIZED: "Send 'Authorization: Bearer KEY' of a workspace.",
     RefusalReason.DEADLINE_INVALID: (
         "Send Request-Deadline as Unix seconds, in the future and within the limit."
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -72,6 +72,9 @@
         """Return a new attempt, whose load is added."""
         self._last_id += 1
         self._add_load(routed, placement, self._last_id, now)
+        for name in (placement.lead, *placement.helpers):
+            born = self.servers.get(name).entry.born
+            self.observations.limits.record_send(name, born, now)
         return AttemptState(
             attempt_id=self._last_id,
             server=placement.lead,
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -47,6 +47,10 @@
 """Attempts of a request that may fail to reach a server. An unreachable data centre
 uses up two of them before it is suspected and gets no further requests."""
 
+PLACEMENT_MARGIN_S = 0.15
+"""Seconds by which a paused or limited server must take a request before the end of its
+wait; queued requests are placed every 0.1 s."""
+
 _NOT_RUN_REASONS = (RetryReason.SERVER_REFUSED, RetryReason.SERVER_REPLACED)
 """Reasons of retries after an attempt that provably did not run."""
 
@@ -130,7 +134,11 @@
         )
         self.requests[request.request_id] = routed
         self.budget.record_request(admission_result.service, now)
-        return self.place(routed, now)
+        effects = []
+        if self._waiting and self.selector.has_limited(routed.service, now):
+            # A limited server's next turn belongs to a request that waits for it.
+            effects += self.place_waiting(now)
+        return effects + self.place(routed, now)
 
     # Placement
 
@@ -166,7 +174,7 @@
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
         if not eligible_servers and not self._can_wait_for_server(routed, now):
-            return self.give_up(routed, now, RefusalReason.NO_ENGINE)
+            return self.give_up(routed, now, self._reason_without_server(routed, now))
         if routed.request.request_id in self._waiting:
             return []
         self._waiting[routed.request.request_id] = routed
@@ -253,15 +261,35 @@
         """Return whether a request without an eligible server waits for one.
 
         A stream that has begun waits as long as its caller does, since it can no longer
-        be refused. Other requests wait if a paused server is expected to take them in
-        their time.
+        be refused. Other requests wait if a paused or limited server is expected to
+        take them in their time.
         """
         if routed.is_head_relayed:
             return remaining_wait_s(routed, now) > 0
-        resumes_in_s = self.selector.resumes_in_s(routed, now, is_untried=True)
+        resumes_in_s = self.selector.resumes_in_s(
+            routed, now, is_untried=True, requests_ahead=self._requests_ahead(routed)
+        )
         if resumes_in_s is None:
             return False
-        return resumes_in_s < remaining_wait_s(routed, now)
+        return resumes_in_s + PLACEMENT_MARGIN_S < remaining_wait_s(routed, now)
+
+    def _requests_ahead(self, routed: RoutedRequest) -> int:
+        """Return the number of queued requests that are placed before a request."""
+        key = self._queue_key(routed)
+        return sum(
+            other.service == routed.service and self._queue_key(other) < key
+            for other in self._waiting.values()
+            if other is not routed
+        )
+
+    def _reason_without_server(
+        self, routed: RoutedRequest, now: float
+    ) -> RefusalReason:
+        """Return why no server can get a request."""
+        is_limited = self.selector.has_limited(routed.service, now)
+        if is_limited and self.selector.resumes_in_s(routed, now) is not None:
+            return RefusalReason.SERVERS_LIMITED
+        return RefusalReason.NO_ENGINE
 
     def _start_attempt(
         self, routed: RoutedRequest, placement: Placement, now: float
@@ -572,12 +600,15 @@
     ) -> float:
         """Return the Retry-After in seconds, with jitter to spread out retries.
 
-        While every server is paused, it is the time until one of them resumes.
+        While every server is paused or limited, it is the time until one of them takes
+        a request besides those that wait.
         """
         jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
         if routed.quarantined_content:
             return QUARANTINE_RETRY_S * jitter
-        resumes_in_s = self.selector.resumes_in_s(routed, now)
+        resumes_in_s = self.selector.resumes_in_s(
+            routed, now, requests_ahead=self._requests_ahead(routed)
+        )
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
         if reason is RefusalReason.NO_ENGINE:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -142,6 +142,7 @@
             observations.pauses,
             self.controller.quarantine,
             observations.crashes,
+            observations.limits,
         )
         for seed in self.seeds:
             self.peers.add(seed)
@@ -230,8 +231,9 @@
         effects += self.controller.end_quarantined(now)
         effects += self.reservations.pop_effects()
         quarantine = self.controller.quarantine
-        if quarantine.has_urgent_change:
-            quarantine.has_urgent_change = False
+        limits = self.controller.observations.limits
+        if quarantine.has_urgent_change or limits.has_urgent_change:
+            quarantine.has_urgent_change = limits.has_urgent_change = False
             effects += self.peers.announce(now)
         load = self.controller.load
         servers = self.controller.servers
@@ -246,6 +248,7 @@
     def _run_checks(self, now: float) -> list:
         self.updates.update_staleness(now)
         self.controller.budget.instances = self.peers.instances
+        self.controller.observations.limits.set_members(*self.peers.members(), now)
         effects = self.silence.check(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -23,6 +23,7 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import ContentQuarantine
+from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
@@ -98,6 +99,7 @@
     :param presets: position of its presets.
     :param directory: position after the newest server change that it has read.
     :param directory_at: time of its last read of the servers topic.
+    :param members: number of instances that it knows, itself included.
     """
 
     address: PeerAddress
@@ -108,6 +110,7 @@
     presets: EraPosition = START
     directory: EraPosition = START
     directory_at: float = float("-inf")
+    members: int = 1
 
 
 @define(slots=True)
@@ -137,6 +140,7 @@
     pauses: PauseTable
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
     crashes: CrashTable = field(factory=CrashTable)
+    limits: ServerLimitTable = field(factory=ServerLimitTable)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -162,6 +166,15 @@
         """Factor by which periodic work becomes rarer in a large deployment."""
         return min(MAX_SIZE_FACTOR, max(1.0, self.instances / BASE_INSTANCES))
 
+    def members(self) -> tuple[int, int]:
+        """Return the number of registered instances, and this one's rank among them.
+
+        Instances that are not heard count too; some that peers know may be unknown.
+        """
+        known_by_peers = (peer.members for peer in self._peers.values())
+        count = max(1 + len(self._peers), *known_by_peers, 1)
+        return count, sum(host < self.address.host for host in self._peers)
+
     def addresses(self) -> tuple[PeerAddress, ...]:
         """Return the addresses of all peers."""
         return tuple(peer.address for peer in self._peers.values())
@@ -209,6 +222,8 @@
         peer.version, peer.presets = digest.version, digest.presets
         peer.directory = digest.directory
         peer.directory_at = now - digest.directory_age_s
+        peer.members = digest.members
+        effects += self.limits.apply_digest(digest, now)
         self.load.apply_digest(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -392,6 +407,8 @@
             quarantined=self.quarantine.own_quarantines(now),
             survived=self.quarantine.own_survived(now),
             probed=self.quarantine.probes.own(now),
+            limits=self.limits.own_reports(now),
+            members=1 + len(self._peers),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -99,7 +99,7 @@
         # An invalid value, or an error response, does not show that there is no limit.
         if message.problem or message.kind not in _KINDS_WITH_LIMIT:
             return []
-        return limits.record_no_limit(server, born, attempt.sent_at)
+        return limits.record_no_limit(server, born, attempt.sent_at, now)
 
     def _on_refused(
         self, routed: RoutedRequest, message: ResponseHead, now: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -1,10 +1,12 @@
 """Selects the server for a request by the load and health of each server."""
 
+from heapq import nsmallest
 from math import gcd
 
 from attrs import define, field
 
 from briarrelay_core.membership.rendezvous import unit_hash
+from briarrelay_core.ports.directory import ServerEntry
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import (
@@ -57,8 +59,14 @@
     size_factor: float = 1.0
     _affinity_distances: dict[str, float] = field(factory=dict)
 
-    def _affinity_distance(self, server: str) -> float:
-        """Return a number in [0, 1) that is small if this instance prefers a server."""
+    def _affinity_distance(self, entry: ServerEntry) -> float:
+        """Return a number in [0, 1) that is small if this instance prefers a server.
+
+        At a limited server, instances are kept apart by their turns.
+        """
+        server = entry.name
+        if self.observations.limits.is_limited(server, entry.born):
+            return 0.0
         known = self._affinity_distances.get(server)
         if known is None:
             if len(self._affinity_distances) >= MAX_AFFINITIES:
@@ -69,7 +77,8 @@
     def candidates(self, routed: RoutedRequest, now: float) -> list[KnownServer]:
         """Return the servers that may get a request.
 
-        Servers that were tried, excluded or paused are left out. Healthy servers in
+        Servers that were tried, excluded or paused, or whose limit does not admit a
+        request of this instance now, are left out. Healthy servers in
         reachable data centres are preferred, first those without a pause for a peer,
         then other healthy servers, then unhealthy ones. A stream that has begun may
         return to a server that it was sent to before the last one, and to the last one
@@ -100,6 +109,7 @@
         pauses = self.observations.pauses
         health = self.observations.health
         crashes = self.observations.crashes
+        limits = self.observations.limits
         skipped = routed.excluded.union(routed.tried)
         request_id = str(routed.request.request_id)
         usable, untried, healthy = [], [], []
@@ -107,6 +117,8 @@
             name = server.entry.name
             if pauses.is_paused(name, now):
                 continue
+            if limits.admits_in_s(name, server.entry.born, now):
+                continue
             usable.append(server)
             if name in skipped:
                 continue
@@ -140,23 +152,45 @@
         return {name for name in names if reachability.is_suspect(name, now)}
 
     def resumes_in_s(
-        self, routed: RoutedRequest, now: float, is_untried: bool = False
+        self,
+        routed: RoutedRequest,
+        now: float,
+        is_untried: bool = False,
+        requests_ahead: int = 0,
     ) -> float | None:
-        """Return the seconds until the first paused server may get a request.
+        """Return the seconds until a paused or limited server may get a request.
 
         :param is_untried: consider only servers that the request was not sent to.
-        :returns: None unless every usable server is paused.
+        :param requests_ahead: requests that get the limited servers' next turns first.
+        :returns: None unless each usable server is paused or its limit admits no
+            request of this instance now.
         """
         skipped = routed.excluded.union(routed.tried) if is_untried else ()
-        pauses = self.observations.pauses
-        names = [
-            server.entry.name
-            for server in self.servers.of_service(routed.service, now)
-            if server.entry.name not in skipped
-        ]
-        if not names or not all(pauses.is_paused(name, now) for name in names):
-            return None
-        return min(pauses.resumes_in_s(name, now) for name in names)
+        limits = self.observations.limits
+        waits_s, turns = [], []
+        for server in self.servers.of_service(routed.service, now):
+            name, born = server.entry.name, server.entry.born
+            if name in skipped:
+                continue
+            pause_s = self.observations.pauses.resumes_in_s(name, now)
+            wait_s = max(pause_s, limits.admits_in_s(name, born, now))
+            if wait_s <= 0:
+                return None
+            if limits.is_limited(name, born):
+                turns.append((wait_s, limits.period_s(name)))
+            else:
+                waits_s.append(wait_s)
+        if turns:
+            waits_s.append(_nth_turn_s(turns, requests_ahead + 1))
+        return min(waits_s, default=None)
+
+    def has_limited(self, service: str, now: float) -> bool:
+        """Return whether a usable server of a service has a limit in force."""
+        limits = self.observations.limits
+        return bool(limits) and any(
+            limits.is_limited(server.entry.name, server.entry.born)
+            for server in self.servers.of_service(service, now)
+        )
 
     def choose(
         self, routed: RoutedRequest, known: list[KnownServer], now: float
@@ -202,7 +236,7 @@
                 server.entry.slots * queue_factor,
                 server.entry.data_centre == self.data_centre,
                 self.observations.slowdown.of(server.entry.name, now),
-                self._affinity_distance(server.entry.name),
+                self._affinity_distance(server.entry),
                 remote_cost,
             )
             for server in known
@@ -227,6 +261,19 @@
     return [servers[(start + index * step) % total] for index in range(count)]
 
 
+def _nth_turn_s(turns: list[tuple[float, float]], number: int) -> float:
+    """Return the seconds until the turn of a number, from 1, at any of some servers.
+
+    :param turns: by server, the seconds until its next turn and between two.
+    """
+    times_s = (
+        first_s + count * period_s
+        for first_s, period_s in turns
+        for count in range(number)
+    )
+    return nsmallest(number, times_s)[-1]
+
+
 def is_too_large(routed: RoutedRequest, engines: int) -> bool:
     """Return whether a prompt exceeds the memory of a number of idle engines."""
     if not routed.is_prompt:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/serverlimits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/serverlimits.py
@@ -1,12 +1,46 @@
-"""Limits that backend servers name for the requests of all instances together."""
+"""Limits that backend servers name for the requests of all instances together.
+
+Each instance may use a part of the times at which a server takes a request: those at
+which it is its turn among all registered instances, whether they are heard or not. So
+no message is needed to keep a limit, and a cut between instances does not exceed it.
+"""
+
+from math import floor
 
 from attrs import define, field
 
+from briarrelay_core.membership.rendezvous import unit_hash
+from briarrelay_core.ports.digest import MAX_LIMIT_REPORTS, LimitReport, LoadDigest
 from briarrelay_core.ports.route import RateLimit
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 
 __all__ = ["ServerLimitTable"]
 
+USED_FRACTION = 0.9
+"""Fraction of a limit that is used; below 1 because instances that join are not known
+to all others at once."""
+
+MIN_RATE_PER_S = 0.05
+"""Requests per second that all instances together send to a server with a lower limit;
+only a response shows that the limit is no longer in force."""
+
+MAX_RATE_PER_S = 100_000.0
+"""Requests per second from which a limit makes no difference."""
+
+STORED_REQUESTS = 3.0
+"""Requests that all instances together may make up for after turns that they did not
+use."""
+
+MIN_STORE_S = 0.25
+"""Seconds for which an unused turn stays usable at least."""
+
+REPORT_S = 5.0
+"""Seconds after its last observation for which an instance reports a limit to peers."""
+
+MIN_EARLIER_S = 0.05
+"""Seconds by which a peer must have observed a limit earlier for its time to be used;
+digests take some of it."""
+
 
 @define(slots=True)
 class _KnownLimit:
@@ -16,22 +50,48 @@
     :param limit: None if it is no longer in force.
     :param observed_at: time of the last response that named the limit; for one that
         did not, the time at which its request was sent.
+    :param since: time from which the turns of the instances are counted.
+    :param used_until: time of the last turn that was used or is no longer usable.
+    :param own_at: time of this instance's last own observation.
     """
 
     born: float
     limit: RateLimit | None
     observed_at: float
+    since: float
+    used_until: float
+    own_at: float = float("-inf")
+
+    @property
+    def rate_per_s(self) -> float:
+        """Requests per second of all instances together."""
+        rate_per_s = USED_FRACTION * self.limit.per_s
+        return min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, rate_per_s))
 
 
 @define(slots=True)
 class ServerLimitTable:
-    """Limits in force, by server.
+    """Limits in force, by server, and this instance's turns.
 
     A limit is in force until a server responds without one to a request that was sent
     after the last response that named it.
+
+    :ivar has_urgent_change: this instance observed a change that peers have not been
+        told.
+    :ivar _members: number of instances that share the limits.
+    :ivar _rank: number of them whose turn comes before this instance's.
     """
 
+    has_urgent_change: bool = False
     _known: dict[str, _KnownLimit] = field(factory=dict)
+    _members: int = 1
+    _rank: int = 0
+
+    def __bool__(self) -> bool:
+        """Whether a server has named a limit lately."""
+        return bool(self._known)
+
+    # Observations
 
     def record_limit(
         self, server: str, born: float, limit: RateLimit, now: float
@@ -40,33 +100,177 @@
 
         :param born: start of the incarnation that responded.
         """
-        known = self._known.get(server)
-        if known is not None and known.born > born:
+        is_change = self._set(server, born, limit, now, now, now)
+        known = self._known[server]
+        if known.born != born:
             return []
-        self._known[server] = _KnownLimit(born, limit, now)
-        if known is not None and (known.born, known.limit) == (born, limit):
+        known.own_at = now
+        if not is_change:
             return []
-        fields = (("server", server), ("per_s", f"{limit.per_s:g}"))
-        return [
-            LogEvent("info", "server_limited", fields=fields),
-            IncrementCounter("route.server_limited"),
-        ]
+        self.has_urgent_change = True
+        return _log_limited(server, limit, "response")
 
-    def record_no_limit(self, server: str, born: float, sent_at: float) -> list:
+    def record_no_limit(
+        self, server: str, born: float, sent_at: float, now: float
+    ) -> list:
         """Record that a server responded without naming a limit; return effects.
 
         :param born: start of the incarnation that responded.
         :param sent_at: time at which the request was sent.
         """
+        if not self._clear(server, born, sent_at):
+            return []
+        self._known[server].own_at = now
+        self.has_urgent_change = True
+        return [_log_unlimited(server, "response")]
+
+    def apply_digest(self, digest: LoadDigest, now: float) -> list:
+        """Apply a peer's reports of limits; return effects."""
+        effects = []
+        for report in digest.limits:
+            at = now - report.age_s
+            if report.limit is None:
+                if self._clear(report.server, report.born, at):
+                    effects.append(_log_unlimited(report.server, "peer"))
+                continue
+            since = now - report.since_age_s
+            if self._set(report.server, report.born, report.limit, at, since, now):
+                effects += _log_limited(report.server, report.limit, "peer")
+        return effects
+
+    def own_reports(self, now: float) -> tuple[LimitReport, ...]:
+        """Return what this instance observed lately, newest first, for a digest."""
+        recent = [
+            (known.own_at, server, known)
+            for server, known in self._known.items()
+            if now - known.own_at < REPORT_S
+        ]
+        recent.sort(key=lambda entry: entry[:2], reverse=True)
+        return tuple(
+            LimitReport(
+                server=server,
+                born=known.born,
+                limit=known.limit,
+                age_s=now - known.observed_at,
+                since_age_s=now - known.since,
+            )
+            for _, server, known in recent[:MAX_LIMIT_REPORTS]
+        )
+
+    def _set(
+        self,
+        server: str,
+        born: float,
+        limit: RateLimit,
+        at: float,
+        since: float,
+        now: float,
+    ) -> bool:
+        """Set a limit that was observed at a time; return whether it is a change."""
+        known = self._known.get(server)
+        if known is not None and known.born > born:
+            return False
+        if known is None or known.born < born or known.limit is None:
+            if known is not None and known.born == born and at <= known.observed_at:
+                return False
+            self._known[server] = _KnownLimit(born, limit, at, since, now)
+            return True
+        if since < known.since - MIN_EARLIER_S:
+            known.since, known.used_until = since, now
+        if at <= known.observed_at:
+            return False
+        known.observed_at = at
+        if known.limit == limit:
+            return False
+        known.limit, known.used_until = limit, now
+        return True
+
+    def _clear(self, server: str, born: float, sent_at: float) -> bool:
+        """End a limit; return whether it was in force.
+
+        :param sent_at: time at which the request of a response without it was sent.
+        """
         known = self._known.get(server)
         if known is None or known.limit is None or known.born != born:
-            return []
+            return False
         if sent_at <= known.observed_at:
-            return []
+            return False
         known.limit, known.observed_at = None, sent_at
-        fields = (("server", server),)
-        return [LogEvent("info", "server_unlimited", fields=fields)]
+        return True
 
     def forget(self, server: str) -> None:
         """Discard the limit of a server that left or restarted."""
         self._known.pop(server, None)
+
+    # Turns
+
+    def set_members(self, count: int, rank: int, now: float) -> None:
+        """Set the number of instances, and how many of them precede this one.
+
+        Turns that were not used until then are dropped, since they may have been those
+        of another instance.
+        """
+        if (count, rank) == (self._members, self._rank):
+            return
+        self._members, self._rank = count, rank
+        for known in self._known.values():
+            known.used_until = now
+
+    def is_limited(self, server: str, born: float) -> bool:
+        """Return whether a server has a limit in force."""
+        known = self._known.get(server)
+        return known is not None and known.limit is not None and known.born == born
+
+    def admits_in_s(self, server: str, born: float, now: float) -> float:
+        """Return the seconds until a server may get a request of this instance."""
+        if not self._known or not self.is_limited(server, born):
+            return 0.0
+        return max(0.0, self._next_turn(server, self._known[server], now) - now)
+
+    def period_s(self, server: str) -> float:
+        """Return the seconds between two turns of this instance at a limited server."""
+        return self._members / self._known[server].rate_per_s
+
+    def record_send(self, server: str, born: float, now: float) -> None:
+        """Use a turn for a request, or for help with one."""
+        if not self._known or not self.is_limited(server, born):
+            return
+        known = self._known[server]
+        known.used_until = self._next_turn(server, known, now)
+
+    def _next_turn(self, server: str, known: _KnownLimit, now: float) -> float:
+        """Return the time of the oldest turn that was not used."""
+        first, period_s = self._first_turn(server, known)
+        used_number = floor((_usable_from(known, now) - first) / period_s)
+        return first + (used_number + 1) * period_s
+
+    def _first_turn(self, server: str, known: _KnownLimit) -> tuple[float, float]:
+        """Return the time of this instance's first turn, and the time between two.
+
+        The turns of all instances follow each other at equal distances; their order
+        differs by server.
+        """
+        shift = int(unit_hash(server, "turn") * self._members)
+        place = (self._rank + shift) % self._members
+        spacing_s = 1.0 / known.rate_per_s
+        return known.since + (place + 0.5) * spacing_s, self.period_s(server)
+
+
+def _usable_from(known: _KnownLimit, now: float) -> float:
+    """Return the time after which turns may be used."""
+    store_s = max(MIN_STORE_S, STORED_REQUESTS / known.rate_per_s)
+    # A used turn must not count as unused by a rounding error.
+    return max(known.used_until + 1e-6, now - store_s)
+
+
+def _log_limited(server: str, limit: RateLimit, source: str) -> list:
+    fields = (("server", server), ("per_s", f"{limit.per_s:g}"), ("source", source))
+    return [
+        LogEvent("info", "server_limited", fields=fields),
+        IncrementCounter("route.server_limited"),
+    ]
+
+
+def _log_unlimited(server: str, source: str) -> LogEvent:
+    fields = (("server", server), ("source", source))
+    return LogEvent("info", "server_unlimited", fields=fields)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -12,19 +12,21 @@
     MAX_CONTENT_CHARS,
     MAX_CONTENTS,
     MAX_CRASH_REPORTS,
+    MAX_LIMIT_REPORTS,
     MAX_PROBE_S,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
     MAX_SURVIVED_REPORTS,
     UNKNOWN_AGE_S,
     CrashReport,
+    LimitReport,
     LoadDigest,
     QuarantineReport,
     ServerLoad,
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import EraPosition
-from briarrelay_core.ports.route import MAX_PAUSE_S
+from briarrelay_core.ports.route import MAX_PAUSE_S, RateLimit
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
 
@@ -40,8 +42,8 @@
 def encode_digest(digest: LoadDigest) -> bytes:
     """Return a digest encoded as a datagram.
 
-    Pauses, crashes and quarantines are left out while there are none, so that earlier
-    releases can read it.
+    Pauses, crashes, quarantines and limits are left out while there are none, so that
+    earlier releases can read it.
     """
     fields = [
         _encode_address(digest.sender),
@@ -68,10 +70,12 @@
     has_reports = (
         digest.crashes or digest.quarantined or digest.survived or digest.probed
     )
-    if digest.paused or has_reports:
+    if digest.paused or has_reports or digest.limits:
         fields.append(digest.paused)
-    if has_reports:
+    if has_reports or digest.limits:
         fields.append(_encode_reports(digest))
+    if digest.limits:
+        fields.append([digest.members, _encode_limits(digest.limits)])
     return orjson.dumps(fields)
 
 
@@ -119,6 +123,7 @@
     gone: tuple = (),
     paused: dict | None = None,
     reports: list | None = None,
+    limits: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -135,6 +140,36 @@
             for server, pause_s in (paused or {}).items()
         },
         **(_decode_reports(*reports) if reports else {}),
+        **(_decode_limits(*limits) if limits else {}),
+    }
+
+
+def _encode_limits(limits: tuple[LimitReport, ...]) -> list:
+    return [
+        [
+            report.server,
+            report.born,
+            None if report.limit is None else report.limit.per_s,
+            round(report.age_s, 3),
+            round(report.since_age_s, 3),
+        ]
+        for report in limits
+    ]
+
+
+def _decode_limits(members: int, limits: list, *_) -> dict:
+    return {
+        "members": max(1, int(members)),
+        "limits": tuple(
+            LimitReport(
+                server=_decode_text(server),
+                born=float(born),
+                limit=None if per_s is None else RateLimit(_decode_number(per_s)),
+                age_s=_decode_seconds(age_s),
+                since_age_s=_decode_seconds(since_age_s),
+            )
+            for server, born, per_s, age_s, since_age_s in limits[:MAX_LIMIT_REPORTS]
+        ),
     }
 
 
@@ -212,11 +247,16 @@
 
 def _decode_seconds(value: float) -> float:
     """Return a number of seconds, at least 0."""
+    return min(UNKNOWN_AGE_S, _decode_number(value))
+
+
+def _decode_number(value: float) -> float:
+    """Return a number that is finite and not negative."""
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise ValueError("not a number")
     if not isfinite(value) or value < 0:
-        raise ValueError("seconds out of bounds")
-    return min(UNKNOWN_AGE_S, float(value))
+        raise ValueError("number out of bounds")
+    return float(value)
 
 
 def _encode_address(address: PeerAddress) -> list:
