Combine the values of a response header that is repeated

Of two lines of Server-Limit the last one counted, so that a server that named 1.1 and then 4 got four requests a second. Cause: headers were read into a mapping by name. Values that differ are now joined by commas, as for one line with a list; equal ones stay one. Ruled out: reading this header alone from the raw pairs, since each list is the same case. The test failed before (limit 4.0, expected 1.1).

--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -11,6 +11,7 @@
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
+from briarrelay_daemon.responsereader import CallSink, ResponseReader
 from briarrelay_platform.announcements import read_limit
 from properties.limitworld import (
     LEARNING_S,
@@ -61,6 +62,17 @@
             self.assertTrue(0.0 <= limit.per_s < float("inf"))
 
 
+class RepeatedHeaderTest(unittest.TestCase):
+    def test_lowest_of_limits_in_several_lines_counts(self):
+        reader = ResponseReader(CallSink())
+        reader.feed(
+            b"HTTP/1.1 200 OK\r\nServer-Limit: 1.1\r\nServer-Limit: 4\r\n"
+            b"X-Attempt-Id: a\r\nX-Attempt-Id: a\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertEqual(read_limit(reader.headers), (RateLimit(1.1), ""))
+        self.assertEqual(reader.headers["x-attempt-id"], "a")
+
+
 class LimitLogTest(unittest.TestCase):
     def events(self, effects: list) -> list[str]:
         return [e.event for e in effects if isinstance(e, LogEvent)]
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/responsereader.py
@@ -104,10 +104,7 @@
         if self.is_complete:
             return
         status = self.parser.get_status_code()
-        headers = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in self._pairs
-        }
+        headers = _combine(self._pairs)
         self._is_skipped = status < 200 or not self._sink.accepts(status, headers)
         if self._is_skipped:
             return
@@ -148,3 +145,13 @@
         coding = self.headers.get("transfer-encoding", IDENTITY)
         has_length = "content-length" in self.headers or coding.lower() != IDENTITY
         return self._has_head and not self._is_skipped and not has_length
+
+
+def _combine(pairs: list[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return headers by name; different values of one name are joined by commas."""
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in pairs:
+        name, value = raw_name.decode("latin-1").lower(), raw_value.decode("latin-1")
+        known = headers.get(name, value)
+        headers[name] = value if known == value else f"{known}, {value}"
+    return headers
