Apply limits in responses to orders; stand-ins that name limits, end to end

An engine also answers orders for memory, and a limit named there was not seen: engine-2 got requests at 0.1 a second allowed (OrderResponseTest failed). Such a response can only set a limit, since an order is not what the limit is about; a 421 comes from another server and tells nothing.

The stand-ins name limits and count arrivals.

--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -7,7 +7,12 @@
 
 from briarrelay_core.ports.digest import LimitReport, LoadDigest
 from briarrelay_core.ports.directory import PeerAddress
-from briarrelay_core.ports.route import RateLimit, ResponseHead, ResponseKind
+from briarrelay_core.ports.route import (
+    RateLimit,
+    ResponseHead,
+    ResponseKind,
+    ServerAnnouncement,
+)
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
@@ -101,6 +106,16 @@
         self.assertNotIn("server_unlimited", logged)
 
 
+class OrderResponseTest(unittest.TestCase):
+    def test_limit_in_a_response_to_an_order_is_kept(self):
+        world = RouteWorld(engines=2)
+        entry = world.instance.controller.servers.get("engine-2").entry
+        world.deliver(ServerAnnouncement(entry.address, limit=RateLimit(0.1)))
+        world.advance(1.0)
+        used = [world.forwards(world.request("chat"))[0].server for _ in range(6)]
+        self.assertNotIn("engine-2", used)
+
+
 class LimitOfAllInstancesTest(unittest.TestCase):
     """A server gets no more than its limit, from all instances together."""
 
--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -298,6 +298,17 @@
             *self.control_address, f"/standin/{command}", {"server": server, **fields}
         )
 
+    def arrivals_when_limited(self, server: str, learning_s: float) -> list[float]:
+        """Return the times at which requests arrived at a server that names a limit.
+
+        :param learning_s: seconds after its first response that named the limit from
+            which requests are returned.
+        """
+        seen = self.send_command("arrivals", server)
+        if seen["limited_at"] is None:
+            return []
+        return [t for t in seen["arrivals"] if t >= seen["limited_at"] + learning_s]
+
     def crash_on(
         self,
         *parts: str,
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -54,6 +54,9 @@
     :ivar key: the name by which tests address it; `name` may change with a restart.
     :ivar is_down: it has crashed and is not back yet.
     :ivar announces_leaving: every response says that the server is shutting down.
+    :ivar limit: the limit that every response names, as text; empty for none.
+    :ivar limited_at: time of the first response that named it, None before.
+    :ivar arrivals: times at which requests arrived.
     :ivar paused_at: times at which it asked for a pause of PAUSE_S.
     :ivar resting_until: time of the loop's clock until which it is silent.
     :ivar held: callbacks that wait until then, in order.
@@ -81,6 +84,9 @@
         self.state = "ready"
         self.is_silent = False
         self.announces_leaving = False
+        self.limit = ""
+        self.limited_at: float | None = None
+        self.arrivals: list[float] = []
         self.paused_at: list[float] = []
         self.resting_until = 0.0
         self.held: list = []
@@ -106,6 +112,20 @@
             "born": self.started_at_ms,
         }
 
+    def set_limit(self, limit: str) -> None:
+        """Name a limit in every response from now on, or none if it is empty."""
+        self.limit, self.limited_at = limit, None
+
+    def make_announcements(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers in which the server tells of itself."""
+        headers = []
+        if self.announces_leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        if self.limit:
+            self.limited_at = self.limited_at or time.time()
+            headers.append((b"Server-Limit", self.limit.encode()))
+        return headers
+
     def rest(self, seconds: float) -> None:
         """Fall silent for some seconds, then go on with everything that came."""
         now = self.loop.reactor.clock()
@@ -168,6 +188,7 @@
         self.sequence = 0
         self.resting_until = 0.0
         self.state, self.announces_leaving = "ready", False
+        self.set_limit("")
         self.last_replies = {}
         self.server = self.loop.serve(
             self.host, self.port, self.on_request, self.on_disconnect
@@ -188,9 +209,8 @@
             return
         attempt = exchange.header("x-attempt-id")
         expected = exchange.header("x-expect-instance")
-        echo = [(b"X-Attempt-Id", attempt.encode())]
-        if self.announces_leaving:
-            echo.append((b"Server-Leaving", b"1"))
+        self.arrivals.append(time.time())
+        echo = [(b"X-Attempt-Id", attempt.encode()), *self.make_announcements()]
         if expected and expected != self.name:
             exchange.reply(421, [*echo, (b"X-Instance-Id", self.name.encode())], b"")
         elif len(self.running) >= self.slots or self.draw_fault("shed"):
@@ -327,7 +347,7 @@
             self.reservations[order["id"]] = now + order["hold-ms"] / 1000
         else:
             self.reservations.pop(order["id"], None)
-        exchange.reply(200, [], b'{"free":1}')
+        exchange.reply(200, self.make_announcements(), b'{"free":1}')
 
 
 class ServerGroup:
@@ -442,6 +462,12 @@
         elif path == "/standin/rest":
             seconds = command["seconds"]
             self.loop.call_later(command["after_s"], lambda: server.rest(seconds))
+        elif path == "/standin/limit":
+            server.set_limit(command["limit"])
+        elif path == "/standin/arrivals":
+            seen = {"arrivals": server.arrivals, "limited_at": server.limited_at}
+            exchange.reply(200, [], orjson.dumps(seen))
+            return
         elif path == "/standin/leave":
             server.announces_leaving = command["is_leaving"]
         elif path == "/standin/drain":
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -179,13 +179,16 @@
 
 @frozen(slots=True)
 class ServerAnnouncement:
-    """A response to anything but a request of a caller announces a shutdown.
+    """What a backend server says of itself in a response to an order.
 
     :param address: ``host:port`` of the backend server.
+    :param is_leaving: it is shutting down.
+    :param limit: the limit on requests that it names, None if it names none.
     """
 
     address: str
-    is_leaving: bool
+    is_leaving: bool = False
+    limit: RateLimit | None = None
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -307,12 +307,16 @@
 
     @_dispatch.register
     def _(self, message: ServerAnnouncement, now: float) -> list:
-        if not message.is_leaving:
-            return []
         servers = self.controller.servers
+        limits = self.controller.observations.limits
         effects = []
         for entry in servers.at_address(message.address):
-            effects += servers.apply_announcement(entry.name, entry.born, now)
+            if message.is_leaving:
+                effects += servers.apply_announcement(entry.name, entry.born, now)
+            if message.limit is not None:
+                effects += limits.record_limit(
+                    entry.name, entry.born, message.limit, now
+                )
         return effects
 
     @_dispatch.register
