Soak: servers that name limits

One server at a time names a limit, also zero or several values, and what it gets is held against the users' rule, through kills, suspensions, cuts and stops without an excuse.

--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from standins.limits import LEARNING_S, WINDOW_S, LimitedServer
 
 from briarrelay_core.ports.digest import LimitReport, LoadDigest
 from briarrelay_core.ports.directory import PeerAddress
@@ -18,12 +19,7 @@
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_daemon.responsereader import CallSink, ResponseReader
 from briarrelay_platform.announcements import read_limit
-from properties.limitworld import (
-    LEARNING_S,
-    WINDOW_S,
-    LimitedServer,
-    LimitWorld,
-)
+from properties.limitworld import LimitWorld
 from properties.routeworld import RouteWorld
 
 PEER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
--- a/features/properties/test_server_limits_end_to_end.py
+++ b/features/properties/test_server_limits_end_to_end.py
@@ -5,8 +5,7 @@
 
 from soak.callers import Callers
 from standins.fleet import Fleet
-
-from properties.limitworld import LEARNING_S, LimitedServer
+from standins.limits import LEARNING_S, LimitedServer
 
 LIMITED = ("engine-1", "engine-4", "desk-1")
 PER_S = 1.1
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -28,6 +28,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from standins.fleet import EntryInstance, Fleet, configuration, post  # noqa: E402
+from standins.limits import LEARNING_S, WINDOW_S, LimitedServer  # noqa: E402
 
 from soak.callers import (  # noqa: E402
     CRASH_BOOKING,
@@ -70,6 +71,9 @@
 )
 """What servers crash on; a seed takes one of these in turn."""
 
+LIMITS = {"0.4": 0.4, "1.1": 1.1, "4": 4.0, "0": 0.0, "3, 1.1": 1.1}
+"""Limits that servers name, and the requests a second that they allow."""
+
 MIN_SUCCESS_RATIO = 0.7
 """Fraction of requests after recovery that must succeed; fault rates are zero then."""
 
@@ -89,6 +93,9 @@
     :ivar clock_file: holds the seconds by which the instances' clocks are shifted.
     :ivar stopping: names of instances that got SIGTERM.
     :ivar leaving_server: name of the server that announces its shutdown, or empty.
+    :ivar limited_server: name of the server that names a limit, or empty.
+    :ivar limit: the limit that it names.
+    :ivar limit_violations: what servers got beyond their limits, one line each.
     :ivar has_copy: the store has a copy that it has not returned to.
     :ivar recovered_at: start of the requests that are checked for recovery.
     """
@@ -112,6 +119,9 @@
     configuration_version: int = 1
     preset_revision: int = 0
     leaving_server: str = ""
+    limited_server: str = ""
+    limit: str = ""
+    limit_violations: list[str] = field(factory=list)
     has_copy: bool = False
     recovered_at: float = 0.0
     crash_count: int = 0
@@ -166,6 +176,7 @@
         self.fault_times.append((self.recovered_at - run_start, "recovery check"))
         time.sleep(RECOVERY_TIMEOUT_S)
         callers.stop()
+        self.end_limit()
         runs, crashes = self.fleet.runs(), self.fleet.crashes()
         violations = find_violations(callers.sent, runs, self.pauses)
         violations += find_late_crashes(callers.sent, runs, crashes, self.contents)
@@ -185,8 +196,23 @@
         ]
         if self.rests_only:
             violations += find_cut_answers(callers.sent)
+        violations += self.limit_violations
         return violations + self._check_recovery(callers) + self._check_versions()
 
+    def end_limit(self) -> None:
+        """Let the limited server name none any more, and check what it got."""
+        name, self.limited_server = self.limited_server, ""
+        if not name:
+            return
+        arrivals = self.fleet.arrivals_when_limited(name, LEARNING_S)
+        self.fleet.send_command("limit", name, limit="")
+        seen = LimitedServer(LIMITS[self.limit], named_at=0.0, arrivals=arrivals)
+        if seen.most_in_window() > seen.allowed:
+            self.limit_violations.append(
+                f"{name} named a limit of {self.limit} and got "
+                f"{seen.most_in_window()} requests in {WINDOW_S} s"
+            )
+
     def _end_faults(self) -> None:
         """Resume instances, clear fault rates and delays, and wait until all are ready.
 
@@ -370,6 +396,16 @@
     soak.fleet.send_command("leave", soak.leaving_server, is_leaving=True)
 
 
+def limit_server(soak: Soak, rng: random.Random) -> None:
+    """Make a server name a limit, or let the limited one name none."""
+    if soak.limited_server:
+        soak.end_limit()
+        return
+    soak.limited_server = rng.choice(soak.fleet.server_names)
+    soak.limit = rng.choice(list(LIMITS))
+    soak.fleet.send_command("limit", soak.limited_server, limit=soak.limit)
+
+
 def configure(soak: Soak, rng: random.Random) -> None:
     """Publish an old or invalid configuration at times, and then always a valid one."""
     soak.configuration_version += rng.randint(1, 3)
@@ -419,6 +455,8 @@
     rest_servers,
     rest_servers,
     leave_server,
+    limit_server,
+    limit_server,
     configure,
     choose_preset,
     step_clock,
