Delegate requests of instances that are cut off from servers to peers

Seen by callers: at an instance that lost its links to all backend servers, 1 of 18 and 8 of 57 requests were served, at the others all but 2 of 236. The instance tried up to seven servers, 0.12 s each, and refused.

Cause: an instance had no way to a server but its own connections, and took the loss of all of them for the loss of all servers. Class of fault: a local view taken for the state of others.

Ruled out by the record: servers that refuse or are gone (others were served by them), and servers taken for bad after the cut (requests are done from its end on).

Why this works: peers reach the servers, digests tell which of them do, and the request stays one attempt of its caller with the time and attempts that are left.

Soak: instances that are cut off.

test_quarantine: the digest's 15th field now holds services, so that the field of a later release that must be ignored is the 16th.

--- a/features/properties/crashworld.py
+++ b/features/properties/crashworld.py
@@ -4,10 +4,13 @@
 
 from attrs import define, field
 
+from briarrelay_bench.delegates import DelegatedRequest, delegate, read_reply
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.route import (
     AbortAttempt,
     AbortResponse,
+    CallerDisconnected,
+    DelegateRequest,
     ForwardRequest,
     RelayEnd,
     RelayFullResponse,
@@ -35,6 +38,12 @@
 PLAIN_ROUTES = ("book", "look")
 """Routes to the plain service."""
 
+PEER_DELAY_S = 0.002
+"""Seconds that a message between two instances takes."""
+
+FIRST_DELEGATED_ID = 1_000_000
+"""Id at a peer of the first delegated request."""
+
 EVENT_SPACING_S = 0.05
 """Seconds between the events of a response."""
 
@@ -73,6 +82,7 @@
     :param plain_count: number of servers of the plain service.
     :ivar views: what callers see, by request id.
     :ivar crashes: time and engine of each crash.
+    :ivar delegated: requests of instances to peers, by the id that they have there.
     """
 
     def __init__(
@@ -93,6 +103,8 @@
         self.views: dict[int, CallerView] = {}
         self.crashes: list[tuple[float, str]] = []
         self.logs: list[tuple[float, int, LogEvent]] = []
+        self.delegated: dict[int, DelegatedRequest] = {}
+        self._delegated_views: dict[int, CallerView] = {}
         self._attempts: dict[tuple[int, int], tuple[str, CallerView]] = {}
         self._down: set[str] = set()
         super().__init__(instance_count, server_count, seed)
@@ -174,8 +186,14 @@
 
     def run_effects(self, n: int, effects: list) -> None:
         for effect in effects:
+            if isinstance(effect, DelegateRequest):
+                self._delegate(n, effect)
+            elif isinstance(effect, AbortAttempt):
+                self._abort_delegated(n, effect.attempt_id)
             if isinstance(effect, ForwardRequest):
                 self._forward(n, effect)
+            elif getattr(effect, "request_id", None) in self.delegated:
+                self._pass_back(effect)
             elif isinstance(effect, AbortAttempt):
                 self._attempts.pop((n, effect.attempt_id), None)
             elif isinstance(effect, RelayHead):
@@ -202,7 +220,8 @@
             )
             self.schedule(0.001, partial(self.deliver, n, lost))
             return
-        view = self.views[effect.request_id]
+        view = self._delegated_views.get(effect.request_id)
+        view = view or self.views[effect.request_id]
         view.sent_at.append(self.now)
         self._attempts[n, effect.attempt_id] = (effect.server, view)
         self.schedule(
@@ -210,6 +229,29 @@
             partial(self._write, n, effect.attempt_id, 1),
         )
 
+    def _delegate(self, n: int, effect: DelegateRequest) -> None:
+        peer = self.index_by_host[effect.host]
+        view = self.views[effect.request_id]
+        request_id = FIRST_DELEGATED_ID + len(self.delegated)
+        delegated = delegate(effect, view.request, n, peer, request_id)
+        self.delegated[request_id] = delegated
+        self._delegated_views[request_id] = view
+        self.schedule(PEER_DELAY_S, partial(self.deliver, peer, delegated.request))
+
+    def _abort_delegated(self, n: int, attempt_id: int) -> None:
+        for request_id, delegated in self.delegated.items():
+            if (delegated.origin, delegated.attempt_id) == (n, attempt_id):
+                gone = CallerDisconnected(request_id)
+                self.schedule(PEER_DELAY_S, partial(self.deliver, delegated.peer, gone))
+
+    def _pass_back(self, effect) -> None:
+        """Deliver what a peer relays for a delegated request to the instance."""
+        delegated = self.delegated[effect.request_id]
+        for message in read_reply(effect, delegated):
+            self.schedule(
+                PEER_DELAY_S, partial(self.deliver, delegated.origin, message)
+            )
+
     def _write(self, n: int, attempt_id: int, number: int) -> None:
         """Let an engine write one event of a response, or crash instead."""
         if (n, attempt_id) not in self._attempts:
--- a/features/properties/test_answers_of_processes.py
+++ b/features/properties/test_answers_of_processes.py
@@ -266,7 +266,9 @@
         for effect in UNUSED_EFFECTS:
             self.host.register(effect, lambda _: None)
         client = HttpClient(self.reactor)
-        self.port = RoutePort(self.host, client, LOCAL_ADDRESS, PlatformDialect())
+        self.port = RoutePort(
+            self.host, client, LOCAL_ADDRESS, LOCAL_ADDRESS, PlatformDialect()
+        )
         for effect in (CloseIdleConnections, ExitProcess):
             self.host.register(effect, lambda _: self.port.server.close_idle())
         self.host.start()
--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -799,8 +799,8 @@
         fields = json.loads(encode_digest(digest))
         self.assertEqual((len(fields), fields[11]), (13, {}))
         self.assertEqual(fields[:11], json.loads(encode_digest(make_digest())))
-        no_limits = None
-        further = json.dumps([*fields, no_limits, {"later": 1}]).encode()
+        no_limits, no_services = None, None
+        further = json.dumps([*fields, no_limits, no_services, {"later": 1}]).encode()
         self.assertEqual(decode_digest(further), digest)
 
     @given(JSON)
--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -67,7 +67,9 @@
         self.reactor = Reactor(monotonic)
         self.core = _OneAttemptCore()
         host = Host(self.core, self.reactor, Metrics(), Logger("test"))
-        self.port = RoutePort(host, _NoSocketClient(), LOCAL_ADDRESS, PlatformDialect())
+        self.port = RoutePort(
+            host, _NoSocketClient(), LOCAL_ADDRESS, LOCAL_ADDRESS, PlatformDialect()
+        )
         self.addCleanup(self.port.server._sock.close)
         self.sock = socket.create_connection(("127.0.0.1", self.port.server.port))
         self.sock.settimeout(0.5)
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -19,6 +19,7 @@
 class SocketPair:
     """The two sockets of one proxied connection.
 
+    :param caller_host: address from which the caller connected.
     :param stalled: directions that are no longer read: ``up`` from the caller,
         ``down`` from the server.
     :param queued: data held back, as due time, direction and bytes; empty bytes end
@@ -27,6 +28,7 @@
 
     caller: socket.socket
     server: socket.socket
+    caller_host: str
     stalled: set[str] = field(factory=set)
     queued: list = field(factory=list)
 
@@ -109,6 +111,19 @@
                 if self.random.random() < fraction:
                     pair.stalled.update(directions)
 
+    def cut(self, caller_host: str, hangs: bool) -> None:
+        """Stall or reset the connections that a caller has opened."""
+        with self._lock:
+            for pair in list(self._pairs):
+                if pair.caller_host != caller_host:
+                    continue
+                if hangs:
+                    pair.stalled.update(("up", "down"))
+                else:
+                    _reset_on_close(pair.caller)
+                    _reset_on_close(pair.server)
+                    self._close_pair(pair)
+
     def _close_pair(self, pair: SocketPair) -> None:
         for sock in (pair.caller, pair.server):
             with suppress(OSError):
@@ -127,7 +142,7 @@
     def _accept(self) -> None:
         while self._listener is not None:
             try:
-                caller, _ = self._listener.accept()
+                caller, (caller_host, _) = self._listener.accept()
             except OSError:
                 return
             if self.refuses:
@@ -147,7 +162,7 @@
             for sock in (caller, server):
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._pairs.append(SocketPair(caller, server))
+            self._pairs.append(SocketPair(caller, server, caller_host))
 
     def _poll(self) -> None:
         selector = selectors.DefaultSelector()
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -27,6 +27,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
+from standins.cuts import FAULTS_FOLDER, Links  # noqa: E402
 from standins.fleet import EntryInstance, Fleet, configuration, post  # noqa: E402
 from standins.limits import LEARNING_S, WINDOW_S, LimitedServer  # noqa: E402
 
@@ -55,9 +56,6 @@
 STOP_TIMEOUT_S = 12.0
 """Seconds in which a graceful stop, whose grace is 8 s, must end without faults."""
 
-CLOCK_SHIFT_FOLDER = Path(__file__).resolve().parent / "clock"
-"""On the module path of the instances; its ``sitecustomize`` shifts their clock."""
-
 ACTIVATION_EVENTS = {"configuration_in_force": "version", "preset_in_force": "revision"}
 """Log events of an activation, and the version field of each, which may only rise."""
 
@@ -96,6 +94,8 @@
     :ivar limited_server: name of the server that names a limit, or empty.
     :ivar limit: the limit that it names.
     :ivar limit_violations: what servers got beyond their limits, one line each.
+    :ivar links: the connections of instances to backend servers.
+    :ivar cut_off: instances that are cut off from them.
     :ivar has_copy: the store has a copy that it has not returned to.
     :ivar recovered_at: start of the requests that are checked for recovery.
     """
@@ -119,6 +119,8 @@
     configuration_version: int = 1
     preset_revision: int = 0
     leaving_server: str = ""
+    links: Links | None = None
+    cut_off: list[EntryInstance] = field(factory=list)
     limited_server: str = ""
     limit: str = ""
     limit_violations: list[str] = field(factory=list)
@@ -139,15 +141,19 @@
             subnet=f"{2 + self.seed // 250}.{self.seed % 250}",
             seed=self.seed,
             environment={
-                "PYTHONPATH": str(CLOCK_SHIFT_FOLDER),
+                "PYTHONPATH": str(FAULTS_FOLDER),
                 "SOAK_CLOCK": str(self.clock_file),
             },
             map_address=self._add_proxy,
         )
         try:
             with self.fleet:
+                server_count = len(self.fleet.server_names)
+                self.links = Links(self.fleet, self.proxies[:server_count])
                 return self._run_faults(rng)
         finally:
+            if self.links is not None:
+                self.links.close()
             for proxy in self.proxies:
                 proxy.close()
 
@@ -220,6 +226,8 @@
         """
         for entry in self.paused:
             entry.process.send_signal(signal.SIGCONT)
+        for entry in self.cut_off:
+            self.links.heal(entry)
         for pause in self.pauses:
             pause.ended_at = min(pause.ended_at, time.monotonic())
         for proxy in self.proxies:
@@ -396,6 +404,19 @@
     soak.fleet.send_command("leave", soak.leaving_server, is_leaving=True)
 
 
+def cut_off(soak: Soak, rng: random.Random) -> None:
+    """Cut an instance off from all backend servers, or let all reach them again."""
+    if soak.cut_off:
+        for entry in soak.cut_off:
+            soak.links.heal(entry)
+        soak.cut_off = []
+        return
+    soak.cut_off = rng.sample(soak.fleet.instances, rng.choice((1, 1, 2)))
+    hangs = rng.random() < 0.5
+    for entry in soak.cut_off:
+        soak.links.cut(entry, hangs)
+
+
 def limit_server(soak: Soak, rng: random.Random) -> None:
     """Make a server name a limit, or let the limited one name none."""
     if soak.limited_server:
@@ -457,6 +478,8 @@
     leave_server,
     limit_server,
     limit_server,
+    cut_off,
+    cut_off,
     configure,
     choose_preset,
     step_clock,
--- a/packages/briarrelay-bench/src/briarrelay_bench/routefleet.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routefleet.py
@@ -8,6 +8,7 @@
 from attrs import define, field
 
 from briarrelay_bench.backends import Backends
+from briarrelay_bench.delegates import DelegatedRequest, delegate, read_reply
 from briarrelay_bench.deployment import (
     HOST,
     make_configuration,
@@ -25,6 +26,7 @@
     AbortAttempt,
     AbortResponse,
     CallerDisconnected,
+    DelegateRequest,
     ForwardRequest,
     RelayEnd,
     RelayEvent,
@@ -47,6 +49,7 @@
     :ivar now: virtual time in seconds.
     :ivar cores: entry instances by number.
     :ivar callers: by number of the arrival.
+    :ivar _delegated: delegated requests and their callers, by id at the peer.
     """
 
     site: Site
@@ -56,6 +59,7 @@
     backends: Backends = field(init=False)
     callers: dict[int, Caller] = field(factory=dict)
     _events: list = field(factory=list)
+    _delegated: dict[int, tuple[DelegatedRequest, Caller]] = field(factory=dict)
     _sequence: int = 0
     _instance_by_host: dict[str, int] = field(init=False)
     _random: Random = field(init=False)
@@ -112,7 +116,11 @@
 
     def _perform_all(self, number: int, effects: list) -> None:
         for effect in effects:
-            self._perform(effect, number)
+            is_delegated = getattr(effect, "request_id", None) in self._delegated
+            if is_delegated and not isinstance(effect, ForwardRequest):
+                self._pass_back(effect)
+            else:
+                self._perform(effect, number)
 
     @singledispatchmethod
     def _perform(self, effect, number: int) -> None:
@@ -137,7 +145,14 @@
         caller.attempt += 1
         self._sequence += 1
         caller.request_id = self._sequence
-        request = RouteRequest(
+        self.schedule(
+            self.site.caller_delay_s,
+            partial(self._deliver, caller.instance, self._make_request(caller)),
+        )
+
+    def _make_request(self, caller: Caller) -> RouteRequest:
+        arrival = caller.arrival
+        return RouteRequest(
             request_id=caller.request_id,
             caller_request_id=f"{arrival.number}.{caller.attempt}",
             host=HOST,
@@ -147,11 +162,11 @@
             output_tokens=arrival.events * self.site.profile.stride,
             resume_after=str(caller.events) if caller.events else "",
         )
-        self.schedule(
-            self.site.caller_delay_s, partial(self._deliver, caller.instance, request)
-        )
 
     def _find_caller(self, request_id: int, number: int) -> Caller | None:
+        if request_id in self._delegated:
+            caller = self._delegated[request_id][1]
+            return None if caller.is_over else caller
         for caller in self.callers.values():
             if caller.request_id == request_id and caller.instance == number:
                 return None if caller.is_over else caller
@@ -222,9 +237,36 @@
         if caller is not None:
             self.backends.forward(effect, number, caller.arrival)
 
+    @_perform.register
+    def _(self, effect: DelegateRequest, number: int) -> None:
+        caller = self._find_caller(effect.request_id, number)
+        if caller is None:
+            return
+        peer = self._instance_by_host[effect.host]
+        self._sequence += 1
+        request = self._make_request(caller)
+        delegated = delegate(effect, request, number, peer, self._sequence)
+        self._delegated[delegated.request.request_id] = (delegated, caller)
+        self.schedule(self.site.hop_s, partial(self._deliver, peer, delegated.request))
+
+    def _pass_back(self, effect) -> None:
+        """Deliver what a peer relays for a delegated request to the instance."""
+        delegated, _ = self._delegated[effect.request_id]
+        for message in read_reply(effect, delegated):
+            action = partial(self._deliver, delegated.origin, message)
+            self.schedule(self.site.hop_s, action)
+
+    def _abort_delegated(self, effect: AbortAttempt, number: int) -> None:
+        for request_id, (delegated, _) in self._delegated.items():
+            if (delegated.origin, delegated.attempt_id) == (number, effect.attempt_id):
+                gone = CallerDisconnected(request_id)
+                action = partial(self._deliver, delegated.peer, gone)
+                self.schedule(self.site.hop_s, action)
+
     @_perform.register
     def _(self, effect: AbortAttempt, number: int) -> None:
         self.backends.abort(effect, number)
+        self._abort_delegated(effect, number)
 
     @_perform.register
     def _(self, effect: Reserve, number: int) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -10,6 +10,7 @@
     "MAX_CRASH_REPORTS",
     "MAX_CONTENTS",
     "MAX_CONTENT_CHARS",
+    "MAX_CUT_OFF_REPORTS",
     "MAX_LIMIT_REPORTS",
     "MAX_PROBE_S",
     "MAX_QUARANTINE_REPORTS",
@@ -47,6 +48,9 @@
 MAX_QUARANTINE_REPORTS = 16
 """Most quarantined contents that a digest reports."""
 
+MAX_CUT_OFF_REPORTS = 16
+"""Most services that a digest reports as out of reach."""
+
 MAX_LIMIT_REPORTS = 16
 """Most limits of servers that a digest reports."""
 
@@ -150,6 +154,7 @@
         the sender has sent one.
     :param survived: seconds since a server survived a content that was reported struck.
     :param limits: limits of servers that the sender observed lately.
+    :param cut_off: services whose backend servers the sender can not reach.
     :param members: number of instances that the sender knows, itself included; 1 if it
         reports no limits.
     """
@@ -172,6 +177,7 @@
     probed: dict[str, float] = field(factory=dict)
     limits: tuple[LimitReport, ...] = ()
     members: int = 1
+    cut_off: tuple[str, ...] = ()
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -77,7 +77,7 @@
     """Address at which an entry instance serves its peers.
 
     :param question_port: TCP port for HTTP requests of peers.
-    :param digest_port: UDP port for digests.
+    :param digest_port: UDP port for digests, and TCP port for requests of peers.
     :param data_centre: empty if unknown.
     """
 
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -11,6 +11,7 @@
     "AbortAttempt",
     "AbortResponse",
     "CallerDisconnected",
+    "DelegateRequest",
     "ForwardRequest",
     "HelperAddress",
     "InvalidRequest",
@@ -47,6 +48,9 @@
     :param prompt_parts: ids of the parts that its prompt shares with others, in order.
     :param fingerprint: hash of what a backend server is asked to do, the same for each
         repeat of a request; empty if it is not known.
+    :param is_delegated: it comes from a peer that can not reach the backend servers.
+    :param max_attempts: most attempts after which it may have run, None for as many as
+        its route allows.
     """
 
     request_id: int
@@ -60,6 +64,8 @@
     resume_after: str = ""
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ""
+    is_delegated: bool = False
+    max_attempts: int | None = None
 
 
 @frozen(slots=True, kw_only=True)
@@ -120,6 +126,29 @@
     needs_new_connection: bool = False
 
 
+@frozen(slots=True, kw_only=True)
+class DelegateRequest:
+    """Effect: let a peer send a request to a backend server.
+
+    :param peer: name of the entry instance.
+    :param port: port on which it takes requests of peers.
+    :param time_limit_s: seconds after which the response is no longer needed.
+    :param max_attempts: attempts that are left.
+    :param resume_after: id of the event after which the response resumes.
+    :param needs_new_connection: open a new connection instead of reusing one.
+    """
+
+    request_id: int
+    attempt_id: int
+    peer: str
+    host: str
+    port: int
+    time_limit_s: float
+    max_attempts: int
+    resume_after: str = ""
+    needs_new_connection: bool = False
+
+
 @frozen(slots=True)
 class AbortAttempt:
     """Effect: abort an attempt by closing its connection."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -2,7 +2,12 @@
 
 from attrs import define, field
 
-from briarrelay_core.ports.route import ForwardRequest, HelperAddress
+from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.route import (
+    DelegateRequest,
+    ForwardRequest,
+    HelperAddress,
+)
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
@@ -37,6 +42,40 @@
             return [self.forward(routed, placement, now)]
         return self._reserve(attempt, placement, now)
 
+    def delegate(
+        self, routed: RoutedRequest, peer: PeerAddress, now: float
+    ) -> DelegateRequest:
+        """Start an attempt of a peer, which may use the attempts that are left."""
+        self._last_id += 1
+        max_attempts = routed.route.attempts - routed.possible_runs
+        attempt = AttemptState(
+            attempt_id=self._last_id,
+            server=peer.name,
+            server_born=0.0,
+            helpers=(),
+            sent_at=now,
+            expected_s=0.0,
+            progress_at=now,
+            is_delegated=True,
+            max_runs=max_attempts,
+        )
+        self._activate(routed, attempt, now)
+        routed.delegated_count += 1
+        routed.last_incarnation = ""
+        routed.refused_at = float("-inf")
+        attempt.is_resumption = bool(routed.resume_after)
+        return DelegateRequest(
+            request_id=routed.request.request_id,
+            attempt_id=attempt.attempt_id,
+            peer=peer.name,
+            host=peer.host,
+            port=peer.digest_port,
+            time_limit_s=routed.deadline - now,
+            max_attempts=max_attempts,
+            resume_after=routed.resume_after,
+            needs_new_connection=not routed.route.is_repeatable,
+        )
+
     def prepare(self, routed: RoutedRequest, placement: Placement, now: float) -> list:
         """Reserve the memory of an attempt that is to replace the active one.
 
@@ -127,7 +166,8 @@
                 for name in placement.helpers
             ),
             resume_after=routed.resume_after,
-            needs_new_connection=not routed.route.is_repeatable,
+            needs_new_connection=not routed.route.is_repeatable
+            or self.observations.isolation.is_cut_off(routed.service, now),
         )
 
     def _add_load(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -5,6 +5,7 @@
 from briarrelay_core.agreement.configuration import Objective
 from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.outcomes import Failed, NotRun
+from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.route import (
     AbortAttempt,
     AbortResponse,
@@ -25,6 +26,7 @@
     request_content,
 )
 from briarrelay_core.routes.deferral import should_defer
+from briarrelay_core.routes.delegation import Delegation
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
@@ -96,6 +98,7 @@
     selector: ServerSelector
     admission: RouteAdmission = field(factory=RouteAdmission)
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
+    delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
     _attempt_table: AttemptTable = field(init=False)
@@ -119,12 +122,15 @@
         admission_result = self.admission.check(request)
         if isinstance(admission_result, NotRun):
             return self.refusals.refuse(request, admission_result, now)
-        effective_limit_s = admission_result.route.timeout_s
+        route = admission_result.route
+        if request.max_attempts is not None:
+            route = evolve(route, attempts=min(route.attempts, request.max_attempts))
+        effective_limit_s = route.timeout_s
         if request.time_limit_s is not None:
             effective_limit_s = min(effective_limit_s, request.time_limit_s)
         routed = RoutedRequest(
             request=request,
-            route=admission_result.route,
+            route=route,
             service=admission_result.service,
             profile=admission_result.profile,
             workspace=admission_result.workspace,
@@ -133,7 +139,8 @@
             content=request_content(request.fingerprint, admission_result.workspace),
         )
         self.requests[request.request_id] = routed
-        self.budget.record_request(admission_result.service, now)
+        if not request.is_delegated:
+            self.budget.record_request(admission_result.service, now)
         effects = []
         if self._waiting and self.selector.has_limited(routed.service, now):
             # A limited server's next turn belongs to a request that waits for it.
@@ -156,6 +163,9 @@
             return self._give_up_quarantined(routed, content, now)
         if routed.awaited_retry is not None:
             return self._retry_when_allowed(routed, now)
+        peer = self.delegation.choose(routed, now)
+        if peer is not None:
+            return self._delegate(routed, peer, now)
         eligible_servers = self.selector.candidates(routed, now)
         if eligible_servers and is_too_large(routed, len(eligible_servers)):
             if not routed.is_head_relayed:
@@ -174,12 +184,37 @@
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
         if not eligible_servers and not self._can_wait_for_server(routed, now):
+            peer = (
+                self.delegation.find_peer(routed, now) if routed.undelivered else None
+            )
+            if peer is not None:
+                return self._delegate(routed, peer, now)
             return self.give_up(routed, now, self._reason_without_server(routed, now))
         if routed.request.request_id in self._waiting:
             return []
         self._waiting[routed.request.request_id] = routed
         return [IncrementCounter("route.waited")]
 
+    def _delegate(self, routed: RoutedRequest, peer: PeerAddress, now: float) -> list:
+        """Let a peer send a request, since this instance reaches no server."""
+        self._waiting.pop(routed.request.request_id, None)
+        fields = (("peer", peer.name), ("unreached", str(routed.undelivered)))
+        return [
+            self._attempt_table.delegate(routed, peer, now),
+            LogEvent("info", "delegated", routed.request.caller_request_id, fields),
+            IncrementCounter("route.delegated"),
+        ]
+
+    def can_delegate(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a request whose server is silent may go to a peer instead."""
+        if not self.observations.isolation.is_cut_off(routed.service, now):
+            return False
+        if not self._may_retry(routed, routed.possible_runs + 1, now):
+            return False
+        if not self.budget.allows(routed.service, now):
+            return False
+        return self.delegation.find_peer(routed, now) is not None
+
     def _must_wait_for_suspect(self, routed: RoutedRequest, now: float) -> bool:
         """Return whether a request with suspect contents has to wait for another.
 
@@ -213,9 +248,10 @@
     ) -> list:
         """Record that a server has run a request without a crash.
 
-        The rest of a stream may be shorter than what another server crashed on.
+        The rest of a stream may be shorter than what another server crashed on. A peer
+        records the survival of what it was delegated; its failure may hide a crash.
         """
-        if attempt.is_survived:
+        if attempt.is_survived or attempt.is_delegated:
             return []
         if attempt.is_resumption and attempt.events < SURVIVAL_EVENTS:
             return []
@@ -604,6 +640,8 @@
         a request besides those that wait.
         """
         jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
+        if routed.peer_retry_after_s:
+            return routed.peer_retry_after_s
         if routed.quarantined_content:
             return QUARANTINE_RETRY_S * jitter
         resumes_in_s = self.selector.resumes_in_s(
@@ -642,9 +680,11 @@
             effects.append(AbortAttempt(attempt.attempt_id))
         self.requests.pop(request.request_id, None)
         self._waiting.pop(request.request_id, None)
-        self._record(routed, "request", outcome, now)
+        # The instance that has the caller records the request itself.
+        kind = "delegated_request" if request.is_delegated else "request"
+        self._record(routed, kind, outcome, now)
         fields = routed.log_fields(outcome, attempt, self.admission.version, now)
-        effects.append(LogEvent("info", "request", request.caller_request_id, fields))
+        effects.append(LogEvent("info", kind, request.caller_request_id, fields))
         return effects
 
     def _record(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -43,6 +43,7 @@
 from briarrelay_core.record.record import AUDIT_STREAM, Recorder
 from briarrelay_core.routes.budget import RetryLimits, ServiceRetryBudget
 from briarrelay_core.routes.controller import RequestController
+from briarrelay_core.routes.delegation import Delegation
 from briarrelay_core.routes.gracefulstop import GracefulStop
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
@@ -143,7 +144,9 @@
             self.controller.quarantine,
             observations.crashes,
             observations.limits,
+            observations.isolation,
         )
+        self.controller.delegation = Delegation(observations.isolation, self.peers)
         for seed in self.seeds:
             self.peers.add(seed)
         self.updates = UpdateHandler(
@@ -232,8 +235,11 @@
         effects += self.reservations.pop_effects()
         quarantine = self.controller.quarantine
         limits = self.controller.observations.limits
-        if quarantine.has_urgent_change or limits.has_urgent_change:
-            quarantine.has_urgent_change = limits.has_urgent_change = False
+        isolation = self.controller.observations.isolation
+        sources = (quarantine, limits, isolation)
+        if any(source.has_urgent_change for source in sources):
+            for source in sources:
+                source.has_urgent_change = False
             effects += self.peers.announce(now)
         load = self.controller.load
         servers = self.controller.servers
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from briarrelay_core.routes.crashes import CrashTable
+from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
 from briarrelay_core.routes.serverlimits import ServerLimitTable
@@ -27,6 +28,7 @@
     pauses: PauseTable = field(factory=PauseTable)
     crashes: CrashTable = field(factory=CrashTable)
     limits: ServerLimitTable = field(factory=ServerLimitTable)
+    isolation: IsolationTable = field(factory=IsolationTable)
     last_response_at: dict[str, float] = field(factory=dict)
 
     def record_response(self, server: str, now: float) -> None:
@@ -36,12 +38,24 @@
         if known is not None:
             self.reachability.record_response(known.entry.data_centre)
             self.crashes.record_response(server, known.entry.born)
+            self.isolation.record_response(known.entry.service, now)
 
     def record_unreachable(self, server: str, now: float) -> None:
         """Record that no connection to a server could be made."""
         known = self.servers.get(server)
         if known is not None:
             self.reachability.record_unreachable(known.entry.data_centre, server, now)
+            self._record_unreached(known.entry.service, server, now)
+
+    def record_unacknowledged(self, server: str, now: float) -> None:
+        """Record that a connection to a server failed, which it did not close."""
+        known = self.servers.get(server)
+        if known is not None:
+            self._record_unreached(known.entry.service, server, now)
+
+    def _record_unreached(self, service: str, server: str, now: float) -> None:
+        count = len(self.servers.of_service(service, now))
+        self.isolation.record_failure(service, server, count, now)
 
     def forget(self, name: str) -> None:
         """Discard the observations of a server that left or restarted."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -20,6 +20,7 @@
 from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.crashes import CrashTable
+from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import ContentQuarantine
@@ -56,6 +57,9 @@
 digests come each second or two in a large deployment. An instance that has stopped is
 noticed earlier, since its last read grows old."""
 
+CONNECTED_REPORT_FRESH_S = 1.5
+"""Seconds after a digest for which its sender counts as able to take requests."""
+
 ANNOUNCE_AFTER_S = 0.5
 """Seconds since the newest read of the servers topic by a peer from which a read is
 announced to all peers."""
@@ -100,6 +104,7 @@
     :param directory: position after the newest server change that it has read.
     :param directory_at: time of its last read of the servers topic.
     :param members: number of instances that it knows, itself included.
+    :param cut_off: services whose backend servers it can not reach.
     """
 
     address: PeerAddress
@@ -111,6 +116,7 @@
     directory: EraPosition = START
     directory_at: float = float("-inf")
     members: int = 1
+    cut_off: tuple[str, ...] = ()
 
 
 @define(slots=True)
@@ -141,6 +147,7 @@
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
     crashes: CrashTable = field(factory=CrashTable)
     limits: ServerLimitTable = field(factory=ServerLimitTable)
+    isolation: IsolationTable = field(factory=IsolationTable)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -175,6 +182,16 @@
         count = max(1 + len(self._peers), *known_by_peers, 1)
         return count, sum(host < self.address.host for host in self._peers)
 
+    def connected_to(self, service: str, now: float) -> list[PeerAddress]:
+        """Return the peers heard lately that reach the servers of a service."""
+        return [
+            peer.address
+            for peer in self._peers.values()
+            if peer.last_digest_at is not None
+            and now - peer.last_digest_at <= CONNECTED_REPORT_FRESH_S
+            and service not in peer.cut_off
+        ]
+
     def addresses(self) -> tuple[PeerAddress, ...]:
         """Return the addresses of all peers."""
         return tuple(peer.address for peer in self._peers.values())
@@ -222,7 +239,7 @@
         peer.version, peer.presets = digest.version, digest.presets
         peer.directory = digest.directory
         peer.directory_at = now - digest.directory_age_s
-        peer.members = digest.members
+        peer.members, peer.cut_off = digest.members, digest.cut_off
         effects += self.limits.apply_digest(digest, now)
         self.load.apply_digest(digest, now)
         for address in digest.peers:
@@ -409,6 +426,7 @@
             probed=self.quarantine.probes.own(now),
             limits=self.limits.own_reports(now),
             members=1 + len(self._peers),
+            cut_off=self.isolation.cut_off_services(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -27,6 +27,8 @@
     :param kind: kind of the response's head, None before it arrives.
     :param events: events received in this attempt.
     :param is_resumption: the server sends the rest of a stream, from some event on.
+    :param is_delegated: the server is a peer, which sends the request to one.
+    :param max_runs: attempts after which the request may have run, if this one is lost.
     :param is_survived: it has shown that its contents do not crash the server.
     :param silence_counted_at: time at which its silence was last counted as a failure
         of the server.
@@ -48,6 +50,8 @@
     events: int = 0
     is_resumption: bool = False
     is_survived: bool = False
+    is_delegated: bool = False
+    max_runs: int = 1
     silence_counted_at: float = float("-inf")
     searched_at: float = float("-inf")
 
@@ -79,6 +83,8 @@
     :param undelivered: attempts that never reached their server.
     :param refused_at: time at which its last attempt was refused or failed to reach its
         server, minus infinity if it did not end so.
+    :param delegated_count: number of attempts that went to a peer.
+    :param peer_retry_after_s: time to return that the last peer named which refused it.
     :param possible_runs: attempts after which the request may have run.
     :param awaited_retry: reason of a retry that the budget does not allow yet, else
         None.
@@ -107,6 +113,8 @@
     excluded_at: float = float("-inf")
     attempt_count: int = 0
     undelivered: int = 0
+    delegated_count: int = 0
+    peer_retry_after_s: float = 0.0
     refused_at: float = float("-inf")
     possible_runs: int = 0
     awaited_retry: RetryReason | None = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -49,7 +49,9 @@
         self.controller.record_progress(routed, now)
         if message.kind is ResponseKind.OTHER_SERVER:
             return self._on_replaced(routed, now)
-        effects = self._apply_announcements(routed, message, now)
+        effects = []
+        if not attempt.is_delegated:
+            effects += self._apply_announcements(routed, message, now)
         if message.kind is ResponseKind.NOT_RUN:
             return effects + self._on_refused(routed, message, now)
         if message.kind is ResponseKind.UNPROVEN:
@@ -119,9 +121,11 @@
         if refusing_server != attempt.server:
             routed.exclude(refusing_server, now)
             self.controller.observations.health.record_failure(refusing_server, now)
+        if attempt.is_delegated:
+            routed.peer_retry_after_s = message.pause_s
         effects = [log_event, AbortAttempt(attempt.attempt_id)]
         return effects + self.controller.retry_or_give_up(
-            routed, RetryReason.SERVER_REFUSED, now
+            routed, RetryReason.SERVER_REFUSED, now, not attempt.is_delegated
         )
 
     def _server_by_address(self, address: str, attempt: AttemptState) -> str:
@@ -214,7 +218,7 @@
     def _on_failure(self, routed: RoutedRequest, now: float) -> list:
         request_controller = self.controller
         attempt = request_controller.end_attempt(routed, now)
-        routed.possible_runs += 1
+        routed.possible_runs += attempt.max_runs
         routed.failed_attempt_id = attempt.attempt_id
         effects = request_controller.record_survival(routed, attempt, now)
         if attempt.status < 500:
@@ -243,12 +247,15 @@
         if routed is None:
             return []
         if message.is_sent:
+            if not message.is_closed:
+                server = routed.active_attempt.server
+                self.controller.observations.record_unacknowledged(server, now)
             return self._on_unusable(routed, message.problem, now, message.is_closed)
         attempt = self.controller.end_attempt(routed, now)
-        self.controller.observations.health.record_failure(
-            attempt.server, now, certain=True
-        )
-        self.controller.observations.record_unreachable(attempt.server, now)
+        observations = self.controller.observations
+        if not observations.isolation.is_cut_off(routed.service, now):
+            observations.health.record_failure(attempt.server, now, certain=True)
+        observations.record_unreachable(attempt.server, now)
         routed.undelivered += 1
         return [
             self._make_lost_log(routed, attempt, message.problem, message.is_closed),
@@ -270,15 +277,16 @@
         :param is_closed: the server closed or reset the connection.
         """
         attempt = self.controller.end_attempt(routed, now)
-        routed.possible_runs += 1
+        routed.possible_runs += attempt.max_runs
         self.controller.observations.health.record_failure(attempt.server, now)
+        is_crash = is_closed and not attempt.is_delegated
         effects = [
             self._make_lost_log(routed, attempt, problem, is_closed),
             AbortAttempt(attempt.attempt_id),
         ]
-        if is_closed:
+        if is_crash:
             self.controller.observations.crashes.record_closed(attempt.incarnation, now)
-        if is_closed and not attempt.is_survived:
+        if is_crash and not attempt.is_survived:
             effects += self.controller.record_crash(routed, attempt, now)
         if routed.request.request_id not in self.controller.requests:
             return [*effects, *self.controller.place_waiting(now)]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -101,8 +101,8 @@
         found = []
         for routed in list(self.controller.requests.values()):
             attempt = routed.active_attempt
-            if attempt is None or not attempt.is_sent:
-                continue
+            if attempt is None or not attempt.is_sent or attempt.is_delegated:
+                continue  # a peer watches the server of a delegated request
             if not routed.route.is_repeatable:
                 continue
             timeout_s = _silence_timeout_s(routed, attempt)
@@ -141,19 +141,22 @@
         :param max_expected_s: seconds within which its first event must be expected.
         """
         attempt = routed.active_attempt
-        placement = self.controller.find_alternative(routed, now)
-        if placement is None or placement.expected_s >= max_expected_s:
-            return []
         fields = (
             ("server", attempt.server),
             ("silent_s", f"{now - attempt.progress_at:.2f}"),
             ("expected_s", f"{attempt.expected_s:.2f}"),
             ("events", str(attempt.events)),
         )
-        return [
-            LogEvent("info", "server_silent", routed.request.caller_request_id, fields),
-            *self.controller.move(routed, placement, RetryReason.SERVER_SILENT, now),
-        ]
+        log_event = LogEvent(
+            "info", "server_silent", routed.request.caller_request_id, fields
+        )
+        reason = RetryReason.SERVER_SILENT
+        if self.controller.can_delegate(routed, now):
+            return [log_event, *self.controller.abandon(routed, reason, now)]
+        placement = self.controller.find_alternative(routed, now)
+        if placement is None or placement.expected_s >= max_expected_s:
+            return []
+        return [log_event, *self.controller.move(routed, placement, reason, now)]
 
 
 def _silence_timeout_s(routed: RoutedRequest, attempt: AttemptState) -> float:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -12,6 +12,7 @@
     MAX_CONTENT_CHARS,
     MAX_CONTENTS,
     MAX_CRASH_REPORTS,
+    MAX_CUT_OFF_REPORTS,
     MAX_LIMIT_REPORTS,
     MAX_PROBE_S,
     MAX_QUARANTINE_REPORTS,
@@ -42,8 +43,8 @@
 def encode_digest(digest: LoadDigest) -> bytes:
     """Return a digest encoded as a datagram.
 
-    Pauses, crashes, quarantines and limits are left out while there are none, so that
-    earlier releases can read it.
+    Pauses, crashes, quarantines, limits and services out of reach are left out while
+    there are none, so that earlier releases can read it.
     """
     fields = [
         _encode_address(digest.sender),
@@ -70,12 +71,15 @@
     has_reports = (
         digest.crashes or digest.quarantined or digest.survived or digest.probed
     )
-    if digest.paused or has_reports or digest.limits:
-        fields.append(digest.paused)
-    if has_reports or digest.limits:
-        fields.append(_encode_reports(digest))
-    if digest.limits:
-        fields.append([digest.members, _encode_limits(digest.limits)])
+    optional = [
+        digest.paused or {},
+        _encode_reports(digest) if has_reports else None,
+        [digest.members, _encode_limits(digest.limits)] if digest.limits else None,
+        digest.cut_off or None,
+    ]
+    while optional and not optional[-1]:
+        optional.pop()
+    fields += optional
     return orjson.dumps(fields)
 
 
@@ -124,6 +128,7 @@
     paused: dict | None = None,
     reports: list | None = None,
     limits: list | None = None,
+    cut_off: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -141,6 +146,7 @@
         },
         **(_decode_reports(*reports) if reports else {}),
         **(_decode_limits(*limits) if limits else {}),
+        "cut_off": tuple(map(_decode_text, (cut_off or [])[:MAX_CUT_OFF_REPORTS])),
     }
 
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -5,6 +5,7 @@
 from os import eventfd, eventfd_read, eventfd_write
 from time import CLOCK_BOOTTIME, CLOCK_MONOTONIC, clock_gettime
 
+from attrs import evolve
 from circuits import Component
 from circuits.core.pollers import EPoll
 from logbook import Logger
@@ -46,6 +47,9 @@
 LIMITS_CHECK_S = 0.5
 """Seconds between checks for changed limits of callers."""
 
+MAX_ADDED_HEADER_BYTES = 1_024
+"""Bytes of headers that a peer may add to a request that it delegates."""
+
 MIN_SUSPEND_S = 0.3
 """Shortest suspension after which the core is notified that its state may be stale."""
 
@@ -78,7 +82,9 @@
         core = _make_core(settings, clock())
         self.host = Host(core, self.reactor, self.metrics, logger)
         client = HttpClient(self.reactor)
-        self.routes = RoutePort(self.host, client, settings.listen, dialect)
+        self.routes = RoutePort(
+            self.host, client, settings.listen, settings.digests, dialect
+        )
         attach_platform(self.host, client)
         peer_pages = PageServer(settings.questions, self.reactor)
         DigestPort(self.host, client, peer_pages, settings.digests)
@@ -89,9 +95,7 @@
             settings.metrics_path, lambda: (200, self.metrics.render())
         )
         self.host.register(ExitProcess, self._on_exit_process)
-        self.host.register(
-            CloseIdleConnections, lambda _: self.routes.server.close_idle()
-        )
+        self.host.register(CloseIdleConnections, lambda _: self._close_idle())
         self._last_suspended_s = _suspended_s()
         self.reactor.before_events = self._check_suspension
         self.reactor.timers.every(
@@ -123,19 +127,27 @@
 
     def _apply_limits(self, _: float) -> list:
         """Apply the configured limits of callers' requests."""
-        server = self.routes.server
         configuration = self.host.core.controller.admission.configuration
         if configuration is not None:
-            server.limits = configuration.limits
+            limits = configuration.limits
+            self.routes.server.limits = limits
+            # Peers add headers to what their callers sent.
+            header_bytes = limits.header_bytes + MAX_ADDED_HEADER_BYTES
+            self.routes.delegations.limits = evolve(limits, header_bytes=header_bytes)
         return []
 
+    def _close_idle(self) -> None:
+        for server in self.routes.servers:
+            server.close_idle()
+
     def _on_stop_signal(self, *_) -> None:
         """Wake the loop, which starts to drain; a signal handler must do no more."""
         eventfd_write(self._stop_event, 1)
 
     def _on_stop_event(self, _: int) -> None:
         eventfd_read(self._stop_event)
-        self.routes.server.keeps_alive = False
+        for server in self.routes.servers:
+            server.keeps_alive = False
         self.host.dispatch(DrainRequested())
 
     @property
@@ -145,7 +157,7 @@
         return stopping.began_at + stopping.grace_s - EXIT_MARGIN_S
 
     def _on_exit_process(self, _: ExitProcess) -> None:
-        self.routes.server.close_idle()
+        self._close_idle()
         self.reactor.timers.at(self.host.now + SHUTDOWN_DELAY_S, self._exit)
 
     def _exit(self, now: float, previously_unsent: int | None = None) -> list:
@@ -153,7 +165,7 @@
 
         :param previously_unsent: unsent bytes of responses at the previous check.
         """
-        unsent = self.routes.server.unsent_bytes
+        unsent = sum(server.unsent_bytes for server in self.routes.servers)
         next_check = now + SENDING_CHECK_S
         if unsent and unsent != previously_unsent and next_check < self._exit_by:
             self.reactor.timers.at(next_check, lambda now: self._exit(now, unsent))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -10,6 +10,7 @@
     AbortAttempt,
     AbortResponse,
     CallerDisconnected,
+    DelegateRequest,
     ForwardRequest,
     InvalidRequest,
     RelayEnd,
@@ -81,6 +82,18 @@
     def write_request(self, exchange: RawExchange, forward: ForwardRequest) -> bytes:
         """Return the encoded request to send to a backend server."""
 
+    @abstractmethod
+    def read_delegated(
+        self, exchange: RawExchange, request_id: int
+    ) -> RouteRequest | NotRun:
+        """Return the typed request that a peer delegates, or why it is refused."""
+
+    @abstractmethod
+    def write_delegated(
+        self, exchange: RawExchange, delegate: DelegateRequest
+    ) -> bytes:
+        """Return the encoded request to send to a peer."""
+
     @abstractmethod
     def is_response_to(self, headers: dict[str, str], exchange: RawExchange) -> bool:
         """Return whether a response belongs to a request, by the id that it repeats."""
@@ -97,12 +110,24 @@
     ) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
         """Return status, headers and body of an error that this instance generates."""
 
+    @abstractmethod
+    def write_delegated_refusal(
+        self, outcome: NotRun | Failed, exchange: RawExchange
+    ) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+        """Return the same for a peer that delegated the request.
+
+        The peer reads it with :meth:`read_head`, as the response of a server.
+        """
+
 
 class _Attempt(CallSink):
     """Passes the response to one attempt at a request to the core."""
 
     def __init__(
-        self, port: "RoutePort", forward: ForwardRequest, exchange: RawExchange
+        self,
+        port: "RoutePort",
+        forward: ForwardRequest | DelegateRequest,
+        exchange: RawExchange,
     ):
         self._port = port
         self._forward = forward
@@ -192,10 +217,12 @@
     """An exchange whose response is not complete, and the ids of its attempts.
 
     :param started_at: ``perf_counter()`` when the request was received.
+    :param is_delegated: it comes from a peer.
     """
 
     exchange: RawExchange
     started_at: float
+    is_delegated: bool = False
     attempt_ids: list[int] = field(factory=list)
     is_answered: bool = False
 
@@ -204,7 +231,12 @@
     """Passes callers' requests to the core, and carries out its effects on them."""
 
     def __init__(
-        self, host: Host, client: HttpClient, listen: Address, dialect: Dialect
+        self,
+        host: Host,
+        client: HttpClient,
+        listen: Address,
+        delegations: Address,
+        dialect: Dialect,
     ):
         self.host = host
         self.dialect = dialect
@@ -220,8 +252,16 @@
             self._on_disconnect,
             self._on_bad_request,
         )
+        self.delegations = CallerServer(
+            delegations,
+            host.reactor,
+            self._on_delegated,
+            self._on_disconnect,
+            self._on_bad_request,
+        )
         for effect_class, perform in (
             (ForwardRequest, self._forward),
+            (DelegateRequest, self._delegate),
             (AbortAttempt, self._abort_attempt),
             (RelayHead, self._relay_head),
             (RelayEvent, self._relay_event),
@@ -234,11 +274,24 @@
 
     # Callers
 
+    @property
+    def servers(self) -> tuple[CallerServer, CallerServer]:
+        """The servers for callers and for peers that delegate requests."""
+        return self.server, self.delegations
+
     def _on_request(self, exchange: RawExchange) -> None:
+        self.host.counters.add("route.requests")
+        self._accept(exchange, self.dialect.read_request, is_delegated=False)
+
+    def _on_delegated(self, exchange: RawExchange) -> None:
+        self.host.counters.add("route.delegated_requests")
+        self._accept(exchange, self.dialect.read_delegated, is_delegated=True)
+
+    def _accept(self, exchange: RawExchange, read_request, is_delegated: bool) -> None:
+        """Pass a request to the core, or refuse it if it is not valid."""
         self._last_request_id += 1
         request_id = self._last_request_id
-        self.host.counters.add("route.requests")
-        request = self.dialect.read_request(exchange, request_id)
+        request = read_request(exchange, request_id)
         if isinstance(request, NotRun):
             rejection = InvalidRequest(
                 reason=request.reason.value,
@@ -246,9 +299,11 @@
                 caller_request_id=self.dialect.read_request_id(exchange),
             )
             self.host.dispatch(rejection)
-            exchange.reply(*self.dialect.write_refusal(request, exchange))
+            exchange.reply(*self._write_refusal(request, exchange, is_delegated))
             return
-        self._pending[request_id] = _PendingExchange(exchange, perf_counter())
+        self._pending[request_id] = _PendingExchange(
+            exchange, perf_counter(), is_delegated
+        )
         self._request_ids[exchange] = request_id
         try:
             self.host.dispatch(request)
@@ -287,6 +342,16 @@
     # Backend servers
 
     def _forward(self, effect: ForwardRequest) -> None:
+        self._send(effect, self.dialect.write_request)
+
+    def _delegate(self, effect: DelegateRequest) -> None:
+        self._send(effect, self.dialect.write_delegated)
+
+    def _send(self, effect: ForwardRequest | DelegateRequest, write_request) -> None:
+        """Send a request to a backend server or a peer.
+
+        :param write_request: returns the encoded request of an exchange and an effect.
+        """
         pending = self._pending.get(effect.request_id)
         if pending is None:
             return
@@ -294,7 +359,7 @@
         attempt = _Attempt(self, effect, exchange)
         self._attempts[effect.attempt_id] = attempt
         pending.attempt_ids.append(effect.attempt_id)
-        message = self.dialect.write_request(exchange, effect)
+        message = write_request(exchange, effect)
         try:
             attempt.call = self._client.send(
                 Address(effect.host, effect.port),
@@ -361,5 +426,12 @@
     def _answer_failure(self, request_id: int, outcome: NotRun | Failed) -> None:
         pending = self._remove(request_id)
         if pending is not None:
-            exchange = pending.exchange
-            exchange.reply(*self.dialect.write_refusal(outcome, exchange))
+            exchange, is_delegated = pending.exchange, pending.is_delegated
+            exchange.reply(*self._write_refusal(outcome, exchange, is_delegated))
+
+    def _write_refusal(
+        self, outcome: NotRun | Failed, exchange: RawExchange, is_delegated: bool
+    ) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
+        if is_delegated:
+            return self.dialect.write_delegated_refusal(outcome, exchange)
+        return self.dialect.write_refusal(outcome, exchange)
