--- a/packages/briarrelay-core/src/briarrelay_core/routes/serverlimits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/serverlimits.py
@@ -52,6 +52,9 @@
         did not, the time at which its request was sent.
     :param since: time from which the turns of the instances are counted.
     :param used_until: time of the last turn that was used or is no longer usable.
+    :param next_at: time of the next turn if it is known to lie ahead; computed once,
+        since each request looks at each server.
+    :param order: in [0, 1), shifts the order of the instances at this server.
     :param own_at: time of this instance's last own observation.
     """
 
@@ -60,7 +63,13 @@
     observed_at: float
     since: float
     used_until: float
+    order: float
     own_at: float = float("-inf")
+    next_at: float = float("-inf")
+
+    def use_until(self, at: float) -> None:
+        """Mark the turns up to a time as used."""
+        self.used_until, self.next_at = at, float("-inf")
 
     @property
     def rate_per_s(self) -> float:
@@ -173,16 +182,19 @@
         if known is None or known.born < born or known.limit is None:
             if known is not None and known.born == born and at <= known.observed_at:
                 return False
-            self._known[server] = _KnownLimit(born, limit, at, since, now)
+            order = unit_hash(server, "turn")
+            self._known[server] = _KnownLimit(born, limit, at, since, now, order)
             return True
         if since < known.since - MIN_EARLIER_S:
-            known.since, known.used_until = since, now
+            known.since = since
+            known.use_until(now)
         if at <= known.observed_at:
             return False
         known.observed_at = at
         if known.limit == limit:
             return False
-        known.limit, known.used_until = limit, now
+        known.limit = limit
+        known.use_until(now)
         return True
 
     def _clear(self, server: str, born: float, sent_at: float) -> bool:
@@ -214,7 +226,7 @@
             return
         self._members, self._rank = count, rank
         for known in self._known.values():
-            known.used_until = now
+            known.use_until(now)
 
     def is_limited(self, server: str, born: float) -> bool:
         """Return whether a server has a limit in force."""
@@ -225,7 +237,7 @@
         """Return the seconds until a server may get a request of this instance."""
         if not self._known or not self.is_limited(server, born):
             return 0.0
-        return max(0.0, self._next_turn(server, self._known[server], now) - now)
+        return max(0.0, self._next_turn(self._known[server], now) - now)
 
     def period_s(self, server: str) -> float:
         """Return the seconds between two turns of this instance at a limited server."""
@@ -236,24 +248,26 @@
         if not self._known or not self.is_limited(server, born):
             return
         known = self._known[server]
-        known.used_until = self._next_turn(server, known, now)
+        known.use_until(self._next_turn(known, now))
 
-    def _next_turn(self, server: str, known: _KnownLimit, now: float) -> float:
+    def _next_turn(self, known: _KnownLimit, now: float) -> float:
         """Return the time of the oldest turn that was not used."""
-        first, period_s = self._first_turn(server, known)
+        if known.next_at > now:
+            return known.next_at
+        first, period_s = self._first_turn(known)
         used_number = floor((_usable_from(known, now) - first) / period_s)
-        return first + (used_number + 1) * period_s
+        known.next_at = first + (used_number + 1) * period_s
+        return known.next_at
 
-    def _first_turn(self, server: str, known: _KnownLimit) -> tuple[float, float]:
+    def _first_turn(self, known: _KnownLimit) -> tuple[float, float]:
         """Return the time of this instance's first turn, and the time between two.
 
         The turns of all instances follow each other at equal distances; their order
         differs by server.
         """
-        shift = int(unit_hash(server, "turn") * self._members)
-        place = (self._rank + shift) % self._members
+        place = (self._rank + int(known.order * self._members)) % self._members
         spacing_s = 1.0 / known.rate_per_s
-        return known.since + (place + 0.5) * spacing_s, self.period_s(server)
+        return known.since + (place + 0.5) * spacing_s, self._members * spacing_s
 
 
 def _usable_from(known: _KnownLimit, now: float) -> float:
