Test that resets of a cut quarantine no content

Two of four instances lose their connections four times while all requests have one content: none is quarantined, for prompts, look-ups and bookings.

--- a/features/properties/cutworld.py
+++ b/features/properties/cutworld.py
@@ -63,13 +63,16 @@
         self.schedule(delay_s, partial(self.deliver, n, lost))
 
     def request_steadily(
-        self, per_s: float, seconds: float, route: str = "chat"
+        self, per_s: float, seconds: float, route: str = "chat", fingerprint: str = ""
     ) -> list[CallerView]:
-        """Let each instance get requests at equal distances; return their views."""
+        """Let each instance get requests at equal distances; return their views.
+
+        :param fingerprint: that of all requests; by default each has its own.
+        """
         views: list[CallerView] = []
 
         def arrive(n: int) -> None:
-            views.append(self.send(n, (), route))
+            views.append(self.send(n, (), route, fingerprint))
 
         for n in range(len(self.instances)):
             for number in range(int(per_s * seconds)):
--- a/features/properties/test_cut_off_instances.py
+++ b/features/properties/test_cut_off_instances.py
@@ -197,6 +197,22 @@
         ejected = [n for n in range(6) if health.is_ejected(f"engine-{n}", world.now)]
         self.assertEqual(ejected, [])
 
+    def test_resets_of_a_cut_quarantine_no_content(self):
+        """All requests have one content, and two of four instances are cut off often."""
+        for route in ("chat", "look", "book"):
+            world = CutWorld(4, 6, plain_count=3)
+            world.advance(2.0)
+            world.request_steadily(8.0, 1.0, route, "same")
+            for _ in range(4):
+                for n in (0, 3):
+                    world.cut(n, Cut.RESET)
+                world.request_steadily(8.0, 1.5, route, "same")
+                for n in (0, 3):
+                    world.heal(n)
+                world.request_steadily(8.0, 1.0, route, "same")
+            for instance in world.instances:
+                self.assertEqual(instance.controller.quarantine.contents, ())
+
     def test_cut_of_a_data_centre_is_spread_over_the_others(self):
         world = CutWorld(24, 12)
         world.advance(2.0)
