Ignore reports of limits of servers that are not registered

A digest with an unknown server was remembered for good, and one with a start in the future kept the server's own limit from being seen, since a later start wins (test_reports_of_unknown_servers_and_starts_are_ignored failed). Reports now count for registered servers and their last start alone; what is dropped is learned from the server's own response. Without limits, candidates are no longer asked for them.

--- a/features/properties/test_cut_off_instances.py
+++ b/features/properties/test_cut_off_instances.py
@@ -198,7 +198,7 @@
         self.assertEqual(ejected, [])
 
     def test_resets_of_a_cut_quarantine_no_content(self):
-        """All requests have one content, and two of four instances are cut off often."""
+        """All requests have one content; two of four instances are cut off often."""
         for route in ("chat", "look", "book"):
             world = CutWorld(4, 6, plain_count=3)
             world.advance(2.0)
--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -2,11 +2,12 @@
 
 import unittest
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 from standins.limits import LEARNING_S, WINDOW_S, LimitedServer
 
-from briarrelay_core.ports.digest import LimitReport, LoadDigest
+from briarrelay_core.ports.digest import DigestReceived, LimitReport, LoadDigest
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.route import (
     RateLimit,
@@ -287,6 +288,21 @@
             with self.assertRaises(DigestError):
                 decode_digest(data.replace(b"2.5", value))
 
+    def test_reports_of_unknown_servers_and_starts_are_ignored(self):
+        world = RouteWorld(engines=1)
+        reports = [
+            LimitReport(
+                server=server, born=born, limit=RateLimit(0.0), age_s=0, since_age_s=0
+            )
+            for server, born in (("engine-1", 9e9), ("engine-7", 1.0))
+        ]
+        world.deliver(DigestReceived(self.make_digest(*reports)))
+        self.assertFalse(world.instance.controller.observations.limits)
+        known = evolve(reports[0], born=1.0)
+        digest = evolve(self.make_digest(known), number=2)
+        world.deliver(DigestReceived(digest))
+        self.assertTrue(world.instance.controller.observations.limits)
+
     def test_earlier_news_do_not_replace_later_ones(self):
         table = ServerLimitTable()
         table.record_limit("engine-1", 1.0, RateLimit(2.0), 10.0)
@@ -296,9 +312,9 @@
             )
             for limit in (RateLimit(9.0), None)
         )
-        table.apply_digest(self.make_digest(named, ended), 12.0)
+        table.apply_reports((named, ended), 12.0)
         self.assertEqual(table.own_reports(12.0)[0].limit, RateLimit(2.0))
-        table.apply_digest(self.make_digest(ended), 14.0)
+        table.apply_reports((ended,), 14.0)
         self.assertFalse(table.is_limited("engine-1", 1.0))
 
 
@@ -312,15 +328,9 @@
             table.set_members(390, rank, 0.0)
             table.record_limit("engine-1", 1.0, RateLimit(1.1), 0.001 * rank)
             tables.append(table)
-        digest = LoadDigest(
-            sender=PEER,
-            incarnation=1,
-            number=1,
-            version=1,
-            limits=tables[0].own_reports(0.4),
-        )
+        reports = tables[0].own_reports(0.4)
         for table in tables[1:]:
-            table.apply_digest(digest, 0.4)
+            table.apply_reports(reports, 0.4)
         arrivals = []
         for step in range(4_000):
             now = 0.5 + 0.1 * step
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -84,6 +84,7 @@
     further engines, its helpers, read a share of the prompt or hold part of its
     memory.
 
+    :param delegation: set by the instance once its peers are set up.
     :param requests: requests in progress by request id.
     :ivar refusals: refuses the requests that are not admitted.
     :ivar _waiting: queued requests by request id.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -11,6 +11,7 @@
 from briarrelay_core.ports.digest import (
     UNKNOWN_AGE_S,
     DigestReceived,
+    LimitReport,
     LoadDigest,
     PeerResponse,
     QueryPeer,
@@ -240,7 +241,9 @@
         peer.directory = digest.directory
         peer.directory_at = now - digest.directory_age_s
         peer.members, peer.cut_off = digest.members, digest.cut_off
-        effects += self.limits.apply_digest(digest, now)
+        effects += self.limits.apply_reports(
+            filter(self._is_of_registered, digest.limits), now
+        )
         self.load.apply_digest(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -254,6 +257,11 @@
         self._check_behind(peer, now)
         return effects
 
+    def _is_of_registered(self, report: LimitReport) -> bool:
+        """Return whether a report is about a registered server and its last start."""
+        known = self.servers.get(report.server)
+        return known is not None and known.entry.born == report.born
+
     def _apply_crashes(self, digest: LoadDigest, now: float) -> None:
         """Apply a peer's reports of connections that servers closed."""
         counts = Counter(crash.server for crash in digest.crashes)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -110,6 +110,7 @@
         health = self.observations.health
         crashes = self.observations.crashes
         limits = self.observations.limits
+        has_limits = bool(limits)
         skipped = routed.excluded.union(routed.tried)
         request_id = str(routed.request.request_id)
         usable, untried, healthy = [], [], []
@@ -117,7 +118,7 @@
             name = server.entry.name
             if pauses.is_paused(name, now):
                 continue
-            if limits.admits_in_s(name, server.entry.born, now):
+            if has_limits and limits.admits_in_s(name, server.entry.born, now):
                 continue
             usable.append(server)
             if name in skipped:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/serverlimits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/serverlimits.py
@@ -5,12 +5,13 @@
 no message is needed to keep a limit, and a cut between instances does not exceed it.
 """
 
+from collections.abc import Iterable
 from math import floor
 
 from attrs import define, field
 
 from briarrelay_core.membership.rendezvous import unit_hash
-from briarrelay_core.ports.digest import MAX_LIMIT_REPORTS, LimitReport, LoadDigest
+from briarrelay_core.ports.digest import MAX_LIMIT_REPORTS, LimitReport
 from briarrelay_core.ports.route import RateLimit
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 
@@ -133,10 +134,10 @@
         self.has_urgent_change = True
         return [_log_unlimited(server, "response")]
 
-    def apply_digest(self, digest: LoadDigest, now: float) -> list:
-        """Apply a peer's reports of limits; return effects."""
+    def apply_reports(self, reports: Iterable[LimitReport], now: float) -> list:
+        """Apply a peer's reports on registered servers; return effects."""
         effects = []
-        for report in digest.limits:
+        for report in reports:
             at = now - report.age_s
             if report.limit is None:
                 if self._clear(report.server, report.born, at):
