--- a/features/corpus/capture.py
+++ b/features/corpus/capture.py
@@ -13,8 +13,8 @@
 CORPUS = Path(__file__).resolve().parent
 sys.path.insert(0, str(CORPUS.parent))
 
-from soak.proxy import Proxy, SocketPair  # noqa: E402
 from standins.fleet import VIRTUAL_HOST, EntryInstance, Fleet, free_ports  # noqa: E402
+from standins.proxy import Proxy, SocketPair  # noqa: E402
 
 from briarrelay_core.ports.digest import LoadDigest  # noqa: E402
 from briarrelay_core.ports.directory import PeerAddress  # noqa: E402
--- a/features/properties/test_cut_off_instances_end_to_end.py
+++ b/features/properties/test_cut_off_instances_end_to_end.py
@@ -5,9 +5,9 @@
 
 from attrs import define
 from soak.callers import Callers, SentRequest
-from soak.proxy import Proxy
 from standins.cuts import FAULTS_FOLDER, Links
 from standins.fleet import Fleet
+from standins.proxy import Proxy
 
 WINDOW_S = 3.0
 """Seconds after the beginning of a cut from which callers must be served as others."""
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -30,6 +30,7 @@
 from standins.cuts import FAULTS_FOLDER, Links  # noqa: E402
 from standins.fleet import EntryInstance, Fleet, configuration, post  # noqa: E402
 from standins.limits import LEARNING_S, WINDOW_S, LimitedServer  # noqa: E402
+from standins.proxy import Proxy  # noqa: E402
 
 from soak.callers import (  # noqa: E402
     CRASH_BOOKING,
@@ -47,7 +48,6 @@
     find_wrong_refusals,
 )
 from soak.plots import draw_seed  # noqa: E402
-from soak.proxy import Proxy  # noqa: E402
 
 RECOVERY_TIMEOUT_S = 3.0
 """Seconds after the last fault in which service must recover; then the success ratio
--- a/features/standins/cuts.py
+++ b/features/standins/cuts.py
@@ -5,13 +5,13 @@
 from pathlib import Path
 
 from attrs import define, field
-from soak.proxy import Proxy
 
 from standins.fleet import EntryInstance, Fleet
+from standins.proxy import Proxy
 
 __all__ = ["FAULTS_FOLDER", "Links"]
 
-FAULTS_FOLDER = Path(__file__).resolve().parents[1] / "soak" / "faults"
+FAULTS_FOLDER = Path(__file__).resolve().parent / "faults"
 """On the module path of the instances; its ``sitecustomize`` reads how to connect."""
 
 FILL_CONNECTIONS = 4
