Give proxies of the rigs an address of their own

Cause, from its log: a stand-in could not bind its port (address in use). Its port is chosen before, and kept free by nobody, while the proxies of the same host take any free port; the same since proxies exist. They now listen on another address. Ruled out: the load (the port was taken before any request), the new faults (none had begun). test_proxy_takes_no_port_kept_for_a_stand_in failed before.

--- a/features/standins/proxy.py
+++ b/features/standins/proxy.py
@@ -11,6 +11,9 @@
 
 READ_BYTES = 65_536
 POLL_TIMEOUT_S = 0.01
+HOST_NUMBER = 2
+"""Last octet of the loopback addresses of proxies."""
+
 PROBE_INTERVAL_S = 0.05
 """Seconds between attempts to reach a target that refused a connection."""
 
@@ -51,7 +54,8 @@
         self._lock = threading.Lock()
         self._listener: socket.socket | None = None
         self._probe_at = 0.0
-        self._address = (target[0], 0)
+        # On the target's host it could take a port that is kept for another stand-in.
+        self._address = (f"{target[0].rpartition('.')[0]}.{HOST_NUMBER}", 0)
         self._listen()
         self._address = self._listener.getsockname()
         self._is_closing = False
