Reject digests with wrong numbers of instances or services as text

A digest that names 0, 1e300 or 10**30 instances was accepted: turns at limited servers then came never (or the sender counted as unknown), and a text in the place of services was read as one service a letter. Ruled out: bounding the number, which hides the sender's fault.

--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -1,5 +1,6 @@
 """Limits that backend servers name for the requests of all instances together."""
 
+import json
 import unittest
 
 from attrs import evolve
@@ -23,6 +24,14 @@
 from properties.limitworld import LimitWorld
 from properties.routeworld import RouteWorld
 
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=4),
+    lambda values: (
+        st.lists(values, max_size=3)
+        | st.dictionaries(st.text(max_size=3), values, max_size=3)
+    ),
+    max_leaves=6,
+)
 PEER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
 
 
@@ -288,6 +297,30 @@
             with self.assertRaises(DigestError):
                 decode_digest(data.replace(b"2.5", value))
 
+    def test_bad_number_of_instances_is_rejected(self):
+        report = LimitReport(
+            server="engine-1", born=1.0, limit=RateLimit(2.5), age_s=0, since_age_s=0
+        )
+        fields = json.loads(encode_digest(self.make_digest(report)))
+        for members in (0, -1, 1e300, 10**30, "7", None, True, 2.5):
+            data = json.dumps([*fields[:-1], [members, fields[-1][1]]]).encode()
+            with self.assertRaises(DigestError, msg=repr(members)):
+                decode_digest(data)
+
+    @given(st.sampled_from(range(13, 15)), JSON)
+    def test_bad_kinds_of_reports_are_rejected_or_ignored(self, position, value):
+        fields = json.loads(encode_digest(self.make_digest()))
+        fields += [None] * (position - len(fields)) + [value]
+        try:
+            digest = decode_digest(json.dumps(fields).encode())
+        except DigestError:
+            return
+        self.assertEqual(digest.limits, ())
+        if value and position == 13:
+            self.assertEqual(digest.members, value[0])
+        elif value:
+            self.assertEqual(list(digest.cut_off), value)
+
     def test_reports_of_unknown_servers_and_starts_are_ignored(self):
         world = RouteWorld(engines=1)
         reports = [
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -32,6 +32,9 @@
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
 
 
+MAX_MEMBERS = 10_000
+"""Largest number of instances that a digest may report."""
+
 MAX_TEXT_CHARS = 200
 """Longest name of an engine's incarnation in a report of a crash."""
 
@@ -146,10 +149,23 @@
         },
         **(_decode_reports(*reports) if reports else {}),
         **(_decode_limits(*limits) if limits else {}),
-        "cut_off": tuple(map(_decode_text, (cut_off or [])[:MAX_CUT_OFF_REPORTS])),
+        "cut_off": _decode_services(cut_off) if cut_off else (),
     }
 
 
+def _decode_services(services: list) -> tuple[str, ...]:
+    if not isinstance(services, list):
+        raise ValueError("not a list of services")
+    return tuple(map(_decode_text, services[:MAX_CUT_OFF_REPORTS]))
+
+
+def _decode_members(count: int) -> int:
+    """Return a number of instances; a wrong one would stop the use of limits."""
+    if type(count) is not int or not 0 < count <= MAX_MEMBERS:
+        raise ValueError("number of instances out of bounds")
+    return count
+
+
 def _encode_limits(limits: tuple[LimitReport, ...]) -> list:
     return [
         [
@@ -165,7 +181,7 @@
 
 def _decode_limits(members: int, limits: list, *_) -> dict:
     return {
-        "members": max(1, int(members)),
+        "members": _decode_members(members),
         "limits": tuple(
             LimitReport(
                 server=_decode_text(server),
