--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -54,7 +54,7 @@
 from briarrelay_bench.policytable import format_policies
 from briarrelay_bench.propagate import measure_propagation
 from briarrelay_bench.relay_cost import measure_relay_cost
-from briarrelay_bench.routecosts import format_route_costs
+from briarrelay_bench.routecosts import format_limit_costs, format_route_costs
 from briarrelay_bench.routeexperiment import (
     ROUTE_DAYS,
     ROUTE_POLICIES,
@@ -146,6 +146,7 @@
         return 0
     if options["route-costs"]:
         print(format_route_costs())
+        print(format_limit_costs())
         return 0
     if options["capacity"]:
         print(format_capacity(Size()))
--- a/packages/briarrelay-bench/src/briarrelay_bench/routecosts.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routecosts.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from itertools import count
 
-from attrs import fields, frozen
+from attrs import evolve, fields, frozen
 
 from briarrelay_bench.sites import PROFILE
 from briarrelay_bench.unit_costs import cpu_us
@@ -19,6 +19,7 @@
 )
 from briarrelay_core.ports.route import (
     ForwardRequest,
+    RateLimit,
     ResponseComplete,
     ResponseEvent,
     ResponseHead,
@@ -35,13 +36,23 @@
     Service,
     ServiceShare,
 )
+from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 
-__all__ = ["SIZES", "RouteCosts", "format_route_costs", "measure_route_costs"]
+__all__ = [
+    "SIZES",
+    "RouteCosts",
+    "format_limit_costs",
+    "format_route_costs",
+    "measure_route_costs",
+]
 
 SIZES = ((4, 26), (25, 81), (78, 200), (390, 1_100))
 """Numbers of entry instances and of engines."""
 
+LIMIT_PER_S = 1.1
+"""Requests per second that a limited engine takes."""
+
 DATA_CENTRES = 5
 SERVERS_PER_DIGEST = 12
 """Servers on which one instance has requests in progress, in a busy second."""
@@ -228,3 +239,37 @@
         costs = measure_route_costs(*size)
         rows.append([f"{getattr(costs, name):,}" for name in names])
     return "\n".join("| " + " | ".join(row) + " |" for row in rows)
+
+
+def format_limit_costs() -> str:
+    """Return the costs while all engines of the largest size name a limit."""
+    instances, engines = SIZES[-1]
+    names = [f"engine-{n:04}" for n in range(engines)]
+    unlimited, limited = ServerLimitTable(), ServerLimitTable()
+    limited.set_members(instances, instances // 2, NOW)
+    for name in names:
+        limited.record_limit(name, 1.0, RateLimit(LIMIT_PER_S), NOW)
+
+    def look(table: ServerLimitTable, number: int) -> None:
+        for name in names:
+            table.admits_in_s(name, 1.0, NOW + number)
+
+    look_us = cpu_us(lambda n: look(limited, n), 20) / engines
+    none_us = cpu_us(lambda n: look(unlimited, n), 20) / engines
+    reports = limited.own_reports(NOW)
+    sizes = [_count_bytes(reports[:count]) for count in (1, len(reports))]
+    return (
+        f"A look at a limited engine: {look_us:.1f} us, while none is: {none_us:.2f} "
+        f"us. In a digest: {sizes[0]} bytes for one limit, {sizes[1]} for "
+        f"{len(reports)}; {_count_bytes((), ('nylo1a',))} for a service out of reach."
+    )
+
+
+def _count_bytes(limits: tuple = (), cut_off: tuple = ()) -> int:
+    """Return the bytes that reports add to a digest."""
+    sender = PeerAddress(
+        name="entry-0", host="10.9.0.1", question_port=1, digest_port=2
+    )
+    plain = LoadDigest(sender=sender, incarnation=1, number=1, version=1)
+    full = evolve(plain, limits=limits, cut_off=cut_off, members=SIZES[-1][0])
+    return len(encode_digest(full)) - len(encode_digest(plain))
