--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -15,6 +16,9 @@
 from attrs import define, field, frozen
 
 ROOT = Path(__file__).resolve().parents[2]
+
+METRICS_PORT = 9464
+"""Port of the metrics address of each entry instance."""
 VIRTUAL_HOST = "desk.example"
 WORKSPACE = "owners"
 START_TIMEOUT_S = 15.0
@@ -108,6 +112,7 @@
     :param ready_port: port of the readiness check.
     :param control_port: port for queries of peers.
     :param load_digest_port: UDP port for load digests of peers.
+    :param checkout: folder of the build that it runs.
     """
 
     name: str
@@ -120,6 +125,7 @@
     settings_file: Path
     process: subprocess.Popen | None = None
     log: Path | None = None
+    checkout: Path = ROOT
 
     def is_ready(self) -> bool:
         """Return whether the readiness check succeeds."""
@@ -132,6 +138,15 @@
         except OSError:
             return False
 
+    def counters(self) -> dict[str, int]:
+        """Return the counters that it reports at its metrics address."""
+        connection = http.client.HTTPConnection(self.host, METRICS_PORT, timeout=2)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        connection.close()
+        pairs = re.findall(r'^briarrelay_total\{name="(.*)"\} (\d+)$', text, re.M)
+        return {name: int(value) for name, value in pairs}
+
     def log_entries(self) -> list[dict]:
         """Return the structured entries of its log."""
         data = self.log.read_bytes() if self.log.exists() else b""
@@ -146,6 +161,7 @@
     :param entries: number of entry instances.
     :param subnet: octets ``x.y`` of the loopback addresses ``127.x.y.*``.
     :param environment: additional variables for the entry instances.
+    :param checkout: folder of the build that the entry instances run.
     :param map_address: called with a stand-in's host and port; returns the address that
         entry instances connect to instead, such as that of a proxy.
     """
@@ -156,6 +172,7 @@
     subnet: str = "1.0"
     seed: int = 0
     environment: dict[str, str] = field(factory=dict)
+    checkout: Path = ROOT
     map_address: object = lambda host, port: (host, port)
     folder: Path = field(init=False)
     store_address: tuple[str, int] = field(init=False)
@@ -250,6 +267,7 @@
             load_digest_port=first.load_digest_port if first else digest_port,
             settings_file=self.folder / f"{name}.toml",
             log=self.folder / f"{name}.log",
+            checkout=self.checkout,
         )
         self.write_settings(entry)
         return entry
@@ -279,7 +297,7 @@
         """Start an instance's process."""
         entry.process = self._spawn(
             entry.name,
-            str(ROOT / "platform" / "start.py"),
+            str(entry.checkout / "platform" / "start.py"),
             BRIARRELAY_BOOT=str(entry.settings_file),
             **self.environment,
         )
