Send nothing new to servers in evacuated data centres

Operators ask for the evacuation of a data centre in their topic of the store. The record was dropped. It is now decoded, put in force by the newest position, reported to peers in digests at once, and left out by every choice of a server. With all data centres evacuated, callers are refused with a time.

--- a/features/properties/test_server_limits.py
+++ b/features/properties/test_server_limits.py
@@ -17,7 +17,7 @@
     ServerAnnouncement,
 )
 from briarrelay_core.ports.telemetry import LogEvent
-from briarrelay_core.routes.serverlimits import ServerLimitTable
+from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_daemon.responsereader import CallSink, ResponseReader
 from briarrelay_platform.announcements import read_limit
--- a/packages/briarrelay-bench/src/briarrelay_bench/routecosts.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routecosts.py
@@ -26,6 +26,7 @@
     ResponseKind,
     RouteRequest,
 )
+from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.budget import RetryLimits
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_core.routes.model import (
@@ -36,7 +37,6 @@
     Service,
     ServiceShare,
 )
-from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 
 __all__ = [
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -3,6 +3,7 @@
 from attrs import field, frozen
 
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.evacuation import EvacuationReport
 from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.route import RateLimit
 
@@ -157,6 +158,8 @@
     :param cut_off: services whose backend servers the sender can not reach.
     :param members: number of instances that the sender knows, itself included; 1 if it
         reports no limits.
+    :param evacuations: data centres whose evacuation was asked for, or taken back
+        lately.
     """
 
     sender: PeerAddress
@@ -178,6 +181,7 @@
     limits: tuple[LimitReport, ...] = ()
     members: int = 1
     cut_off: tuple[str, ...] = ()
+    evacuations: tuple[EvacuationReport, ...] = ()
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -4,6 +4,7 @@
 
 from attrs import field, frozen
 
+from briarrelay_core.ports.evacuation import Evacuation
 from briarrelay_core.ports.quarantine import QuarantineRecord
 from briarrelay_core.routes.model import RouteConfiguration
 from briarrelay_core.routes.presets import PresetCollection
@@ -106,6 +107,7 @@
         | RouteConfiguration
         | PresetCollection
         | QuarantineRecord
+        | Evacuation
         | None
     )
     problem: str = ""
--- a/packages/briarrelay-core/src/briarrelay_core/reasons.py
+++ b/packages/briarrelay-core/src/briarrelay_core/reasons.py
@@ -26,6 +26,7 @@
     SERVERS_FULL = "servers_full"
     SERVERS_REFUSED = "servers_refused"
     SERVERS_LIMITED = "servers_limited"
+    SERVERS_EVACUATED = "servers_evacuated"
     NO_SERVICE = "no_service"
     KEY_INVALID = "key_invalid"
     KEY_EXPIRED = "key_expired"
@@ -108,6 +109,9 @@
     RefusalReason.SERVERS_LIMITED: (
         "Send again after Retry-After seconds; the backend servers limit their rate."
     ),
+    RefusalReason.SERVERS_EVACUATED: (
+        "Send again after Retry-After seconds; operators evacuate all data centres."
+    ),
     RefusalReason.UNAUTHORIZED: "Send 'Authorization: Bearer KEY' of a workspace.",
     RefusalReason.DEADLINE_INVALID: (
         "Send Request-Deadline as Unix seconds, in the future and within the limit."
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -323,6 +323,8 @@
         self, routed: RoutedRequest, now: float
     ) -> RefusalReason:
         """Return why no server can get a request."""
+        if self.servers.is_evacuated(routed.service):
+            return RefusalReason.SERVERS_EVACUATED
         is_limited = self.selector.has_limited(routed.service, now)
         if is_limited and self.selector.resumes_in_s(routed, now) is not None:
             return RefusalReason.SERVERS_LIMITED
@@ -650,7 +652,7 @@
         )
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
-        if reason is RefusalReason.NO_ENGINE:
+        if reason in (RefusalReason.NO_ENGINE, RefusalReason.SERVERS_EVACUATED):
             return NO_SERVER_RETRY_S * jitter
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -146,6 +146,11 @@
                 self._known_keys.add(change.key)
         return list(read.changes), effects + self._schedule_read(now)
 
+    @property
+    def known_keys(self) -> frozenset[str]:
+        """Keys that exist, as of the last complete response."""
+        return frozenset(self._known_keys)
+
     @property
     def next_offset(self) -> int | None:
         """Offset of the next record to read, None if a listing has to come first."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -236,7 +236,9 @@
         quarantine = self.controller.quarantine
         limits = self.controller.observations.limits
         isolation = self.controller.observations.isolation
-        sources = (quarantine, limits, isolation)
+        evacuations = self.controller.servers.evacuations
+        sources = (quarantine, limits, isolation, evacuations)
+        self.updates.record_evacuations(now)
         if any(source.has_urgent_change for source in sources):
             for source in sources:
                 source.has_urgent_change = False
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -2,11 +2,11 @@
 
 from attrs import define, field
 
+from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
-from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.slowdown import SlowdownTable
 from briarrelay_core.routing.health import HealthTable
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -20,12 +20,12 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import ContentQuarantine
-from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
@@ -244,6 +244,7 @@
         effects += self.limits.apply_reports(
             filter(self._is_of_registered, digest.limits), now
         )
+        effects += self.servers.evacuations.apply_reports(digest.evacuations, now)
         self.load.apply_digest(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -435,6 +436,7 @@
             limits=self.limits.own_reports(now),
             members=1 + len(self._peers),
             cut_off=self.isolation.cut_off_services(now),
+            evacuations=self.servers.evacuations.own_reports(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -7,6 +7,7 @@
 
 from briarrelay_core.ports.directory import ServerEntry, ServerState, TopicChange
 from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.routes.allowances.evacuations import EvacuationTable
 
 __all__ = ["KnownServer", "ServerTable"]
 
@@ -78,8 +79,11 @@
     :ivar _gone_for_peers: the same for servers that peers reported as gone.
     :ivar has_urgent_change: a server announced its shutdown to this instance, and peers
         have not been notified yet.
+    :param evacuations: the data centres whose servers get no new requests; they stay
+        registered, so an evacuation does not look like an outage of the store.
     """
 
+    evacuations: EvacuationTable = field(factory=EvacuationTable)
     _servers: dict[str, KnownServer] = field(factory=dict)
     _by_service: dict[str, dict[str, KnownServer]] = field(factory=dict)
     _leaving: dict[str, tuple[float, float]] = field(factory=dict)
@@ -97,12 +101,25 @@
     def is_usable(self, name: str, now: float) -> bool:
         """Return whether a server may get new requests."""
         server = self._servers.get(name)
-        return server is not None and server.is_usable(now)
+        if server is None or not server.is_usable(now):
+            return False
+        return not self.evacuations.is_evacuated(server.entry.data_centre)
 
     def of_service(self, service: str, now: float) -> list[KnownServer]:
         """Return the servers of a service that may get new requests."""
         servers = self._by_service.get(service, {})
-        return [server for server in servers.values() if server.is_usable(now)]
+        usable = [server for server in servers.values() if server.is_usable(now)]
+        evacuated = self.evacuations.in_force
+        if not evacuated:
+            return usable
+        return [s for s in usable if s.entry.data_centre not in evacuated]
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether each server of a service is in an evacuated data centre."""
+        servers = self._by_service.get(service, {})
+        return bool(servers) and all(
+            self.evacuations.is_evacuated(s.entry.data_centre) for s in servers.values()
+        )
 
     def entries(self) -> list[ServerEntry]:
         """Return the entries of all registered servers."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -23,6 +23,7 @@
     TopicPolled,
     TopicRead,
 )
+from briarrelay_core.ports.evacuation import Evacuation
 from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.quarantine import QuarantineWritten
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
@@ -184,18 +185,29 @@
             return effects + self.keeper.on_listed(message, now)
         follower = self.followers[message.topic]
         is_first = not follower.is_listed
+        is_complete = message.generation == follower.generation and not (
+            message.has_more and message.changes
+        )
         changes, follow_up = follower.on_listed(message, now)
-        effects += follow_up + self._apply(message.topic, changes, "store", now)
+        effects += follow_up + self._apply(message, changes, now)
         if is_first:
             # a listed offset is that of the key's newest record, perhaps just a renewal
             self.peers.directory = EraPosition(self.era.value, 0)
+        if is_complete and message.topic is Topic.CONFIGURATION:
+            end = EraPosition(self._era_of(message), follower.next_offset)
+            evacuations = self.controller.servers.evacuations
+            effects += evacuations.apply_listing(follower.known_keys, end, now)
         return effects + self._on_topic_read(message.topic, now)
 
+    def _era_of(self, message) -> int:
+        """Return the era in which the store gave a response."""
+        return self.era.value if message.era is None else message.era
+
     def on_read(self, message: TopicRead, now: float) -> list:
         """Apply the changes that a read returned."""
         effects = self._observe_response(message, now)
         changes, follow_up = self.followers[message.topic].on_read(message, now)
-        effects += follow_up + self._apply(message.topic, changes, "store", now)
+        effects += follow_up + self._apply(message, changes, now)
         return effects + self._on_topic_read(message.topic, now)
 
     def _on_topic_read(self, topic: Topic, now: float) -> list:
@@ -229,7 +241,7 @@
             return effects
         follower.on_polled(now)
         self.update_staleness(now)
-        return effects + self._apply(message.topic, list(message.changes), "store", now)
+        return effects + self._apply(message, list(message.changes), now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
         """List a topic again, since the store has not the records to read next."""
@@ -309,10 +321,9 @@
         self.followers[Topic.SERVERS].max_skip_s = MAX_SKIP_S * factor
         self.admission.may_be_stale = follower.may_be_stale(now, STALE_AFTER_S)
 
-    def _apply(
-        self, topic: Topic, changes: list[TopicChange], source: str, now: float
-    ) -> list:
-        effects = []
+    def _apply(self, message, changes: list[TopicChange], now: float) -> list:
+        """Apply changes that a response of the store holds."""
+        topic, effects = message.topic, []
         for change in changes:
             if change.problem:
                 fields = (
@@ -329,17 +340,57 @@
                     position = EraPosition(self.era.value, change.position)
                     self.peers.directory = max(self.peers.directory, position)
                 effects += self._apply_server_change(change, now)
+            elif isinstance(change.value, Evacuation):
+                position = EraPosition(self._era_of(message), change.position)
+                effects += self._apply_evacuation(change, position, now)
             elif topic is Topic.CONFIGURATION and change.value is not None:
-                effects += self.apply_configuration(change.value, source, now)
+                effects += self.apply_configuration(change.value, "store", now)
             elif topic is Topic.PRESETS and change.value is not None:
                 self.restorer.stored = change.value
-                effects += self.apply_presets(change.value, source, now)
+                effects += self.apply_presets(change.value, "store", now)
             elif topic is Topic.PRESETS:
                 self.restorer.stored = None
             elif topic is Topic.ENTRIES:
                 self._apply_entry(change)
         return effects
 
+    def _apply_evacuation(
+        self, change: TopicChange, position: EraPosition, now: float
+    ) -> list:
+        evacuation = change.value
+        effects = self.controller.servers.evacuations.apply(
+            evacuation.data_centre,
+            evacuation.is_asked,
+            position,
+            now,
+            change.key,
+            change.is_from_copy,
+        )
+        known = {s.data_centre for s in self.controller.servers.entries()}
+        if effects and evacuation.is_asked and evacuation.data_centre not in known:
+            fields = (("data_centre", evacuation.data_centre),)
+            effects += [
+                LogEvent("warning", "evacuation_unknown", fields=fields),
+                IncrementCounter("evacuation.unknown_data_centre"),
+            ]
+        return effects
+
+    def record_evacuations(self, now: float) -> None:
+        """Add the evacuations that came in force or ended to the audit record."""
+        for (
+            data_centre,
+            outcome,
+            source,
+        ) in self.controller.servers.evacuations.pop_changes():
+            entry = Entry(
+                at=round(now, 3),
+                kind="evacuation",
+                subject=data_centre,
+                outcome=outcome,
+                why=source,
+            )
+            self.controller.recorder.add(entry)
+
     def _apply_server_change(self, change: TopicChange, now: float) -> list:
         servers = self.controller.servers
         if change.value is not None:
