--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -47,6 +47,7 @@
     find_violations,
     find_wrong_refusals,
 )
+from soak.evacuations import DATA_CENTRES, Evacuations  # noqa: E402
 from soak.plots import draw_seed  # noqa: E402
 
 RECOVERY_TIMEOUT_S = 3.0
@@ -96,6 +97,8 @@
     :ivar limit_violations: what servers got beyond their limits, one line each.
     :ivar links: the connections of instances to backend servers.
     :ivar cut_off: instances that are cut off from them.
+    :ivar evacuations: evacuations of data centres, and what was sent there.
+    :ivar is_store_troubled: the store rejects calls, loses responses or is slow.
     :ivar has_copy: the store has a copy that it has not returned to.
     :ivar recovered_at: start of the requests that are checked for recovery.
     """
@@ -124,6 +127,8 @@
     limited_server: str = ""
     limit: str = ""
     limit_violations: list[str] = field(factory=list)
+    evacuations: Evacuations | None = None
+    is_store_troubled: bool = False
     has_copy: bool = False
     recovered_at: float = 0.0
     crash_count: int = 0
@@ -150,6 +155,7 @@
             with self.fleet:
                 server_count = len(self.fleet.server_names)
                 self.links = Links(self.fleet, self.proxies[:server_count])
+                self.evacuations = Evacuations(self.fleet)
                 return self._run_faults(rng)
         finally:
             if self.links is not None:
@@ -175,6 +181,8 @@
             self.faults.append(fault.__name__)
             self.fault_times.append((time.monotonic() - run_start, fault.__name__))
             fault(self, rng)
+            if self.paused or self.is_store_troubled:
+                self.evacuations.excuse()
             time.sleep(rng.uniform(0.2, 1.5))
         self._end_faults()
         time.sleep(RECOVERY_TIMEOUT_S)
@@ -183,8 +191,9 @@
         time.sleep(RECOVERY_TIMEOUT_S)
         callers.stop()
         self.end_limit()
+        violations = self.evacuations.find_violations()
         runs, crashes = self.fleet.runs(), self.fleet.crashes()
-        violations = find_violations(callers.sent, runs, self.pauses)
+        violations += find_violations(callers.sent, runs, self.pauses)
         violations += find_late_crashes(callers.sent, runs, crashes, self.contents)
         violations += find_wrong_refusals(callers.sent)
         self.crash_count = len(crashes)
@@ -238,6 +247,7 @@
             "/standin/trouble",
             {"busy": 0.0, "lost": 0.0, "late": 0.0, "slow_s": 0.0},
         )
+        self.evacuations.end_all()
         for name in self.fleet.server_names:
             self.fleet.send_command("trouble", name, trouble={})
             self.fleet.send_command("silent", name, is_silent=False)
@@ -344,6 +354,7 @@
     """Make the store reject calls, lose responses, append late, or be slow."""
     faults = {name: rng.choice((0.0, 0.0, 0.4)) for name in ("busy", "lost", "late")}
     faults["slow_s"] = rng.choice((0.0, 0.0, 0.2))
+    soak.is_store_troubled = any(faults.values())
     post(*soak.fleet.store_address, "/standin/trouble", faults)
 
 
@@ -360,6 +371,7 @@
         post(*soak.fleet.store_address, "/standin/return")
         version = soak.configuration_version
         soak.fleet.put("keyed.op", "config", configuration(version))
+        soak.evacuations.write_again()
     soak.has_copy = not soak.has_copy
 
 
@@ -427,6 +439,15 @@
     soak.fleet.send_command("limit", soak.limited_server, limit=soak.limit)
 
 
+def evacuate(soak: Soak, rng: random.Random) -> None:
+    """Ask for the evacuation of a data centre, or take one back."""
+    data_centre = rng.choice(DATA_CENTRES)
+    if data_centre in soak.evacuations.active:
+        soak.evacuations.withdraw(data_centre)
+    elif not soak.evacuations.active:
+        soak.evacuations.ask(data_centre)
+
+
 def configure(soak: Soak, rng: random.Random) -> None:
     """Publish an old or invalid configuration at times, and then always a valid one."""
     soak.configuration_version += rng.randint(1, 3)
@@ -480,6 +501,8 @@
     limit_server,
     cut_off,
     cut_off,
+    evacuate,
+    evacuate,
     configure,
     choose_preset,
     step_clock,
