Let cold servers take few requests from all instances together

A server that has started, or whose entry says that it is cold, takes the rate that its service's configuration names. The turns of limits are a module of their own now and keep both; the stricter one counts. Digests align the turns. After an evacuation the servers of the data centre count as cold until their entries have been read.

--- /dev/null
+++ b/features/properties/test_cold_servers.py
@@ -0,0 +1,101 @@
+"""Cold servers get few requests from all instances together."""
+
+import json
+import unittest
+
+from briarrelay_core.ports.cold import ColdReport
+from briarrelay_core.ports.digest import LoadDigest
+from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_daemon.digestcodec import decode_digest, encode_digest
+from briarrelay_platform.decode import decode_server
+from properties.evacuationworld import COLD_PER_S, EvacuationWorld
+
+WALL = COLD_PER_S * 1.5 + 5.0
+"""Most requests in any second at which a cold server survives."""
+
+PEER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
+
+
+class ColdReturnTest(unittest.TestCase):
+    def test_all_servers_come_back_cold(self):
+        for count in (4, 24, 63):
+            with self.subTest(instances=count):
+                self.check(count)
+
+    def check(self, count: int) -> None:
+        world = EvacuationWorld(count, 3, seed=count)
+        world.advance(4.0)
+        entries = [entry for _, entry in world.current_entries.values()]
+        for entry in entries:
+            world.remove(entry.name)
+        world.advance(3.0)
+        world.partitioned.add(1)
+        views = world.load(120.0 / count, 4.0, tokens=500)
+        for entry in entries:
+            world.register(entry)
+            world.update(entry.name, born=world.now, cold_remaining_s=60.0)
+        world.advance(2.0)
+        world.restart(count - 1)
+        world.advance(4.0)
+        most = [world.most_in_a_second(entry.name) for entry in entries]
+        self.assertLess(max(most), WALL, most)
+        self.assertGreater(min(most), COLD_PER_S / 3, most)
+        refused = [v for v in views if v.outcome == "servers_limited"]
+        self.assertTrue(refused)
+        self.assertTrue(all(v.retry_after_s > 0 for v in refused))
+
+    def test_one_that_becomes_cold_again_and_then_warm(self):
+        world = EvacuationWorld(4, 1)
+        world.advance(4.0)
+        cold = world.instances[2].controller.observations.allowances.cold
+        self.assertFalse(cold.is_cold("engine-0", 1.0, world.now))
+        world.update("engine-0", cold_remaining_s=2.0)
+        world.advance(1.5)
+        self.assertTrue(cold.is_cold("engine-0", 1.0, world.now))
+        world.update("engine-0", cold_remaining_s=0.0)
+        world.advance(5.0)
+        self.assertFalse(cold.is_cold("engine-0", 1.0, world.now))
+
+    def test_started_server_counts_as_cold_before_its_entry_says_so(self):
+        world = EvacuationWorld(4, 2)
+        world.advance(4.0)
+        world.update("engine-0", born=world.now)
+        world.advance(1.5)
+        for instance in world.instances:
+            cold = instance.controller.observations.allowances.cold
+            self.assertTrue(cold.is_cold("engine-0", world.now - 1.5, world.now))
+
+
+class EncodingTest(unittest.TestCase):
+    def entry(self, cold_ms):
+        value = {"service": "llm", "address": "10.0.0.1:1", "state": "ready"}
+        value |= {"slots": 1, "cold-remaining-ms": cold_ms}
+        return decode_server("engine-1", json.dumps(value).encode())
+
+    def test_bad_values_lose_nothing_else(self):
+        self.assertEqual(self.entry(1500).cold_remaining_s, 1.5)
+        self.assertEqual(self.entry(1500).problem, "")
+        for bad in (-1, 1e300, "soon", None, True, [3]):
+            entry = self.entry(bad)
+            self.assertEqual((entry.cold_remaining_s, entry.slots), (0.0, 1))
+            self.assertIn("cold-remaining-ms", entry.problem)
+
+    def test_only_the_change_between_cold_and_warm_is_a_change(self):
+        self.assertEqual(self.entry(1500), self.entry(700))
+        self.assertNotEqual(self.entry(1500), self.entry(0))
+
+    def test_digest_drops_bad_reports_only(self):
+        report = ColdReport(server="s", born=2.0, remaining_s=3.0, since_age_s=0.5)
+        sent = LoadDigest(
+            sender=PEER, incarnation=1, number=1, version=1, cold=(report,)
+        )
+        data = encode_digest(sent)
+        self.assertEqual(decode_digest(data).cold, (report,))
+        for bad in (b"7", b'["s",2.0,-3.0,0.5]', b'["s",2.0,"x",0.5]', b'["s"]'):
+            changed = data.replace(b'["s",2.0,3.0,0.5]', bad)
+            self.assertNotEqual(changed, data)
+            self.assertEqual(decode_digest(changed).cold, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -2,6 +2,7 @@
 
 from attrs import field, frozen
 
+from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.evacuation import EvacuationReport
 from briarrelay_core.ports.position import START, EraPosition
@@ -160,6 +161,7 @@
         reports no limits.
     :param evacuations: data centres whose evacuation was asked for, or taken back
         lately.
+    :param cold: backend servers that are cold.
     """
 
     sender: PeerAddress
@@ -182,6 +184,7 @@
     members: int = 1
     cut_off: tuple[str, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
+    cold: tuple[ColdReport, ...] = ()
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -56,6 +56,9 @@
 
     :param born: Unix seconds of its start.
     :param slots: maximum number of concurrent requests.
+    :param cold_remaining_s: seconds for which it stays cold. Entries differ if only one
+        of them is cold, not as this time passes.
+    :param problem: which values were invalid and left out, else empty.
     """
 
     name: str
@@ -66,6 +69,8 @@
     state: ServerState
     slots: int
     born: float = 0.0
+    cold_remaining_s: float = field(default=0.0, eq=bool)
+    problem: str = field(default="", eq=False)
 
     @property
     def address(self) -> str:
@@ -94,7 +99,8 @@
     """The newest value of a key.
 
     :param value: None if the key was deleted or its value is invalid.
-    :param problem: why the value is invalid, else empty.
+    :param problem: why the value, or a part of it that is left out, is invalid; else
+        empty.
     :param position: offset after the record, 0 if unknown.
     :param is_from_copy: it was listed when the store had just returned to a copy, which
         may lack later changes.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/limits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/limits.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Iterable
-from math import floor
 
 from attrs import define, field
 
@@ -14,6 +13,7 @@
 from briarrelay_core.ports.digest import MAX_LIMIT_REPORTS, LimitReport
 from briarrelay_core.ports.route import RateLimit
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
+from briarrelay_core.routes.allowances.turns import Membership, Turns
 
 __all__ = ["ServerLimitTable"]
 
@@ -51,32 +51,20 @@
     :param limit: None if it is no longer in force.
     :param observed_at: time of the last response that named the limit; for one that
         did not, the time at which its request was sent.
-    :param since: time from which the turns of the instances are counted.
-    :param used_until: time of the last turn that was used or is no longer usable.
-    :param next_at: time of the next turn if it is known to lie ahead; computed once,
-        since each request looks at each server.
-    :param order: in [0, 1), shifts the order of the instances at this server.
     :param own_at: time of this instance's last own observation.
     """
 
     born: float
     limit: RateLimit | None
     observed_at: float
-    since: float
-    used_until: float
-    order: float
+    turns: Turns
     own_at: float = float("-inf")
-    next_at: float = float("-inf")
 
-    def use_until(self, at: float) -> None:
-        """Mark the turns up to a time as used."""
-        self.used_until, self.next_at = at, float("-inf")
-
-    @property
-    def rate_per_s(self) -> float:
-        """Requests per second of all instances together."""
-        rate_per_s = USED_FRACTION * self.limit.per_s
-        return min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, rate_per_s))
+    def set_limit(self, limit: RateLimit) -> None:
+        """Replace the limit in force."""
+        self.limit = limit
+        self.turns.rate_per_s = _rate_per_s(limit)
+        self.turns.store_s = _store_s(self.turns.rate_per_s)
 
 
 @define(slots=True)
@@ -88,14 +76,11 @@
 
     :ivar has_urgent_change: this instance observed a change that peers have not been
         told.
-    :ivar _members: number of instances that share the limits.
-    :ivar _rank: number of them whose turn comes before this instance's.
     """
 
     has_urgent_change: bool = False
     _known: dict[str, _KnownLimit] = field(factory=dict)
-    _members: int = 1
-    _rank: int = 0
+    _membership: Membership = field(factory=Membership)
 
     def __bool__(self) -> bool:
         """Whether a server has named a limit lately."""
@@ -162,7 +147,7 @@
                 born=known.born,
                 limit=known.limit,
                 age_s=now - known.observed_at,
-                since_age_s=now - known.since,
+                since_age_s=now - known.turns.since,
             )
             for _, server, known in recent[:MAX_LIMIT_REPORTS]
         )
@@ -183,19 +168,20 @@
         if known is None or known.born < born or known.limit is None:
             if known is not None and known.born == born and at <= known.observed_at:
                 return False
-            order = unit_hash(server, "turn")
-            self._known[server] = _KnownLimit(born, limit, at, since, now, order)
+            rate_per_s, order = _rate_per_s(limit), unit_hash(server, "turn")
+            turns = Turns(rate_per_s, since, now, order, _store_s(rate_per_s))
+            self._known[server] = _KnownLimit(born, limit, at, turns)
             return True
-        if since < known.since - MIN_EARLIER_S:
-            known.since = since
-            known.use_until(now)
+        if since < known.turns.since - MIN_EARLIER_S:
+            known.turns.since = since
+            known.turns.use_until(now)
         if at <= known.observed_at:
             return False
         known.observed_at = at
         if known.limit == limit:
             return False
-        known.limit = limit
-        known.use_until(now)
+        known.set_limit(limit)
+        known.turns.use_until(now)
         return True
 
     def _clear(self, server: str, born: float, sent_at: float) -> bool:
@@ -223,11 +209,12 @@
         Turns that were not used until then are dropped, since they may have been those
         of another instance.
         """
-        if (count, rank) == (self._members, self._rank):
+        membership = self._membership
+        if (count, rank) == (membership.count, membership.rank):
             return
-        self._members, self._rank = count, rank
+        membership.count, membership.rank = count, rank
         for known in self._known.values():
-            known.use_until(now)
+            known.turns.use_until(now)
 
     def is_limited(self, server: str, born: float) -> bool:
         """Return whether a server has a limit in force."""
@@ -238,44 +225,28 @@
         """Return the seconds until a server may get a request of this instance."""
         if not self._known or not self.is_limited(server, born):
             return 0.0
-        return max(0.0, self._next_turn(self._known[server], now) - now)
+        turns = self._known[server].turns
+        return max(0.0, turns.next(self._membership, now) - now)
 
     def period_s(self, server: str) -> float:
         """Return the seconds between two turns of this instance at a limited server."""
-        return self._members / self._known[server].rate_per_s
+        return self._known[server].turns.period_s(self._membership)
 
     def record_send(self, server: str, born: float, now: float) -> None:
         """Use a turn for a request, or for help with one."""
         if not self._known or not self.is_limited(server, born):
             return
-        known = self._known[server]
-        known.use_until(self._next_turn(known, now))
-
-    def _next_turn(self, known: _KnownLimit, now: float) -> float:
-        """Return the time of the oldest turn that was not used."""
-        if known.next_at > now:
-            return known.next_at
-        first, period_s = self._first_turn(known)
-        used_number = floor((_usable_from(known, now) - first) / period_s)
-        known.next_at = first + (used_number + 1) * period_s
-        return known.next_at
-
-    def _first_turn(self, known: _KnownLimit) -> tuple[float, float]:
-        """Return the time of this instance's first turn, and the time between two.
-
-        The turns of all instances follow each other at equal distances; their order
-        differs by server.
-        """
-        place = (self._rank + int(known.order * self._members)) % self._members
-        spacing_s = 1.0 / known.rate_per_s
-        return known.since + (place + 0.5) * spacing_s, self._members * spacing_s
+        self._known[server].turns.use(self._membership, now)
+
+
+def _rate_per_s(limit: RateLimit) -> float:
+    """Return the requests per second of all instances together."""
+    return min(MAX_RATE_PER_S, max(MIN_RATE_PER_S, USED_FRACTION * limit.per_s))
 
 
-def _usable_from(known: _KnownLimit, now: float) -> float:
-    """Return the time after which turns may be used."""
-    store_s = max(MIN_STORE_S, STORED_REQUESTS / known.rate_per_s)
-    # A used turn must not count as unused by a rounding error.
-    return max(known.used_until + 1e-6, now - store_s)
+def _store_s(rate_per_s: float) -> float:
+    """Return the seconds for which an unused turn stays usable."""
+    return max(MIN_STORE_S, STORED_REQUESTS / rate_per_s)
 
 
 def _log_limited(server: str, limit: RateLimit, source: str) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -113,7 +113,7 @@
         self._add_load(routed, placement, self._last_id, now)
         for name in (placement.lead, *placement.helpers):
             born = self.servers.get(name).entry.born
-            self.observations.limits.record_send(name, born, now)
+            self.observations.allowances.record_send(name, born, now)
         return AttemptState(
             attempt_id=self._last_id,
             server=placement.lead,
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -145,6 +145,7 @@
             observations.crashes,
             observations.limits,
             observations.isolation,
+            observations.allowances.cold,
         )
         self.controller.delegation = Delegation(observations.isolation, self.peers)
         for seed in self.seeds:
@@ -238,7 +239,7 @@
         isolation = self.controller.observations.isolation
         evacuations = self.controller.servers.evacuations
         sources = (quarantine, limits, isolation, evacuations)
-        self.updates.record_evacuations(now)
+        effects += self.updates.follow_evacuations(now)
         if any(source.has_urgent_change for source in sources):
             for source in sources:
                 source.has_urgent_change = False
@@ -256,7 +257,9 @@
     def _run_checks(self, now: float) -> list:
         self.updates.update_staleness(now)
         self.controller.budget.instances = self.peers.instances
-        self.controller.observations.limits.set_members(*self.peers.members(), now)
+        allowances = self.controller.observations.allowances
+        allowances.set_members(*self.peers.members(), now)
+        allowances.cold.expire(now)
         effects = self.silence.check(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/model.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/model.py
@@ -130,10 +130,17 @@
     """A group of interchangeable backend servers.
 
     :param profile: None for plain services.
+    :param cold_start_s: seconds for which a server is cold after it starts.
+    :param cold_per_s: requests per second that a cold server takes from all instances
+        together, 0 if its number is not restricted.
+    :param problem: which of these values were invalid and left out, else empty.
     """
 
     name: str
     profile: EngineProfile | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
+    problem: str = ""
 
 
 @frozen(slots=True, kw_only=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from briarrelay_core.routes.allowances.allowances import Allowances
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.isolation import IsolationTable
@@ -27,10 +28,15 @@
     reachability: ReachabilityTable = field(factory=ReachabilityTable)
     pauses: PauseTable = field(factory=PauseTable)
     crashes: CrashTable = field(factory=CrashTable)
-    limits: ServerLimitTable = field(factory=ServerLimitTable)
+    allowances: Allowances = field(factory=Allowances)
     isolation: IsolationTable = field(factory=IsolationTable)
     last_response_at: dict[str, float] = field(factory=dict)
 
+    @property
+    def limits(self) -> ServerLimitTable:
+        """Limits that servers name."""
+        return self.allowances.limits
+
     def record_response(self, server: str, now: float) -> None:
         """Record a message from a server."""
         self.last_response_at[server] = now
@@ -62,5 +68,5 @@
         self.health.forget(name)
         self.slowdown.forget(name)
         self.pauses.forget(name)
-        self.limits.forget(name)
+        self.allowances.forget(name)
         self.last_response_at.pop(name, None)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -8,6 +8,7 @@
 
 from attrs import define, field
 
+from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import (
     UNKNOWN_AGE_S,
     DigestReceived,
@@ -20,6 +21,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.isolation import IsolationTable
@@ -149,6 +151,7 @@
     crashes: CrashTable = field(factory=CrashTable)
     limits: ServerLimitTable = field(factory=ServerLimitTable)
     isolation: IsolationTable = field(factory=IsolationTable)
+    cold: ColdTable = field(factory=ColdTable)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -245,6 +248,13 @@
             filter(self._is_of_registered, digest.limits), now
         )
         effects += self.servers.evacuations.apply_reports(digest.evacuations, now)
+        effects += self.cold.apply_reports(
+            (
+                (report, self.servers.get(report.server).entry)
+                for report in filter(self._is_of_registered, digest.cold)
+            ),
+            now,
+        )
         self.load.apply_digest(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -258,7 +268,7 @@
         self._check_behind(peer, now)
         return effects
 
-    def _is_of_registered(self, report: LimitReport) -> bool:
+    def _is_of_registered(self, report: LimitReport | ColdReport) -> bool:
         """Return whether a report is about a registered server and its last start."""
         known = self.servers.get(report.server)
         return known is not None and known.entry.born == report.born
@@ -437,6 +447,7 @@
             members=1 + len(self._peers),
             cut_off=self.isolation.cut_off_services(now),
             evacuations=self.servers.evacuations.own_reports(now),
+            cold=self.cold.own_reports(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -109,8 +109,8 @@
         pauses = self.observations.pauses
         health = self.observations.health
         crashes = self.observations.crashes
-        limits = self.observations.limits
-        has_limits = bool(limits)
+        allowances = self.observations.allowances
+        has_limits = bool(allowances)
         skipped = routed.excluded.union(routed.tried)
         request_id = str(routed.request.request_id)
         usable, untried, healthy = [], [], []
@@ -118,7 +118,7 @@
             name = server.entry.name
             if pauses.is_paused(name, now):
                 continue
-            if has_limits and limits.admits_in_s(name, server.entry.born, now):
+            if has_limits and allowances.admits_in_s(name, server.entry.born, now):
                 continue
             usable.append(server)
             if name in skipped:
@@ -167,18 +167,18 @@
             request of this instance now.
         """
         skipped = routed.excluded.union(routed.tried) if is_untried else ()
-        limits = self.observations.limits
+        allowances = self.observations.allowances
         waits_s, turns = [], []
         for server in self.servers.of_service(routed.service, now):
             name, born = server.entry.name, server.entry.born
             if name in skipped:
                 continue
             pause_s = self.observations.pauses.resumes_in_s(name, now)
-            wait_s = max(pause_s, limits.admits_in_s(name, born, now))
+            wait_s = max(pause_s, allowances.admits_in_s(name, born, now))
             if wait_s <= 0:
                 return None
-            if limits.is_limited(name, born):
-                turns.append((wait_s, limits.period_s(name)))
+            if allowances.is_limited(name, born, now):
+                turns.append((wait_s, allowances.period_s(name, born, now)))
             else:
                 waits_s.append(wait_s)
         if turns:
@@ -187,9 +187,9 @@
 
     def has_limited(self, service: str, now: float) -> bool:
         """Return whether a usable server of a service has a limit in force."""
-        limits = self.observations.limits
-        return bool(limits) and any(
-            limits.is_limited(server.entry.name, server.entry.born)
+        allowances = self.observations.allowances
+        return bool(allowances) and any(
+            allowances.is_limited(server.entry.name, server.entry.born, now)
             for server in self.servers.of_service(service, now)
         )
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -29,6 +29,7 @@
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import Entry
 from briarrelay_core.routes.admission import RouteAdmission
+from briarrelay_core.routes.allowances.cold import RETURN_S, ColdTable
 from briarrelay_core.routes.controller import RequestController
 from briarrelay_core.routes.follower import MAX_SKIP_S, TopicFollower
 from briarrelay_core.routes.model import RouteConfiguration
@@ -101,6 +102,7 @@
     :ivar restorer: writes the presets in force again if the store has older ones.
     :ivar keeper: keeps the quarantined contents in the store.
     :ivar _query_count: number of queries to peers while reads of the store fail.
+    :ivar _has_listed_servers: servers that are new from now on have started since.
     :ivar _polled_at: time of the last read beside a topic's long poll.
     """
 
@@ -114,6 +116,7 @@
     keeper: QuarantineKeeper = field(init=False)
     followers: dict[Topic, TopicFollower] = field(init=False)
     _query_count: int = 0
+    _has_listed_servers: bool = False
     _polled_at: dict[Topic, float] = field(factory=dict)
 
     def __attrs_post_init__(self):
@@ -193,6 +196,8 @@
         if is_first:
             # a listed offset is that of the key's newest record, perhaps just a renewal
             self.peers.directory = EraPosition(self.era.value, 0)
+        if is_complete and message.topic is Topic.SERVERS:
+            self._has_listed_servers = True
         if is_complete and message.topic is Topic.CONFIGURATION:
             end = EraPosition(self._era_of(message), follower.next_offset)
             evacuations = self.controller.servers.evacuations
@@ -335,7 +340,9 @@
                     LogEvent("warning", "entry_bad", fields=fields),
                     IncrementCounter("store.entry_bad"),
                 ]
-            elif topic is Topic.SERVERS:
+            if change.problem and change.value is None:
+                continue
+            if topic is Topic.SERVERS:
                 if self.controller.servers.is_change(change):
                     position = EraPosition(self.era.value, change.position)
                     self.peers.directory = max(self.peers.directory, position)
@@ -375,13 +382,14 @@
             ]
         return effects
 
-    def record_evacuations(self, now: float) -> None:
-        """Add the evacuations that came in force or ended to the audit record."""
-        for (
-            data_centre,
-            outcome,
-            source,
-        ) in self.controller.servers.evacuations.pop_changes():
+    def follow_evacuations(self, now: float) -> list:
+        """Record the evacuations that came in force or ended; return effects.
+
+        The servers of one that ended are taken up again in steps, as cold ones.
+        """
+        effects = []
+        servers = self.controller.servers
+        for data_centre, outcome, source in servers.evacuations.pop_changes():
             entry = Entry(
                 at=round(now, 3),
                 kind="evacuation",
@@ -390,6 +398,16 @@
                 why=source,
             )
             self.controller.recorder.add(entry)
+            if servers.evacuations.is_evacuated(data_centre):
+                continue
+            for server in servers.entries():
+                if server.data_centre == data_centre:
+                    effects += self._cold.mark(server, RETURN_S, now)
+        return effects
+
+    @property
+    def _cold(self) -> ColdTable:
+        return self.controller.observations.allowances.cold
 
     def _apply_server_change(self, change: TopicChange, now: float) -> list:
         servers = self.controller.servers
@@ -407,7 +425,8 @@
         is_new, effects = self.controller.servers.apply(entry, now)
         if is_new:
             self.controller.observations.forget(entry.name)
-        return effects
+        has_started = is_new and self._has_listed_servers
+        return effects + self._cold.apply_entry(entry, has_started, now)
 
     def _apply_entry(self, change: TopicChange) -> None:
         if isinstance(change.value, PeerAddress):
@@ -424,6 +443,7 @@
             return []
         self.admission.configuration = configuration
         self.peers.version = configuration.version
+        self._cold.services = configuration.services
         fields = (
             ("version", str(configuration.version)),
             ("before", str(old.version) if old else ""),
@@ -433,6 +453,17 @@
         )
         self._record_change(f"configuration-{configuration.version}", source, now)
         effects = [LogEvent("info", "configuration_in_force", fields=fields)]
+        if old is None:
+            # The entries of servers may have been read before.
+            for entry in self.controller.servers.entries():
+                effects += self._cold.apply_entry(entry, False, now)
+        for service in configuration.services.values():
+            if service.problem:
+                fields = (("service", service.name), ("problem", service.problem))
+                effects += [
+                    LogEvent("warning", "service_bad", fields=fields),
+                    IncrementCounter("store.service_bad"),
+                ]
         return effects + self.peers.on_changed(now)
 
     def apply_presets(self, new: PresetCollection, source: str, now: float) -> list:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -28,6 +28,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.route import MAX_PAUSE_S, RateLimit
+from briarrelay_daemon.coldcodec import decode_cold, encode_cold
 from briarrelay_daemon.evacuationcodec import decode_evacuations, encode_evacuations
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
@@ -81,6 +82,7 @@
         [digest.members, _encode_limits(digest.limits)] if digest.limits else None,
         digest.cut_off or None,
         encode_evacuations(digest.evacuations),
+        encode_cold(digest.cold),
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -135,6 +137,7 @@
     limits: list | None = None,
     cut_off: list | None = None,
     evacuations: list | None = None,
+    cold: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -154,6 +157,7 @@
         **(_decode_limits(*limits) if limits else {}),
         "cut_off": _decode_services(cut_off) if cut_off else (),
         "evacuations": decode_evacuations(evacuations),
+        "cold": decode_cold(cold),
     }
 
 
