Announce reads longer than a pause limit to all peers at once

Cause: an urgent digest went to 24 local and 24 remote peers by rotation, so of 62 peers 14 or more learned of a long read only at later turns, and one within 20 ms of the last digest waited for the next usual one, 0.24 s later.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -11,6 +11,7 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
+from briarrelay_core.routes.placing.longreads import breaks_pause_limit
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.servers import ServerTable
@@ -196,6 +197,10 @@
                 read_s=placement.read_s,
                 is_lead=False,
             )
+        if routed.is_prompt and breaks_pause_limit(
+            routed.profile, placement.read_s, self.load.limits_s
+        ):
+            self.load.has_long_read = True
 
     def end(self, routed: RoutedRequest, now: float) -> AttemptState:
         """End the active attempt of a request and release its load and memory."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -16,6 +16,9 @@
 """Reading time in seconds from which an attempt is announced to peers at once; it
 occupies an engine for longer than two passes."""
 
+MAX_LIMITS = 64
+"""Most pause limits that are remembered; a deployment has one for each route."""
+
 NO_LOAD = ServerLoad()
 
 
@@ -130,6 +133,10 @@
         notified.
     :ivar is_urgent: whether a long read was added, which must be announced to peers
         before they send more requests to its server.
+    :ivar has_long_read: whether a read was added that all peers must know at once; see
+        :mod:`briarrelay_core.routes.placing.longreads`.
+    :ivar limits_s: pause limits in seconds of the streams that this instance and its
+        peers have had.
     :ivar _peer_sums: loads that peers reported, by server.
     :ivar _digest_servers: servers in the last digest of each peer.
     :ivar _received_at: time of the last digest of each peer.
@@ -144,6 +151,8 @@
     _next_expiry: float = float("inf")
     is_changed: bool = False
     is_urgent: bool = False
+    has_long_read: bool = False
+    limits_s: set[float] = field(factory=set)
 
     def add(
         self,
@@ -167,6 +176,7 @@
         self._by_attempt.setdefault(attempt_id, []).append(load)
         self.is_changed = True
         self.is_urgent = self.is_urgent or read_s >= URGENT_READ_S
+        self._add_limit(limit_s)
 
     def mark_read(self, attempt_id: int) -> None:
         """Mark the prompt of an attempt as read.
@@ -219,10 +229,16 @@
             if known is None:
                 known = sums[server] = _PeerSum()
             known.set(name, load, now)
+            for limit, _ in load.streams:
+                self._add_limit(limit)
         self._digest_servers[name] = tuple(digest.loads)
         self._received_at[name] = now
         self._next_expiry = min(self._next_expiry, now + PEER_STALE_S)
 
+    def _add_limit(self, limit_s: float) -> None:
+        if limit_s > 0 and len(self.limits_s) < MAX_LIMITS:
+            self.limits_s.add(limit_s)
+
     def _remove_peer_load(self, server: str, peer: str) -> None:
         known = self._peer_sums[server]
         known.remove(peer)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -90,8 +90,8 @@
 
 
 ANNOUNCE_SPACING_S = 0.05
-"""Minimum interval in seconds between digests that announce crashes to all peers; it
-grows with the size of the deployment."""
+"""Minimum interval in seconds between digests that announce crashes or long reads to
+all peers; it grows with the size of the deployment."""
 
 
 @define(slots=True)
@@ -163,6 +163,7 @@
     _is_query_scheduled: bool = False
     _last_announced_at: float = float("-inf")
     _is_announcement_scheduled: bool = False
+    _is_urgent_scheduled: bool = False
 
     @property
     def instances(self) -> int:
@@ -328,12 +329,11 @@
     def on_changed(self, now: float, is_urgent: bool = False) -> list:
         """Schedule a digest, since the load, a version or the servers changed.
 
-        :param is_urgent: send it now, also to remote peers, unless the last digest is
-            less than MIN_SPACING_S old.
+        :param is_urgent: send it now, also to remote peers, or as soon as the last
+            digest is MIN_SPACING_S old.
         """
-        if is_urgent and now - self._last_sent_at >= MIN_SPACING_S:
-            self._last_remote_at = float("-inf")
-            return self._send(now)
+        if is_urgent:
+            return self._send_urgent(now)
         if self._is_send_scheduled:
             return []
         self._is_send_scheduled = True
@@ -342,6 +342,21 @@
         self.timers.at(max(now, self._last_sent_at + spacing), self._send_due)
         return []
 
+    def _send_urgent(self, now: float) -> list:
+        if self._is_urgent_scheduled:
+            return []
+        if now - self._last_sent_at < MIN_SPACING_S:
+            self._is_urgent_scheduled = True
+            self.timers.at(self._last_sent_at + MIN_SPACING_S, self._send_urgent_due)
+            return []
+        self._last_remote_at = float("-inf")
+        return self._send(now)
+
+    def _send_urgent_due(self, now: float) -> list:
+        self._is_urgent_scheduled = False
+        self._last_remote_at = float("-inf")
+        return self._send(now)
+
     def announce(self, now: float) -> list:
         """Send a digest to all peers, soon if one was announced just before."""
         if self._is_announcement_scheduled:
