--- a/packages/briarrelay-bench/src/briarrelay_bench/routefleet.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routefleet.py
@@ -15,6 +15,7 @@
     make_entries,
     make_instances,
 )
+from briarrelay_bench.packetloss import LossyStreams
 from briarrelay_bench.passengine import PassEngine
 from briarrelay_bench.routecaller import Caller
 from briarrelay_bench.sites import Arrival, Site
@@ -63,10 +64,12 @@
     _sequence: int = 0
     _instance_by_host: dict[str, int] = field(init=False)
     _random: Random = field(init=False)
+    _streams: LossyStreams = field(init=False)
 
     def __attrs_post_init__(self):
         self._random = Random(self.seed)
-        self.backends = Backends(self.site, self.schedule, self._deliver)
+        self._streams = LossyStreams(self.site.packet_loss, Random(self.seed))
+        self.backends = Backends(self.site, self.schedule, self._deliver_response)
         self.cores = make_instances(self.site)
         self._instance_by_host = {
             core.address.host: n for n, core in enumerate(self.cores)
@@ -114,6 +117,15 @@
     def _deliver(self, number: int, message) -> None:
         self._perform_all(number, self.cores[number].handle(message, self.now))
 
+    def _deliver_response(self, number: int, message) -> None:
+        """Deliver a server's message, later if a packet of its stream is lost."""
+        attempt_id = getattr(message, "attempt_id", None)
+        if attempt_id is None or not self.site.packet_loss:
+            self._deliver(number, message)
+            return
+        arrival = self._streams.arrival_at((number, attempt_id), self.now)
+        self.schedule(arrival - self.now, partial(self._deliver, number, message))
+
     def _perform_all(self, number: int, effects: list) -> None:
         for effect in effects:
             is_delegated = getattr(effect, "request_id", None) in self._delegated
@@ -184,6 +196,10 @@
         wait_s = min(caller.idle_timeout_s - idle_s, caller.remaining_s(self.now))
         self.schedule(max(0.001, wait_s), partial(self._check_idle_timeout, caller))
 
+    def _reaches_caller_at(self, caller: Caller) -> float:
+        at = self.now + self.site.caller_delay_s
+        return self._streams.arrival_at(caller.request_id, at)
+
     def _retry(self, caller: Caller, cause: str, wait_s: float) -> None:
         if not caller.may_retry(wait_s, self.now):
             caller.end(cause, self.now)
@@ -199,7 +215,7 @@
     def _(self, effect: RelayEvent, number: int) -> None:
         caller = self._find_caller(effect.request_id, number)
         if caller is not None:
-            caller.record_event(self.now + self.site.caller_delay_s)
+            caller.record_event(self._reaches_caller_at(caller))
 
     @_perform.register
     def _(self, effect: RelayEnd, number: int) -> None:
--- a/packages/briarrelay-bench/src/briarrelay_bench/sites.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/sites.py
@@ -57,6 +57,7 @@
     :param services: number of plain service servers.
     :param hop_s: one-way delay between instances, peers and servers, in seconds.
     :param caller_delay_s: one-way delay between callers and instances, in seconds.
+    :param packet_loss: fraction of packets that are lost and sent again.
     """
 
     name: str
@@ -69,6 +70,7 @@
     profile: EngineProfile = PROFILE
     hop_s: float = 0.0015
     caller_delay_s: float = 0.003
+    packet_loss: float = 0.0
 
 
 @frozen(slots=True)
@@ -117,18 +119,19 @@
     per_s = spec["per_s"]
     worth = spec["worth"]
     long_mean, long_aim = spec["long"]
+    gaps = spec.get("gaps", (0.2, 0.5, 0.8))
     kinds = (
         prompt(
             "chat", per_s[0], 0.3, 10.0, worth[0], (4_960, 0.9, 23_800),
-            (34.9, 0.7, 87.2), 0.2,
+            (34.9, 0.7, 87.2), gaps[0],
         ),
         prompt(
             "history", per_s[1], 1.5, 10.0, worth[1], (45_000, 0.5, 110_000),
-            (20.9, 0.6, 52.3), 0.5,
+            (20.9, 0.6, 52.3), gaps[1],
         ),
         prompt(
             "file", per_s[2], long_aim, 15.0, worth[2], (long_mean, 0.55, 1_000_000),
-            (17.4, 0.5, 43.6), 0.8,
+            (17.4, 0.5, 43.6), gaps[2],
         ),
         RequestKind(
             name=spec["names"]["book"], route="book", requests_per_s=per_s[3],
@@ -159,6 +162,27 @@
 _KOCHI_GROWN_CALL = {
     "aim_s": 0.153, "deadline_s": 1.1, "worth": (1.0, 0.1), "work_s": 0.0225,
 }  # fmt: skip
+_CESTA_NAMES = {
+    "chat": "shopper-chat", "history": "contract-digest", "file": "catalogue-audit",
+    "book": "order-book", "look": "basket-lookup",
+}  # fmt: skip
+_CESTA_CALL = {
+    "aim_s": 0.3, "deadline_s": 4.0, "worth": (1.0, 0.3), "work_s": 0.06,
+}  # fmt: skip
+_CESTA = {
+    "worth": ((1.3, 0.34), (3.3, 0.82), (34.0, 8.6)), "long": (260_000, 4.0),
+    "gaps": (0.25, 0.6, 1.0),
+}  # fmt: skip
+_CESTA_PROFILE = EngineProfile(
+    memory_tokens=344_250,
+    step_s=0.00131,
+    step_per_stream_s=0.000000917,
+    step_per_token_s=2.13e-9,
+    read_tokens_per_s=154_000.0,
+    pair_s=0.162e-9,
+    stride=38,
+    hop_s=0.0001,
+)
 _SMALL = {"worth": ((1.3, 0.33), (3.1, 0.79), (22.0, 5.4)), "long": (210_000, 3.0)}
 _GROWN = {"worth": ((1.4, 0.34), (2.6, 0.66), (30.0, 7.5)), "long": (300_000, 4.0)}
 
@@ -189,6 +213,13 @@
              "call": _KOCHI_GROWN_CALL},
             instances=25, data_centres=4, engines=69, slots=6, services=4,
         ),
+        _make_site(
+            "cesta-norte-grown",
+            {**_CESTA, "names": _CESTA_NAMES, "per_s": (41.9, 2.94, 0.955, 3.9, 1.56),
+             "call": _CESTA_CALL},
+            instances=63, data_centres=3, engines=60, slots=12, services=4,
+            profile=_CESTA_PROFILE, hop_s=0.003, packet_loss=0.0015,
+        ),
     )
 }  # fmt: skip
 """The users' deployments by name."""
