--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -14,7 +14,6 @@
 
 from briarrelay_core.ports.digest import ServerLoad
 from briarrelay_core.routes.model import EngineProfile
-from briarrelay_core.routes.placing.openings import opening_cost
 
 __all__ = [
     "OLD_REPORT_COST",
@@ -107,7 +106,6 @@
     :param target_s: seconds until the first event is due.
     :param limit_s: longest pause between events in seconds, 0 for no limit.
     :param weight: cost of a late response, relative to a short prompt.
-    :param limits_s: pause limits in seconds of all streams, as far as is known.
     """
 
     tokens: int
@@ -115,7 +113,6 @@
     target_s: float
     limit_s: float
     weight: float
-    limits_s: frozenset[float] = frozenset()
 
 
 @frozen(slots=True)
@@ -232,7 +229,6 @@
         cost += MIXED_LIMITS_COST
     if prompt.limit_s > 2 * shortest_limit_s:
         cost += MIXED_LIMITS_COST
-    cost += opening_cost(prompt.limit_s, shortest_limit_s, prompt.limits_s)
     if candidate.slowdown > 1.5:
         cost += 0.1 * prompt.weight * candidate.slowdown
     return cost
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -244,9 +244,7 @@
         ]
         if not is_prompt:
             return place_plain_request(candidates)
-        limits_s = frozenset(self.load.limits_s)
-        prompt = _make_prompt(routed, limits_s, now)
-        return place_prompt(routed.profile, candidates, prompt)
+        return place_prompt(routed.profile, candidates, _make_prompt(routed, now))
 
 
 def _pick(servers: list[KnownServer], count: int, seed: float) -> list[KnownServer]:
@@ -286,9 +284,7 @@
     return need > max_prompt_tokens(routed.profile, engines)
 
 
-def _make_prompt(
-    routed: RoutedRequest, limits_s: frozenset[float], now: float
-) -> Prompt:
+def _make_prompt(routed: RoutedRequest, now: float) -> Prompt:
     request = routed.request
     remaining_s = routed.route.target_latency_s - (now - routed.arrived_at)
     return Prompt(
@@ -297,5 +293,4 @@
         target_s=max(MIN_TARGET_S, remaining_s),
         limit_s=routed.route.gap_limit_s or 0.0,
         weight=routed.weight,
-        limits_s=limits_s,
     )
