Refuse prompts that no engine reads in time, at once

Under a crowd of long prompts, engines accepted more reading than they finish in time. A prompt is now refused when its caller leaves or its deadline passes before its first event, or when it is late behind a backlog and delays streams more than its caller gains. Its Retry-After is the time until the backlog is read, spread over as long a time again.

--- a/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/__main__.py
@@ -27,7 +27,8 @@
                     [default: 0]
   --site NAME       deployment: himali-salons, tfx-kochi, or either with -grown
                     [default: himali-salons]
-  --day NAME        traffic pattern: even, quiet-1, peak or calls [default: quiet-1]
+  --day NAME        traffic pattern: even, quiet-1, peak, crowd or
+                    calls [default: quiet-1]
   --policies LIST   comma-separated policies: briarrelay, one-mind, fewest,
                     fewest-helpers, round-robin
                     [default: briarrelay,one-mind,fewest-helpers,fewest,round-robin]
--- a/packages/briarrelay-bench/src/briarrelay_bench/sites.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/sites.py
@@ -204,9 +204,11 @@
         Burst(23.0, 32.5, _FILE_HEAVY),
     ),
     "peak": (Burst(0.0, 40.0, {"chat": 1.6, "history": 1.6, "file": 1.6}),),
+    "crowd": (Burst(13.0, 16.0, {"chat": 2.0, "file": 15.0}),),
     "calls": (Burst(5.0, 25.0, {"book": 8.0, "look": 8.0}),),
 }
-"""Bursts by day: the users' standard days, and one at 1.6 times the prompt traffic."""
+"""Bursts by day: the users' standard days, one at 1.6 times the prompt traffic, and one
+with a crowd of three seconds."""
 
 
 def _draw_length(random: Random, mean: float, sigma: float, maximum: float) -> float:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -32,6 +32,8 @@
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.probes import PROBE_JITTER_S
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS, ContentQuarantine
+from briarrelay_core.routes.queueing.feasibility import NoPlace, find_no_place
+from briarrelay_core.routes.queueing.retryafter import spread_return_s
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
@@ -177,6 +179,9 @@
             if eligible_servers
             else None
         )
+        no_place = placement and self._find_no_place(routed, placement, now)
+        if no_place:
+            return self._refuse_without_place(routed, no_place, now)
         if (
             placement is not None
             and not should_defer(routed, placement, now)
@@ -196,6 +201,29 @@
         self._waiting[routed.request.request_id] = routed
         return [IncrementCounter("route.waited")]
 
+    def _find_no_place(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> NoPlace | None:
+        engines = (placement.lead, *placement.helpers)
+        loads = (self.load.of(name, now) for name in engines)
+        return find_no_place(routed, placement, loads, now)
+
+    def _refuse_without_place(
+        self, routed: RoutedRequest, no_place: NoPlace, now: float
+    ) -> list:
+        """Refuse a prompt that no engine reads in time."""
+        routed.room_in_s = no_place.room_in_s
+        fields = (
+            ("reason", no_place.reason.value),
+            ("first_ms", f"{1000 * no_place.first_event_s:.0f}"),
+            ("room_in_ms", f"{1000 * no_place.room_in_s:.0f}"),
+        )
+        return [
+            LogEvent("info", "no_place", routed.request.caller_request_id, fields),
+            IncrementCounter(f"route.no_place.{no_place.reason.value}"),
+            *self.give_up(routed, now, RefusalReason.SERVERS_FULL),
+        ]
+
     def _delegate(self, routed: RoutedRequest, peer: PeerAddress, now: float) -> list:
         """Let a peer send a request, since this instance reaches no server."""
         self._waiting.pop(routed.request.request_id, None)
@@ -640,7 +668,8 @@
         While every server is paused or limited, it is the time until one of them takes
         a request besides those that wait.
         """
-        jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
+        share = unit_hash(routed.request.caller_request_id, "spread")
+        jitter = 1.0 + share
         if routed.peer_retry_after_s:
             return routed.peer_retry_after_s
         if routed.quarantined_content:
@@ -650,6 +679,9 @@
         )
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
+        if routed.room_in_s:
+            left_s = routed.deadline - now
+            return spread_return_s(routed.room_in_s, left_s, share)
         if reason is RefusalReason.NO_ENGINE:
             return NO_SERVER_RETRY_S * jitter
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -85,6 +85,7 @@
         server, minus infinity if it did not end so.
     :param delegated_count: number of attempts that went to a peer.
     :param peer_retry_after_s: time to return that the last peer named which refused it.
+    :param room_in_s: seconds after which engines have room for it, 0 if not known.
     :param possible_runs: attempts after which the request may have run.
     :param awaited_retry: reason of a retry that the budget does not allow yet, else
         None.
@@ -116,6 +117,7 @@
     delegated_count: int = 0
     peer_retry_after_s: float = 0.0
     refused_at: float = float("-inf")
+    room_in_s: float = 0.0
     possible_runs: int = 0
     awaited_retry: RetryReason | None = None
     is_head_relayed: bool = False
