Send no prompt to engines that rejected one of its size lately

Arrivals that an engine rejects use up attempts. A request waits for at most three quarters of its caller's timeout, so that its caller learns that it has not run.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -33,6 +33,7 @@
 from briarrelay_core.routes.probes import PROBE_JITTER_S
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS, ContentQuarantine
 from briarrelay_core.routes.queueing.feasibility import NoPlace, find_no_place
+from briarrelay_core.routes.queueing.rejections import RejectionTable
 from briarrelay_core.routes.queueing.retryafter import spread_return_s
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
@@ -88,6 +89,7 @@
 
     :param delegation: set by the instance once its peers are set up.
     :param requests: requests in progress by request id.
+    :param rejections: prompts that engines rejected lately.
     :ivar refusals: refuses the requests that are not admitted.
     :ivar _waiting: queued requests by request id.
     """
@@ -101,6 +103,7 @@
     selector: ServerSelector
     admission: RouteAdmission = field(factory=RouteAdmission)
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
+    rejections: RejectionTable = field(factory=RejectionTable)
     delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
@@ -174,9 +177,10 @@
             if not routed.is_head_relayed:
                 return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
             eligible_servers = []
+        accepting_servers = self.rejections.without_full(routed, eligible_servers, now)
         placement = (
-            self.selector.choose(routed, eligible_servers, now)
-            if eligible_servers
+            self.selector.choose(routed, accepting_servers, now)
+            if accepting_servers
             else None
         )
         no_place = placement and self._find_no_place(routed, placement, now)
@@ -500,6 +504,7 @@
             for server in self.selector.candidates(routed, now)
             if not health.is_ejected(server.entry.name, now)
         ]
+        eligible_servers = self.rejections.without_full(routed, eligible_servers, now)
         if not eligible_servers:
             return None
         with self.load.without(routed.active_attempt.attempt_id):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -121,6 +121,8 @@
         if refusing_server != attempt.server:
             routed.exclude(refusing_server, now)
             self.controller.observations.health.record_failure(refusing_server, now)
+        elif not attempt.is_delegated:
+            self.controller.rejections.record(routed, attempt, now)
         if attempt.is_delegated:
             routed.peer_retry_after_s = message.pause_s
         effects = [log_event, AbortAttempt(attempt.attempt_id)]
--- a/packages/briarrelay-core/src/briarrelay_core/routes/waiting.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/waiting.py
@@ -9,6 +9,10 @@
 """Fraction of the time from a request's arrival to its deadline that it may wait for a
 free slot."""
 
+MAX_TIMEOUT_FRACTION = 0.75
+"""Fraction of its caller's timeout that a request may wait for a free slot. A caller
+that disconnects learns neither that the request has not run nor when to return."""
+
 RETURN_PAUSE_S = 0.5
 """Seconds after a refusal, or a denial of memory, before a begun stream may return to
 the server; also between its attempts once it has been refused often."""
@@ -41,7 +45,8 @@
 def max_wait_s(routed: RoutedRequest) -> float:
     """Return seconds after arrival at which a request without placement is refused."""
     total_s = routed.deadline - routed.arrived_at
-    return min(max(routed.route.target_latency_s, MAX_WAIT_FRACTION * total_s), total_s)
+    wait_s = max(routed.route.target_latency_s, MAX_WAIT_FRACTION * total_s)
+    return min(wait_s, MAX_TIMEOUT_FRACTION * caller_timeout_s(routed), total_s)
 
 
 def remaining_wait_s(routed: RoutedRequest, now: float) -> float:
