Give refused callers times to return one after another

Callers refused during a crowd returned while engines still read for others, and were refused again. Each instance now lets them return at the rate at which half of its share of the engines reads for them. A caller whose time comes after a third of what it has left is told so, does not return, and takes no time of others.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -34,7 +34,7 @@
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS, ContentQuarantine
 from briarrelay_core.routes.queueing.feasibility import NoPlace, find_no_place
 from briarrelay_core.routes.queueing.rejections import RejectionTable
-from briarrelay_core.routes.queueing.retryafter import spread_return_s
+from briarrelay_core.routes.queueing.retryafter import ReturnSchedule
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
@@ -90,6 +90,7 @@
     :param delegation: set by the instance once its peers are set up.
     :param requests: requests in progress by request id.
     :param rejections: prompts that engines rejected lately.
+    :param returns: when refused callers return.
     :ivar refusals: refuses the requests that are not admitted.
     :ivar _waiting: queued requests by request id.
     """
@@ -104,6 +105,7 @@
     admission: RouteAdmission = field(factory=RouteAdmission)
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
     rejections: RejectionTable = field(factory=RejectionTable)
+    returns: ReturnSchedule = field(factory=ReturnSchedule)
     delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
@@ -685,12 +687,24 @@
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
         if routed.room_in_s:
-            left_s = routed.deadline - now
-            return spread_return_s(routed.room_in_s, left_s, share)
+            return self._spread_return_s(routed, share, now)
         if reason is RefusalReason.NO_ENGINE:
             return NO_SERVER_RETRY_S * jitter
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
 
+    def _spread_return_s(
+        self, routed: RoutedRequest, share: float, now: float
+    ) -> float:
+        engines = len(self.servers.of_service(routed.service, now))
+        return self.returns.add(
+            room_in_s=routed.room_in_s,
+            read_s=routed.profile.read_s(routed.request.prompt_tokens),
+            share=share,
+            engines=max(1, engines) / max(1, self.budget.instances),
+            left_s=routed.deadline - now,
+            now=now,
+        )
+
     def _fail(self, routed: RoutedRequest, outcome: Failed, now: float) -> list:
         effects = self.close(routed, outcome.reason.value, now)
         effects.append(IncrementCounter(f"failed.{outcome.reason.value}"))
