Merge who waits and who is refused

Joins the refusal of prompts that no engine reads in time, the pause after a rejection and the times to return. Both reasons without a server keep their Retry-After.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -32,6 +32,9 @@
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.probes import PROBE_JITTER_S
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS, ContentQuarantine
+from briarrelay_core.routes.queueing.feasibility import NoPlace, find_no_place
+from briarrelay_core.routes.queueing.rejections import RejectionTable
+from briarrelay_core.routes.queueing.retryafter import ReturnSchedule
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
@@ -86,6 +89,8 @@
 
     :param delegation: set by the instance once its peers are set up.
     :param requests: requests in progress by request id.
+    :param rejections: prompts that engines rejected lately.
+    :param returns: when refused callers return.
     :ivar refusals: refuses the requests that are not admitted.
     :ivar _waiting: queued requests by request id.
     """
@@ -99,6 +104,8 @@
     selector: ServerSelector
     admission: RouteAdmission = field(factory=RouteAdmission)
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
+    rejections: RejectionTable = field(factory=RejectionTable)
+    returns: ReturnSchedule = field(factory=ReturnSchedule)
     delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
@@ -172,11 +179,15 @@
             if not routed.is_head_relayed:
                 return self.give_up(routed, now, RefusalReason.SERVERS_FULL)
             eligible_servers = []
+        accepting_servers = self.rejections.without_full(routed, eligible_servers, now)
         placement = (
-            self.selector.choose(routed, eligible_servers, now)
-            if eligible_servers
+            self.selector.choose(routed, accepting_servers, now)
+            if accepting_servers
             else None
         )
+        no_place = placement and self._find_no_place(routed, placement, now)
+        if no_place:
+            return self._refuse_without_place(routed, no_place, now)
         if (
             placement is not None
             and not should_defer(routed, placement, now)
@@ -196,6 +207,29 @@
         self._waiting[routed.request.request_id] = routed
         return [IncrementCounter("route.waited")]
 
+    def _find_no_place(
+        self, routed: RoutedRequest, placement: Placement, now: float
+    ) -> NoPlace | None:
+        engines = (placement.lead, *placement.helpers)
+        loads = (self.load.of(name, now) for name in engines)
+        return find_no_place(routed, placement, loads, now)
+
+    def _refuse_without_place(
+        self, routed: RoutedRequest, no_place: NoPlace, now: float
+    ) -> list:
+        """Refuse a prompt that no engine reads in time."""
+        routed.room_in_s = no_place.room_in_s
+        fields = (
+            ("reason", no_place.reason.value),
+            ("first_ms", f"{1000 * no_place.first_event_s:.0f}"),
+            ("room_in_ms", f"{1000 * no_place.room_in_s:.0f}"),
+        )
+        return [
+            LogEvent("info", "no_place", routed.request.caller_request_id, fields),
+            IncrementCounter(f"route.no_place.{no_place.reason.value}"),
+            *self.give_up(routed, now, RefusalReason.SERVERS_FULL),
+        ]
+
     def _delegate(self, routed: RoutedRequest, peer: PeerAddress, now: float) -> list:
         """Let a peer send a request, since this instance reaches no server."""
         self._waiting.pop(routed.request.request_id, None)
@@ -474,6 +508,7 @@
             for server in self.selector.candidates(routed, now)
             if not health.is_ejected(server.entry.name, now)
         ]
+        eligible_servers = self.rejections.without_full(routed, eligible_servers, now)
         if not eligible_servers:
             return None
         with self.load.without(routed.active_attempt.attempt_id):
@@ -642,7 +677,8 @@
         While every server is paused or limited, it is the time until one of them takes
         a request besides those that wait.
         """
-        jitter = 1.0 + unit_hash(routed.request.caller_request_id, "spread")
+        share = unit_hash(routed.request.caller_request_id, "spread")
+        jitter = 1.0 + share
         if routed.peer_retry_after_s:
             return routed.peer_retry_after_s
         if routed.quarantined_content:
@@ -652,10 +688,25 @@
         )
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
+        if routed.room_in_s:
+            return self._spread_return_s(routed, share, now)
         if reason in (RefusalReason.NO_ENGINE, RefusalReason.SERVERS_EVACUATED):
             return NO_SERVER_RETRY_S * jitter
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
 
+    def _spread_return_s(
+        self, routed: RoutedRequest, share: float, now: float
+    ) -> float:
+        engines = len(self.servers.of_service(routed.service, now))
+        return self.returns.add(
+            room_in_s=routed.room_in_s,
+            read_s=routed.profile.read_s(routed.request.prompt_tokens),
+            share=share,
+            engines=max(1, engines) / max(1, self.budget.instances),
+            left_s=routed.deadline - now,
+            now=now,
+        )
+
     def _fail(self, routed: RoutedRequest, outcome: Failed, now: float) -> list:
         effects = self.close(routed, outcome.reason.value, now)
         effects.append(IncrementCounter(f"failed.{outcome.reason.value}"))
