Weigh what backend servers still hold of a prompt against the wait there

A service's configuration says that its engines keep prompts; without it no beginning is computed and placement is unchanged. Digests carry a bounded summary of own reads. The prefix index of the first stage shares the table of confidence.

--- a/packages/briarrelay-bench/src/briarrelay_bench/passengine.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/passengine.py
@@ -6,11 +6,13 @@
 arrive during a pass wait for the next one.
 """
 
+from collections import OrderedDict
 from math import ceil
 
 from attrs import define, field
 
 from briarrelay_core.routes.model import EngineProfile
+from briarrelay_core.routes.retention.beginnings import Beginning
 
 __all__ = ["Job", "PassEngine", "ReadShare"]
 
@@ -51,6 +53,7 @@
     :param events: events of the answer that are not generated yet.
     :param unread_shares: engines that have not finished their share of reading.
     :param written: events generated.
+    :param beginnings: beginnings of its prompt that an engine may keep.
     """
 
     key: object
@@ -60,6 +63,7 @@
     unread_shares: int = 1
     written: int = 0
     is_cancelled: bool = False
+    beginnings: tuple[Beginning, ...] = ()
 
 
 @define(slots=True, eq=False)
@@ -77,6 +81,8 @@
     :param read_queue: shares of prompts to read, in order.
     :param waiting: accepted jobs that wait for memory, in order.
     :param is_busy: whether a pass is running.
+    :param keeps_prompts: what it has read is kept until requests need the memory.
+    :ivar _kept: tokens that each kept beginning adds, the least recently used first.
     """
 
     name: str
@@ -92,6 +98,8 @@
     read_queue: list[ReadShare] = field(factory=list)
     waiting: list[Job] = field(factory=list)
     is_busy: bool = False
+    keeps_prompts: bool = False
+    _kept: OrderedDict[str, int] = field(factory=OrderedDict)
     _finished_reads: list[ReadShare] = field(factory=list)
 
     @property
@@ -118,6 +126,7 @@
                 break
             self.jobs.append(self.waiting.pop(0))
             admitted.append(job)
+            self.yield_memory()
         return admitted
 
     def make_read_share(
@@ -127,10 +136,33 @@
 
         :param engine_count: engines that split the prompt.
         """
-        chunks = max(1, ceil(job.tokens / CHUNK_TOKENS / engine_count))
+        kept = self.kept_tokens(job)
+        chunks = max(1, ceil((job.tokens - kept) / CHUNK_TOKENS / engine_count))
         read_s = self.profile.read_s(job.tokens, engine_count)
+        read_s -= self.profile.read_s(kept, engine_count)
         return ReadShare(job, chunks, read_s / chunks, engine_count > 1, reservation_id)
 
+    def kept_tokens(self, job: Job) -> int:
+        """Return the leading tokens of a job's prompt that it need not read."""
+        kept = [b.tokens for b in job.beginnings if b.key in self._kept]
+        return min(max(kept, default=0), job.tokens - 1)
+
+    def keep(self, job: Job) -> None:
+        """Keep the prompt of a job that has been read, if there is memory for it."""
+        if not self.keeps_prompts:
+            return
+        for beginning in reversed(job.beginnings):
+            self._kept[beginning.key] = beginning.added_tokens
+            self._kept.move_to_end(beginning.key)
+        self.yield_memory()
+
+    def yield_memory(self) -> None:
+        """Drop kept prompts that exceed the memory that jobs leave."""
+        while self._kept and self.used + sum(self._kept.values()) > (
+            self.profile.memory_tokens
+        ):
+            self._kept.popitem(last=False)
+
     def reserve(self, reservation_id: str, tokens: int) -> bool:
         """Reserve memory, or renew a reservation; return whether it is granted."""
         if (
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -11,6 +11,7 @@
     "MAX_CONTENTS",
     "MAX_CONTENT_CHARS",
     "MAX_CUT_OFF_REPORTS",
+    "MAX_HELD_REPORTS",
     "MAX_LIMIT_REPORTS",
     "MAX_PROBE_S",
     "MAX_QUARANTINE_REPORTS",
@@ -19,6 +20,7 @@
     "UNKNOWN_AGE_S",
     "CrashReport",
     "DigestReceived",
+    "HeldReport",
     "LimitReport",
     "LoadDigest",
     "PeerResponse",
@@ -51,6 +53,9 @@
 MAX_CUT_OFF_REPORTS = 16
 """Most services that a digest reports as out of reach."""
 
+MAX_HELD_REPORTS = 8
+"""Most beginnings of prompts held by servers that a digest reports."""
+
 MAX_LIMIT_REPORTS = 16
 """Most limits of servers that a digest reports."""
 
@@ -131,6 +136,22 @@
     since_age_s: float
 
 
+@frozen(slots=True)
+class HeldReport:
+    """A server has read a beginning of a prompt, which it may still hold.
+
+    :param born: start of the server, in Unix seconds.
+    :param key: see :class:`briarrelay_core.routes.retention.beginnings.Beginning`.
+    :param age_s: seconds since it was read.
+    """
+
+    server: str
+    born: float
+    key: str
+    tokens: int
+    age_s: float
+
+
 @frozen(slots=True, kw_only=True)
 class LoadDigest:
     """State that an entry instance sends to its peers; the newest replaces the others.
@@ -155,6 +176,8 @@
     :param survived: seconds since a server survived a content that was reported struck.
     :param limits: limits of servers that the sender observed lately.
     :param cut_off: services whose backend servers the sender can not reach.
+    :param held: beginnings of prompts that servers have read for the sender lately.
+    :param dropped_fields: fields that the receiver could not read.
     :param members: number of instances that the sender knows, itself included; 1 if it
         reports no limits.
     """
@@ -178,6 +201,8 @@
     limits: tuple[LimitReport, ...] = ()
     members: int = 1
     cut_off: tuple[str, ...] = ()
+    held: tuple[HeldReport, ...] = ()
+    dropped_fields: tuple[str, ...] = ()
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -15,6 +15,7 @@
     "ForwardRequest",
     "HelperAddress",
     "InvalidRequest",
+    "PromptPart",
     "RateLimit",
     "RelayEnd",
     "RelayEvent",
@@ -34,6 +35,17 @@
 """Longest pause in seconds that a backend server may ask for."""
 
 
+@frozen(slots=True)
+class PromptPart:
+    """A part of a prompt, which other prompts may share.
+
+    :param tokens: number of its tokens.
+    """
+
+    name: str
+    tokens: int
+
+
 @frozen(slots=True, kw_only=True)
 class RouteRequest:
     """A caller's request, without the headers and body, which the adapter keeps.
@@ -46,6 +58,8 @@
     :param prompt_tokens: 0 for requests other than prompts.
     :param resume_after: id of the last event that the caller received, empty for none.
     :param prompt_parts: ids of the parts that its prompt shares with others, in order.
+    :param prompt_layout: all parts of its prompt with their tokens, in order; empty if
+        it is not known.
     :param fingerprint: hash of what a backend server is asked to do, the same for each
         repeat of a request; empty if it is not known.
     :param is_delegated: it comes from a peer that can not reach the backend servers.
@@ -63,6 +77,7 @@
     output_tokens: int = 0
     resume_after: str = ""
     prompt_parts: tuple[str, ...] = ()
+    prompt_layout: tuple[PromptPart, ...] = ()
     fingerprint: str = ""
     is_delegated: bool = False
     max_attempts: int | None = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
@@ -6,7 +6,12 @@
 from briarrelay_core.outcomes import NotRun
 from briarrelay_core.ports.route import RouteRequest
 from briarrelay_core.reasons import RefusalReason
-from briarrelay_core.routes.model import EngineProfile, Route, RouteConfiguration
+from briarrelay_core.routes.model import (
+    EngineProfile,
+    PromptRetention,
+    Route,
+    RouteConfiguration,
+)
 from briarrelay_core.routes.presets import PresetCollection
 from briarrelay_core.routing.lengths import LengthClass, length_class_of
 
@@ -37,12 +42,14 @@
     :param service: name of the service that the route selected for the request.
     :param profile: None for plain services.
     :param workspace: empty for callers without a key.
+    :param retention: None if the engines of the service keep nothing.
     """
 
     route: Route
     service: str
     profile: EngineProfile | None
     workspace: str
+    retention: PromptRetention | None = None
 
 
 @define(slots=True, eq=False)
@@ -80,7 +87,11 @@
         service = route.service_for(unit_hash(request.caller_request_id, "share"))
         known = configuration.services.get(service)
         admitted = AdmittedRoute(
-            route, service, known.profile if known else None, workspace or ""
+            route,
+            service,
+            known.profile if known else None,
+            workspace or "",
+            known.retention if known else None,
         )
         if self._is_refused_by_preset(request, admitted):
             return NotRun(RefusalReason.MAINTENANCE, retry_after=MAINTENANCE_RETRY_S)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -122,6 +122,8 @@
             sent_at=now,
             expected_s=placement.expected_s,
             progress_at=now,
+            saved_s=placement.saved_s,
+            has_whole_prompt=not placement.memory_shares,
         )
 
     def _activate(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -135,6 +135,7 @@
             service=admission_result.service,
             profile=admission_result.profile,
             workspace=admission_result.workspace,
+            retention=admission_result.retention,
             arrived_at=now,
             deadline=now + effective_limit_s,
             content=request_content(request.fingerprint, admission_result.workspace),
@@ -332,7 +333,10 @@
         self, routed: RoutedRequest, placement: Placement, now: float
     ) -> list:
         self._record_probe(routed, placement, now)
-        return self._attempt_table.start(routed, placement, now)
+        effects = self._attempt_table.start(routed, placement, now)
+        if placement.saved_s:
+            effects.append(IncrementCounter("route.held_believed"))
+        return effects
 
     def _record_probe(
         self, routed: RoutedRequest, placement: Placement, now: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -145,6 +145,7 @@
             observations.crashes,
             observations.limits,
             observations.isolation,
+            observations.held,
         )
         self.controller.delegation = Delegation(observations.isolation, self.peers)
         for seed in self.seeds:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/model.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/model.py
@@ -8,6 +8,7 @@
     "CallerLimits",
     "EngineProfile",
     "KeyHolder",
+    "PromptRetention",
     "Route",
     "RouteConfiguration",
     "RouteKind",
@@ -125,15 +126,32 @@
         return self.stride * (step + self.step_per_token_s * tokens)
 
 
+@frozen(slots=True, kw_only=True)
+class PromptRetention:
+    """How long the engines of a service keep the prompts that they have read.
+
+    :param keep_s: seconds since the last use for which a prompt is kept.
+    :param memory_share: fraction of an engine's memory that kept prompts may fill.
+    :param is_shared: whether a workspace's request may use what an engine has read for
+        another one.
+    """
+
+    keep_s: float
+    memory_share: float = 1.0
+    is_shared: bool = False
+
+
 @frozen(slots=True, kw_only=True)
 class Service:
     """A group of interchangeable backend servers.
 
     :param profile: None for plain services.
+    :param retention: None if its engines keep nothing after a request.
     """
 
     name: str
     profile: EngineProfile | None = None
+    retention: PromptRetention | None = None
 
 
 @frozen(slots=True, kw_only=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -6,6 +6,7 @@
 from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
+from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.slowdown import SlowdownTable
@@ -16,7 +17,7 @@
 
 @define(slots=True, eq=False)
 class ServerObservations:
-    """Health, slowdown, reachability, pauses and limits of servers.
+    """Health, slowdown, reachability, pauses, limits and content of servers.
 
     :param last_response_at: time of the last message from each server.
     """
@@ -29,6 +30,7 @@
     crashes: CrashTable = field(factory=CrashTable)
     limits: ServerLimitTable = field(factory=ServerLimitTable)
     isolation: IsolationTable = field(factory=IsolationTable)
+    held: HeldContents = field(factory=HeldContents)
     last_response_at: dict[str, float] = field(factory=dict)
 
     def record_response(self, server: str, now: float) -> None:
@@ -63,4 +65,5 @@
         self.slowdown.forget(name)
         self.pauses.forget(name)
         self.limits.forget(name)
+        self.held.forget(name)
         self.last_response_at.pop(name, None)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -11,6 +11,7 @@
 from briarrelay_core.ports.digest import (
     UNKNOWN_AGE_S,
     DigestReceived,
+    HeldReport,
     LimitReport,
     LoadDigest,
     PeerResponse,
@@ -19,12 +20,13 @@
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
-from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import ContentQuarantine
+from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.serverlimits import ServerLimitTable
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
@@ -149,6 +151,7 @@
     crashes: CrashTable = field(factory=CrashTable)
     limits: ServerLimitTable = field(factory=ServerLimitTable)
     isolation: IsolationTable = field(factory=IsolationTable)
+    held: HeldContents = field(factory=HeldContents)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -244,6 +247,10 @@
         effects += self.limits.apply_reports(
             filter(self._is_of_registered, digest.limits), now
         )
+        self.held.apply_reports(filter(self._is_of_registered, digest.held), now)
+        effects += [
+            IncrementCounter(f"digest.{name}_dropped") for name in digest.dropped_fields
+        ]
         self.load.apply_digest(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -257,7 +264,7 @@
         self._check_behind(peer, now)
         return effects
 
-    def _is_of_registered(self, report: LimitReport) -> bool:
+    def _is_of_registered(self, report: LimitReport | HeldReport) -> bool:
         """Return whether a report is about a registered server and its last start."""
         known = self.servers.get(report.server)
         return known is not None and known.entry.born == report.born
@@ -435,6 +442,7 @@
             limits=self.limits.own_reports(now),
             members=1 + len(self._peers),
             cut_off=self.isolation.cut_off_services(now),
+            held=self.held.own_reports(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -88,6 +88,8 @@
     :param slowdown: observed time over expected time, 1 for a healthy server.
     :param affinity_distance: in [0, 1), small for the servers that this instance
         prefers.
+    :param held_tokens: leading tokens of the prompt that it is believed to hold.
+    :param held_confidence: probability that it holds them.
     """
 
     name: str
@@ -97,6 +99,8 @@
     slowdown: float = 1.0
     affinity_distance: float = 0.0
     remote_cost: float = REMOTE_COST
+    held_tokens: int = 0
+    held_confidence: float = 1.0
 
 
 @frozen(slots=True)
@@ -130,6 +134,8 @@
         the prompt.
     :param memory_shares: helpers that store part of the prompt's memory, and the tokens
         that each reserves.
+    :param saved_s: seconds of reading that the lead saves by what it holds, included
+        in none of the other times.
     :param replaces_memory: the memory of the request's active attempt is needed.
     """
 
@@ -142,6 +148,7 @@
     backlog_s: float = 0.0
     memory_shares: tuple[tuple[str, int], ...] = ()
     replaces_memory: bool = False
+    saved_s: float = 0.0
 
 
 def _expected_loss(usage: float) -> float:
@@ -156,6 +163,13 @@
     )
 
 
+def _saved_s(profile: EngineProfile, lead: Candidate) -> float:
+    """Return the expected seconds of reading that a lead saves by what it holds."""
+    if not lead.held_tokens:
+        return 0.0
+    return lead.held_confidence * profile.read_s(lead.held_tokens)
+
+
 def _stream_cost(profile: EngineProfile, candidate: Candidate, read_s: float) -> float:
     """Return the cost to an engine's current streams of additional reading.
 
@@ -236,12 +250,19 @@
 
 def _place_on_one(profile: EngineProfile, with_room: list[Candidate], prompt: Prompt):
     """Return the cheapest placement that reads the prompt on a single engine."""
-    read_s = profile.read_s(prompt.tokens)
-    costs = [(_lead_cost(profile, c, prompt, read_s), c) for c in with_room]
+    total_s = profile.read_s(prompt.tokens)
+    costs = [
+        (_lead_cost(profile, c, prompt, total_s - _saved_s(profile, c)), c)
+        for c in with_room
+    ]
     cost, lead = min(costs, key=lambda pair: (pair[0], pair[1].name))
+    saved_s = _saved_s(profile, lead)
+    read_s = total_s - saved_s
     expected = _first_event_s(profile, lead, read_s)
     stream_cost = _stream_cost(profile, lead, read_s)
-    return Placement(lead.name, (), read_s, expected, cost, stream_cost)
+    return Placement(
+        lead.name, (), read_s, expected, cost, stream_cost, saved_s=saved_s
+    )
 
 
 def _place_split(
@@ -250,13 +271,34 @@
     candidates: list[Candidate],
     prompt: Prompt,
 ) -> Placement:
-    """Return the cheapest placement that may split the reading among helpers."""
+    """Return the cheapest placement that may split the reading among helpers.
+
+    The lead is the best one, or the best of those that hold the beginning.
+    """
+    placements = [_split_from_best(profile, with_room, candidates, prompt)]
+    holders = [c for c in with_room if c.held_tokens]
+    if holders:
+        placements.append(_split_from_best(profile, holders, candidates, prompt))
+    return min(placements, key=lambda placement: placement.cost)
+
+
+def _split_from_best(
+    profile: EngineProfile,
+    leads: list[Candidate],
+    candidates: list[Candidate],
+    prompt: Prompt,
+) -> Placement:
+    """Return the cheapest placement that the best of some leads may split."""
     total_s = profile.read_s(prompt.tokens)
-    min_share_s = total_s / (MAX_HELPERS + 1)
-    costs = [(_lead_cost(profile, c, prompt, min_share_s), c) for c in with_room]
+
+    def min_share_s(lead: Candidate) -> float:
+        return (total_s - _saved_s(profile, lead)) / (MAX_HELPERS + 1)
+
+    costs = [(_lead_cost(profile, c, prompt, min_share_s(c)), c) for c in leads]
     lead = min(costs, key=lambda pair: (pair[0], pair[1].name))[1]
+    share_s = min_share_s(lead)
     others = [
-        (_helper_cost(profile, c, min_share_s), c.name, c)
+        (_helper_cost(profile, c, share_s), c.name, c)
         for c in candidates
         if c is not lead and c.load.helper_requests < c.slots
     ]
@@ -305,6 +347,8 @@
         c for c in ranked if c not in holders and c.load.helper_requests < c.slots
     ]
     reserved = zip(holders[1:], shares[1:], strict=True)
+    # The memory of a spread prompt is divided anew, whatever the lead holds.
+    lead = evolve(lead, held_tokens=0)
     best = _choose_helper_count(profile, lead, holders[1:], others, prompt)
     return evolve(best, memory_shares=tuple((c.name, tokens) for c, tokens in reserved))
 
@@ -321,7 +365,8 @@
     :param required: helpers that every placement includes.
     :param others: optional helpers, best first.
     """
-    total_s = profile.read_s(prompt.tokens)
+    # Helpers read parts of what the lead does not hold.
+    total_s = profile.read_s(prompt.tokens) - _saved_s(profile, lead)
     max_count = min(MAX_HELPERS - len(required), len(others))
     placements = []
     for count in (*[n for n in HELPER_COUNTS if n < max_count], max_count):
@@ -395,6 +440,7 @@
         cost + stream_cost,
         stream_cost,
         backlog_s,
+        saved_s=_saved_s(profile, lead) / (len(helpers) + 1),
     )
 
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -4,8 +4,9 @@
 
 from briarrelay_core.ports.route import ResponseKind, RouteRequest
 from briarrelay_core.reasons import RetryReason
-from briarrelay_core.routes.model import EngineProfile, Route
+from briarrelay_core.routes.model import EngineProfile, PromptRetention, Route
 from briarrelay_core.routes.placement import Placement
+from briarrelay_core.routes.retention.beginnings import Beginning, beginnings_of
 
 __all__ = ["AttemptState", "RoutedRequest"]
 
@@ -21,6 +22,9 @@
 
     :param server_born: start of the server's incarnation that the attempt goes to.
     :param expected_s: seconds until the first event, as estimated at placement.
+    :param saved_s: part of the reading that the estimate leaves out, in seconds, since
+        the server is believed to hold the beginning of the prompt.
+    :param has_whole_prompt: the memory of the prompt is on the server alone.
     :param progress_at: time of the attempt's start or of its last message.
     :param pending_placement: the placement while its memory is being reserved, None
         once the request has been sent.
@@ -52,6 +56,8 @@
     is_survived: bool = False
     is_delegated: bool = False
     max_runs: int = 1
+    saved_s: float = 0.0
+    has_whole_prompt: bool = True
     silence_counted_at: float = float("-inf")
     searched_at: float = float("-inf")
 
@@ -95,6 +101,8 @@
     :param content: its name among the contents that can crash backend servers; the
         same for each repeat, empty if it is not known.
     :param quarantined_content: content for which it ended, empty for none.
+    :param retention: None if the engines of its service keep nothing.
+    :ivar beginnings: beginnings of its prompt that engines may hold.
     """
 
     request: RouteRequest
@@ -125,6 +133,15 @@
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    retention: PromptRetention | None = None
+    beginnings: tuple[Beginning, ...] = field(init=False)
+
+    @beginnings.default
+    def _find_beginnings(self) -> tuple[Beginning, ...]:
+        if self.retention is None or not self.is_prompt:
+            return ()
+        workspace = None if self.retention.is_shared else self.workspace
+        return beginnings_of(self.request.prompt_layout, self.service, workspace)
 
     def exclude(self, engine: str, now: float) -> None:
         """Exclude an engine that caused a refusal or denied memory."""
@@ -165,6 +182,8 @@
         :param version: version of the configuration in force.
         """
         first = self.first_event_at
+        saved_ms = f"{1000 * attempt.saved_s:.0f}" if attempt else ""
+        held = (("saved_ms", saved_ms),) if self.retention is not None else ()
         return (
             ("outcome", outcome),
             ("route", self.route.name),
@@ -180,4 +199,5 @@
             ("tokens", str(self.request.prompt_tokens)),
             ("parts", ",".join(self.request.prompt_parts)),
             ("content", self.content),
+            *held,
         )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -166,7 +166,7 @@
         attempt.events += 1
         effects = []
         if attempt.events == 1:
-            self._on_first_event(routed, now)
+            effects += self._on_first_event(routed, now)
         elif attempt.events == SURVIVAL_EVENTS:
             effects += self.controller.record_survival(routed, attempt, now)
         if not routed.is_head_relayed:
@@ -179,14 +179,17 @@
         effects.append(RelayEvent(routed.request.request_id, message.data))
         return effects
 
-    def _on_first_event(self, routed: RoutedRequest, now: float) -> None:
+    def _on_first_event(self, routed: RoutedRequest, now: float) -> list:
         attempt = routed.active_attempt
         self.controller.load.mark_read(attempt.attempt_id)
+        retention = self.controller.selector.retention
+        effects, expected_s = retention.on_first_event(routed, attempt, now)
         taken_s = now - attempt.sent_at
         self.controller.observations.slowdown.observe(
-            attempt.server, attempt.expected_s, taken_s, now
+            attempt.server, expected_s, taken_s, now
         )
         self.controller.observations.health.record_success(attempt.server)
+        return effects
 
     def on_done(self, message: ResponseComplete, now: float) -> list:
         """Handle the end of a complete response."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -20,6 +20,7 @@
     place_prompt,
 )
 from briarrelay_core.routes.requeststate import RoutedRequest
+from briarrelay_core.routes.retention.tracker import RetentionTracker
 from briarrelay_core.routes.servers import KnownServer, ServerTable
 from briarrelay_core.routes.waiting import RETURN_PAUSE_S
 
@@ -57,8 +58,12 @@
     load: LoadTable
     observations: ServerObservations
     size_factor: float = 1.0
+    retention: RetentionTracker = field(init=False)
     _affinity_distances: dict[str, float] = field(factory=dict)
 
+    def __attrs_post_init__(self):
+        self.retention = RetentionTracker(self.load, self.observations.held)
+
     def _affinity_distance(self, entry: ServerEntry) -> float:
         """Return a number in [0, 1) that is small if this instance prefers a server.
 
@@ -203,6 +208,7 @@
         compare different servers instead of all choosing the same one.
         """
         sample = self._sample(routed, known, now)
+        sample = self.retention.with_holders(routed, sample, known)
         placement = self._choose(routed, sample, now)
         if placement is None and len(sample) < len(known):
             return self._choose(routed, known, now)
@@ -244,6 +250,7 @@
         ]
         if not is_prompt:
             return place_plain_request(candidates)
+        candidates = self.retention.with_held_tokens(routed, candidates, known, now)
         return place_prompt(routed.profile, candidates, _make_prompt(routed, now))
 
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -120,7 +120,8 @@
         """Return seconds for which an attempt may be silent while its engines read."""
         load = self.controller.load
         names = (attempt.server, *(() if attempt.events else attempt.helpers))
-        return max(load.reading_s(name, now) for name in names)
+        reading_s = max(load.reading_s(name, now) for name in names)
+        return reading_s + attempt.saved_s
 
     def _record_silence(
         self, attempt: AttemptState, timeout_s: float, now: float
@@ -164,7 +165,8 @@
     if routed.route.kind is not RouteKind.STREAM:
         return SAFE_TIMEOUT_FACTOR * routed.route.target_latency_s
     if not attempt.events:
-        return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * attempt.expected_s
+        unheld_s = attempt.expected_s + attempt.saved_s
+        return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * unheld_s
     return max(
         MIN_GAP_TIMEOUT_S, GAP_TIMEOUT_FACTOR * (routed.route.gap_limit_s or 0.0)
     )
--- a/packages/briarrelay-core/src/briarrelay_core/routing/prefix.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routing/prefix.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from briarrelay_core.ports.engine import CacheEvents
+from briarrelay_core.routing.confidence import ConfidenceTable
 
 __all__ = ["BLOCK_TOKENS", "PrefixIndex"]
 
@@ -15,12 +16,6 @@
 MAX_BLOCKS = 100_000
 """Largest number of blocks in the index; the least recently added are evicted."""
 
-GAP_CONFIDENCE_FACTOR = 0.5
-"""Factor applied to the confidence in an engine when cache events are missed."""
-
-CONFIDENCE_STEP = 0.1
-"""Increase of the confidence for each batch of events without a gap."""
-
 
 @define(slots=True)
 class PrefixIndex:
@@ -32,7 +27,7 @@
 
     _holders: OrderedDict = field(factory=OrderedDict)
     _next_event: dict[str, int] = field(factory=dict)
-    _confidence: dict[str, float] = field(factory=dict)
+    _confidence: ConfidenceTable = field(factory=ConfidenceTable)
 
     def __len__(self) -> int:
         return len(self._holders)
@@ -43,7 +38,7 @@
 
     def confidence(self, engine: str) -> float:
         """Return the confidence in the entries of an engine, from 0 to 1."""
-        return self._confidence.get(engine, 1.0)
+        return self._confidence.of(engine)
 
     def add(self, engine: str, blocks: Iterable[int]) -> None:
         """Add blocks that an engine has cached."""
@@ -57,10 +52,7 @@
         """Apply an engine's cache events; return whether earlier ones were missed."""
         expected = self._next_event.get(batch.engine, batch.first)
         gap = batch.first > expected
-        factor = GAP_CONFIDENCE_FACTOR if gap else 1.0
-        step = CONFIDENCE_STEP if batch.events and not gap else 0.0
-        confidence = self.confidence(batch.engine) * factor + step
-        self._confidence[batch.engine] = min(1.0, confidence)
+        self._confidence.adjust(batch.engine, confirmed=bool(batch.events), refuted=gap)
         for event in batch.events[max(0, expected - batch.first) :]:
             if event.stored:
                 self.add(batch.engine, (event.block,))
@@ -73,7 +65,7 @@
     def forget(self, engine: str) -> None:
         """Drop the state of an engine that is gone or has restarted."""
         self._next_event.pop(engine, None)
-        self._confidence.pop(engine, None)
+        self._confidence.forget(engine)
         for holders in self._holders.values():
             holders.discard(engine)
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -5,6 +5,7 @@
 """
 
 from math import isfinite
+from typing import Any
 
 import orjson
 
@@ -28,6 +29,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.route import MAX_PAUSE_S, RateLimit
+from briarrelay_daemon.heldcodec import decode_held, encode_held
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
 
@@ -35,6 +37,9 @@
 MAX_MEMBERS = 10_000
 """Largest number of instances that a digest may report."""
 
+_RESERVED_FIELDS = 5
+"""Fields between the services out of reach and the held prompts."""
+
 MAX_TEXT_CHARS = 200
 """Longest name of an engine's incarnation in a report of a crash."""
 
@@ -79,6 +84,8 @@
         _encode_reports(digest) if has_reports else None,
         [digest.members, _encode_limits(digest.limits)] if digest.limits else None,
         digest.cut_off or None,
+        *[None] * _RESERVED_FIELDS,
+        encode_held(digest.held),
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -132,7 +139,7 @@
     reports: list | None = None,
     limits: list | None = None,
     cut_off: list | None = None,
-    *_,
+    *later: Any,
 ) -> dict:
     """Return the fields that were added to digests later.
 
@@ -150,9 +157,21 @@
         **(_decode_reports(*reports) if reports else {}),
         **(_decode_limits(*limits) if limits else {}),
         "cut_off": _decode_services(cut_off) if cut_off else (),
+        **_decode_later(later),
     }
 
 
+def _decode_later(fields: tuple) -> dict:
+    """Return the fields after those up to `cut_off`; an invalid one is dropped."""
+    held = fields[_RESERVED_FIELDS] if len(fields) > _RESERVED_FIELDS else None
+    if held is None:
+        return {}
+    try:
+        return {"held": decode_held(held)}
+    except ValueError:
+        return {"dropped_fields": ("held",)}
+
+
 def _decode_services(services: list) -> tuple[str, ...]:
     if not isinstance(services, list):
         raise ValueError("not a list of services")
