--- a/packages/briarrelay-bench/src/briarrelay_bench/sites.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/sites.py
@@ -5,7 +5,8 @@
 
 from attrs import evolve, frozen
 
-from briarrelay_core.routes.model import EngineProfile
+from briarrelay_core.ports.route import PromptPart
+from briarrelay_core.routes.model import EngineProfile, PromptRetention
 
 __all__ = ["DAYS", "SITES", "Arrival", "Burst", "RequestKind", "Site", "draw_arrivals"]
 
@@ -58,6 +59,8 @@
     :param hop_s: one-way delay between instances, peers and servers, in seconds.
     :param caller_delay_s: one-way delay between callers and instances, in seconds.
     :param packet_loss: fraction of packets that are lost and sent again.
+    :param keeps_prompts: whether engines keep prompts that they have read.
+    :param retention: what the configuration says of that.
     """
 
     name: str
@@ -71,6 +74,8 @@
     hop_s: float = 0.0015
     caller_delay_s: float = 0.003
     packet_loss: float = 0.0
+    keeps_prompts: bool = False
+    retention: PromptRetention | None = None
 
 
 @frozen(slots=True)
@@ -91,6 +96,7 @@
 
     :param at: seconds since the start of the day.
     :param zone: number of the data centre that the caller is near.
+    :param layout: parts of the prompt, none if other prompts share nothing with it.
     """
 
     at: float
@@ -100,6 +106,7 @@
     events: int = 1
     work_s: float = 0.0
     zone: int = 0
+    layout: tuple[PromptPart, ...] = ()
 
 
 def _make_site(name: str, spec: dict, **sizes) -> Site:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -146,6 +146,7 @@
             observations.limits,
             observations.isolation,
             observations.allowances.cold,
+            observations.held,
         )
         self.controller.delegation = Delegation(observations.isolation, self.peers)
         for seed in self.seeds:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/model.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/model.py
@@ -8,6 +8,7 @@
     "CallerLimits",
     "EngineProfile",
     "KeyHolder",
+    "PromptRetention",
     "Route",
     "RouteConfiguration",
     "RouteKind",
@@ -125,6 +126,21 @@
         return self.stride * (step + self.step_per_token_s * tokens)
 
 
+@frozen(slots=True, kw_only=True)
+class PromptRetention:
+    """How long the engines of a service keep the prompts that they have read.
+
+    :param keep_s: seconds since the last use for which a prompt is kept.
+    :param memory_share: fraction of an engine's memory that kept prompts may fill.
+    :param is_shared: whether a workspace's request may use what an engine has read for
+        another one.
+    """
+
+    keep_s: float
+    memory_share: float = 1.0
+    is_shared: bool = False
+
+
 @frozen(slots=True, kw_only=True)
 class Service:
     """A group of interchangeable backend servers.
@@ -134,6 +150,7 @@
     :param cold_per_s: requests per second that a cold server takes from all instances
         together, 0 if its number is not restricted.
     :param problem: which of these values were invalid and left out, else empty.
+    :param retention: None if its engines keep nothing after a request.
     """
 
     name: str
@@ -141,6 +158,7 @@
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     problem: str = ""
+    retention: PromptRetention | None = None
 
 
 @frozen(slots=True, kw_only=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -8,6 +8,7 @@
 from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
+from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.slowdown import SlowdownTable
 from briarrelay_core.routing.health import HealthTable
@@ -17,7 +18,7 @@
 
 @define(slots=True, eq=False)
 class ServerObservations:
-    """Health, slowdown, reachability, pauses and limits of servers.
+    """Health, slowdown, reachability, pauses, limits and content of servers.
 
     :param last_response_at: time of the last message from each server.
     """
@@ -30,6 +31,7 @@
     crashes: CrashTable = field(factory=CrashTable)
     allowances: Allowances = field(factory=Allowances)
     isolation: IsolationTable = field(factory=IsolationTable)
+    held: HeldContents = field(factory=HeldContents)
     last_response_at: dict[str, float] = field(factory=dict)
 
     @property
@@ -69,4 +71,5 @@
         self.slowdown.forget(name)
         self.pauses.forget(name)
         self.allowances.forget(name)
+        self.held.forget(name)
         self.last_response_at.pop(name, None)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -12,6 +12,7 @@
 from briarrelay_core.ports.digest import (
     UNKNOWN_AGE_S,
     DigestReceived,
+    HeldReport,
     LimitReport,
     LoadDigest,
     PeerResponse,
@@ -20,7 +21,7 @@
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
-from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.crashes import CrashTable
@@ -28,6 +29,7 @@
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import ContentQuarantine
+from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
@@ -152,6 +154,7 @@
     limits: ServerLimitTable = field(factory=ServerLimitTable)
     isolation: IsolationTable = field(factory=IsolationTable)
     cold: ColdTable = field(factory=ColdTable)
+    held: HeldContents = field(factory=HeldContents)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -256,6 +259,10 @@
             ),
             now,
         )
+        self.held.apply_reports(filter(self._is_of_registered, digest.held), now)
+        effects += [
+            IncrementCounter(f"digest.{name}_dropped") for name in digest.dropped_fields
+        ]
         self.load.apply_digest(digest, now)
         for address in digest.peers:
             self.add(address)
@@ -269,7 +276,7 @@
         self._check_behind(peer, now)
         return effects
 
-    def _is_of_registered(self, report: LimitReport | ColdReport) -> bool:
+    def _is_of_registered(self, report: LimitReport | ColdReport | HeldReport) -> bool:
         """Return whether a report is about a registered server and its last start."""
         known = self.servers.get(report.server)
         return known is not None and known.entry.born == report.born
@@ -463,6 +470,7 @@
             cut_off=self.isolation.cut_off_services(now),
             evacuations=self.servers.evacuations.own_reports(now),
             cold=self.cold.own_reports(now),
+            held=self.held.own_reports(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -30,6 +30,7 @@
 from briarrelay_core.ports.route import MAX_PAUSE_S, RateLimit
 from briarrelay_daemon.coldcodec import decode_cold, encode_cold
 from briarrelay_daemon.evacuationcodec import decode_evacuations, encode_evacuations
+from briarrelay_daemon.heldcodec import decode_held, encode_held
 
 __all__ = ["DigestError", "decode_digest", "encode_digest"]
 
@@ -83,6 +84,8 @@
         digest.cut_off or None,
         encode_evacuations(digest.evacuations),
         encode_cold(digest.cold),
+        None,  # capacity
+        encode_held(digest.held),
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -138,6 +141,8 @@
     cut_off: list | None = None,
     evacuations: list | None = None,
     cold: list | None = None,
+    capacity: list | None = None,
+    held: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -158,9 +163,20 @@
         "cut_off": _decode_services(cut_off) if cut_off else (),
         "evacuations": decode_evacuations(evacuations),
         "cold": decode_cold(cold),
+        **_decode_held_field(held),
     }
 
 
+def _decode_held_field(held: list | None) -> dict:
+    """Return what servers still hold; an invalid report is dropped alone."""
+    if held is None:
+        return {}
+    try:
+        return {"held": decode_held(held)}
+    except ValueError:
+        return {"dropped_fields": ("held",)}
+
+
 def _decode_services(services: list) -> tuple[str, ...]:
     if not isinstance(services, list):
         raise ValueError("not a list of services")
