Bound what is held for callers and servers that read slowly

An instance read a response as fast as its server sent it and kept what the caller did not take, up to 1 MB, then closed the connection. There was no bound on the sum, and a server that was not read for seconds counted as failed.

Beyond a bound for each response the server is not read until the caller has read half of it; silence does not count meanwhile, and a response that the server cuts off after that resumes as after any loss, without a failure, crash or strike. Beyond a total the slowest connection is closed. The bounds follow from the memory in the settings. Requests that servers read slowly count too.

--- a/features/properties/test_settings.py
+++ b/features/properties/test_settings.py
@@ -109,6 +109,19 @@
         text = self.read_error('ip = "127.1.9.11"', 'ip = "1127.1.9.11"')
         self.assertIn("ip: given '1127.1.9.11'", text)
 
+    def test_memory_that_is_no_amount(self):
+        for amount in ("0", "-1", "inf", "nan", '"much"', "true"):
+            limits = f"[limits]\nmemory-mb = {amount}\n[platform]"
+            self.assertIn("memory-mb", self.read_error("[platform]", limits))
+
+    def test_memory_is_read_in_bytes(self):
+        for limits, expected in (("", None), ("memory-mb = 200.5", 200_500_000)):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / "settings.toml"
+                path.write_text(f"{self.TEXT}[limits]\n{limits}\n", encoding="utf-8")
+                entry = read_platform_settings(str(path)).entry
+                self.assertEqual(entry.memory_bytes, expected)
+
     def test_internal_ports_that_are_no_ports(self):
         for ports in ("[]", '["a"]', "[70000]", "[[1]]", "[-1]"):
             text = self.read_error("[7340, 7355]", ports)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -16,6 +16,7 @@
     "HelperAddress",
     "InvalidRequest",
     "RateLimit",
+    "ReadingPaused",
     "RelayEnd",
     "RelayEvent",
     "RelayFullResponse",
@@ -88,6 +89,17 @@
     request_id: int
 
 
+@frozen(slots=True)
+class ReadingPaused:
+    """Reading from a request's server has stopped, or goes on.
+
+    Its caller reads too slowly.
+    """
+
+    request_id: int
+    is_paused: bool
+
+
 @frozen(slots=True)
 class HelperAddress:
     """Address of an engine that processes a part of a prompt for another engine.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -32,6 +32,7 @@
 from briarrelay_core.ports.route import (
     CallerDisconnected,
     InvalidRequest,
+    ReadingPaused,
     ResponseComplete,
     ResponseEvent,
     ResponseHead,
@@ -41,6 +42,7 @@
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import AUDIT_STREAM, Recorder
+from briarrelay_core.routes.backpressure import apply_reading_paused
 from briarrelay_core.routes.budget import RetryLimits, ServiceRetryBudget
 from briarrelay_core.routes.controller import RequestController
 from briarrelay_core.routes.delegation import Delegation
@@ -295,6 +297,10 @@
             return [IncrementCounter("route.caller_gone")]
         return self.controller.on_caller_disconnected(message, now)
 
+    @_dispatch.register
+    def _(self, message: ReadingPaused, now: float) -> list:
+        return apply_reading_paused(self.controller, message, now)
+
     @_dispatch.register
     def _(self, message: ResponseHead, now: float) -> list:
         return self.responses.on_head(message, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -34,6 +34,7 @@
         of the server.
     :param searched_at: time at which another server was last looked for, since this one
         is silent.
+    :param was_unread: it was not read for so long that its server may have cut it off.
     """
 
     attempt_id: int
@@ -54,6 +55,7 @@
     max_runs: int = 1
     silence_counted_at: float = float("-inf")
     searched_at: float = float("-inf")
+    was_unread: bool = False
 
     @property
     def incarnation(self) -> str:
@@ -94,6 +96,8 @@
         none.
     :param content: its name among the contents that can crash backend servers; the
         same for each repeat, empty if it is not known.
+    :param reading_paused_at: time since which its caller reads too slowly for more of
+        the response, None if it does not.
     :param quarantined_content: content for which it ended, empty for none.
     """
 
@@ -125,6 +129,7 @@
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    reading_paused_at: float | None = None
 
     def exclude(self, engine: str, now: float) -> None:
         """Exclude an engine that caused a refusal or denied memory."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -247,8 +247,9 @@
         if routed is None:
             return []
         if message.is_sent:
-            if not message.is_closed:
-                server = routed.active_attempt.server
+            attempt = routed.active_attempt
+            if not message.is_closed and not attempt.was_unread:
+                server = attempt.server
                 self.controller.observations.record_unacknowledged(server, now)
             return self._on_unusable(routed, message.problem, now, message.is_closed)
         attempt = self.controller.end_attempt(routed, now)
@@ -278,12 +279,15 @@
         """
         attempt = self.controller.end_attempt(routed, now)
         routed.possible_runs += attempt.max_runs
-        self.controller.observations.health.record_failure(attempt.server, now)
-        is_crash = is_closed and not attempt.is_delegated
         effects = [
             self._make_lost_log(routed, attempt, problem, is_closed),
             AbortAttempt(attempt.attempt_id),
         ]
+        if attempt.was_unread:
+            effects.append(IncrementCounter("route.cut_unread"))
+        else:
+            self.controller.observations.health.record_failure(attempt.server, now)
+        is_crash = is_closed and not attempt.is_delegated and not attempt.was_unread
         if is_crash:
             self.controller.observations.crashes.record_closed(attempt.incarnation, now)
         if is_crash and not attempt.is_survived:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -81,6 +81,8 @@
         effects = []
         for attempt_id, routed in list(controller.attempts.items()):
             attempt = routed.active_attempt
+            if routed.reading_paused_at is not None:
+                continue
             if attempt.events or now - attempt.sent_at <= self.max_unused_s:
                 continue
             if not attempt.is_sent:
@@ -103,7 +105,7 @@
             attempt = routed.active_attempt
             if attempt is None or not attempt.is_sent or attempt.is_delegated:
                 continue  # a peer watches the server of a delegated request
-            if not routed.route.is_repeatable:
+            if not routed.route.is_repeatable or routed.reading_paused_at is not None:
                 continue
             timeout_s = _silence_timeout_s(routed, attempt)
             timeout_s += READING_FACTOR * self._read_allowance_s(attempt, now)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/callerserver.py
@@ -15,6 +15,7 @@
 
 from briarrelay_core.routes.model import CallerLimits
 from briarrelay_daemon.callermessage import CallerMessage
+from briarrelay_daemon.heldbytes import HeldBytes, SlowReader
 from briarrelay_daemon.reactor import READ, WRITE, Reactor
 from briarrelay_daemon.settings import Address
 
@@ -31,6 +32,9 @@
 """Bytes of responses buffered for a slow caller, from which the next write disconnects
 it; a complete response may be longer."""
 
+RESUME_FRACTION = 0.5
+"""Part of the bound of a response at which more of it is read again."""
+
 BACKLOG = 512
 """Length of the accept queue. If it is full, connections are dropped, which callers
 retry only after seconds."""
@@ -130,7 +134,7 @@
         return b"\r\n".join([*lines, b"", b""])
 
 
-class _CallerConnection:
+class _CallerConnection(SlowReader):
     """A caller's connection and the requests that are read from it.
 
     Requests are answered one at a time, in the order received.
@@ -142,6 +146,7 @@
     :ivar _unsent: bytes of responses that are not sent yet.
     :ivar _is_closing: the connection is closed once `_unsent` is sent; what arrives
         from then on is dropped.
+    :ivar _is_blocked: more of the response is unsent than its bound.
     :ivar _is_lingering: all is sent, and the connection closes when the caller does.
     :ivar has_pending_bytes: bytes were received beyond the requests passed on so
         far.
@@ -160,6 +165,7 @@
         self._exchange: RawExchange | None = None
         self._is_closing = False
         self._is_lingering = False
+        self._is_blocked = False
         self._is_flush_scheduled = False
         self._on_ready = self._handle_ready
         self.is_closed = False
@@ -349,7 +355,11 @@
             self._disconnect()
             return
         self._unsent += data
-        if not self._is_flush_scheduled and not self._watched_events & WRITE:
+        if self._watched_events & WRITE:
+            self.server.held.update(self, len(self._unsent))
+            if self._exceeds_bound and not self._is_blocked:
+                self.server.reactor.defer(self._check_blocked)
+        elif not self._is_flush_scheduled:
             self._is_flush_scheduled = True
             self.server.reactor.defer(self._flush)
 
@@ -358,22 +368,49 @@
         self._is_flush_scheduled = False
         if self.is_closed:
             return
+        taken_bytes = 0
         try:
             while self._unsent:
                 sent_bytes = self._sock.send(self._unsent)
+                taken_bytes += sent_bytes
                 del self._unsent[:sent_bytes]
                 if not self.is_busy and not self.has_pending_bytes:
                     self._start_timeout()  # the caller is still reading
         except BlockingIOError:
             self._watch(READ | WRITE)
+            self.server.held.update(self, len(self._unsent), taken_bytes)
+            self._check_blocked()
             return
         except OSError:
             self._disconnect()
             return
         self._watch(READ)
+        self.server.held.release(self)
+        self._check_blocked()
         if self._is_closing and not self._is_lingering:
             self._close_after_response()
 
+    @property
+    def _exceeds_bound(self) -> bool:
+        return len(self._unsent) > self.server.held.limits.response_bytes
+
+    def _check_blocked(self) -> None:
+        """Report that the caller reads too slowly, or that it has caught up."""
+        if self._exchange is None or self.is_closed:
+            return
+        if self._is_blocked:
+            limit = self.server.held.limits.response_bytes * RESUME_FRACTION
+            is_blocked = len(self._unsent) > limit
+        else:
+            is_blocked = self._exceeds_bound
+        if is_blocked != self._is_blocked:
+            self._is_blocked = is_blocked
+            self.server.on_blocked(self._exchange, is_blocked)
+
+    def end_slow(self) -> None:
+        """Close the connection; its response then is not complete."""
+        self._disconnect()
+
     def _close_after_response(self) -> None:
         """Close the connection; if the caller is still sending, only for writing."""
         if not self.has_pending_bytes and not self.has_unread_bytes:
@@ -395,6 +432,7 @@
         """Mark a response as complete and continue with the next request."""
         exchange.is_open = False
         self._exchange = None
+        self._is_blocked = False
         self._start_timeout()
         if not exchange.keeps_alive:
             self._is_closing = True
@@ -442,6 +480,7 @@
         if self.is_closed:
             return
         self.is_closed = True
+        self.server.held.release(self)
         self.server.reactor.unwatch(self._sock)
         self._sock.close()
         self.server.remove(self)
@@ -454,6 +493,9 @@
     :param on_disconnect: called with an exchange whose caller disconnected.
     :param on_bad_request: called with status and text of the response to a request that
         was rejected while it was read.
+    :param held: sum of what is held for slow readers; one of its own if None.
+    :ivar on_blocked: called with an exchange and whether its caller reads too slowly
+        for more of the response.
     """
 
     def __init__(
@@ -463,8 +505,13 @@
         on_request: Callable[[RawExchange], None],
         on_disconnect: Callable[[RawExchange], None],
         on_bad_request: Callable[[int, bytes], None] = lambda status, text: None,
+        held: HeldBytes | None = None,
     ):
         self.reactor = reactor
+        self.held = held if held is not None else HeldBytes(reactor)
+        self.on_blocked: Callable[[RawExchange, bool], None] = lambda _, is_blocked: (
+            None
+        )
         self.on_request = on_request
         self.on_disconnect = on_disconnect
         self.on_bad_request = on_bad_request
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -9,6 +9,7 @@
 from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade
 
+from briarrelay_daemon.heldbytes import HeldBytes, SlowReader
 from briarrelay_daemon.reactor import READ, WRITE, Reactor
 from briarrelay_daemon.responsereader import CallSink, ResponseReader
 from briarrelay_daemon.settings import Address
@@ -82,7 +83,7 @@
     usable_until: float = 0.0
 
 
-class HttpCall:
+class HttpCall(SlowReader):
     """One request and its response.
 
     :param has_body: whether the response may have a body.
@@ -106,6 +107,7 @@
         self._timer = None
         self._connect_timer = None
         self._has_sent = False
+        self._is_paused = False
         self._reader = ResponseReader(sink, has_body)
         self.is_over = False
         self.problem = ""
@@ -125,7 +127,7 @@
         if not connection.is_connected:
             due = reactor.clock() + min(CONNECT_TIMEOUT_S, timeout)
             self._connect_timer = reactor.timers.at(due, self._on_connect_timeout)
-        reactor.watch(connection.sock, WRITE | READ, self._on_ready)
+        self._watch()
         if len(message) >= LARGE_MESSAGE_BYTES:
             self._allow_blocking(reactor.clock())
 
@@ -154,6 +156,27 @@
             self._client.reactor.timers.at(due, self._check_acknowledgements)
         return []
 
+    def _watch(self) -> None:
+        connection = self._connection
+        events = (WRITE if connection.unsent else 0) | (0 if self._is_paused else READ)
+        self._client.reactor.watch(connection.sock, events, self._on_ready)
+
+    def pause(self) -> None:
+        """Read no more of the response until :meth:`resume`."""
+        if not self.is_over and not self._is_paused:
+            self._is_paused = True
+            self._watch()
+
+    def resume(self) -> None:
+        """Go on reading, also what was received before the server closed."""
+        if not self.is_over and self._is_paused:
+            self._is_paused = False
+            self._watch()
+
+    def end_slow(self) -> None:
+        """End the call, whose request the server reads too slowly."""
+        self._fail("the server reads too slowly while much is held for others")
+
     def _on_timeout(self, _: float) -> list:
         self.problem = "timed out before the response was complete"
         self.abort()
@@ -179,7 +202,12 @@
         if self._connection.unsent:
             self._write()
         # Includes EPOLLERR and EPOLLHUP: recv() then reports the error.
-        if events & ~WRITE and not self.is_over:
+        if not events & ~WRITE or self.is_over:
+            return
+        if self._is_paused:
+            # The poller would report the closed connection again and again.
+            self._client.reactor.unwatch(self._connection.sock)
+        else:
             self._read()
 
     def _write(self) -> None:
@@ -207,8 +235,12 @@
             self._has_sent = True
             self._cancel_connect_timer()
         connection.unsent = connection.unsent[count:]
-        if not connection.unsent:
-            self._client.reactor.watch(connection.sock, READ, self._on_ready)
+        if connection.unsent:
+            message_bytes = connection.unsent.obj
+            self._client.held.update(self, len(message_bytes), count)
+        else:
+            self._client.held.release(self)
+            self._watch()
 
     def _read(self) -> None:
         try:
@@ -294,6 +326,7 @@
 
     def _mark_over(self) -> None:
         self.is_over = True
+        self._client.held.release(self)
         self._timer.cancel()
         self._cancel_connect_timer()
 
@@ -304,10 +337,14 @@
 
 
 class HttpClient:
-    """Sends requests, with a pool of idle connections per address."""
+    """Sends requests, with a pool of idle connections per address.
+
+    :param held: sum of what is held for slow readers; one of its own if None.
+    """
 
-    def __init__(self, reactor: Reactor):
+    def __init__(self, reactor: Reactor, held: HeldBytes | None = None):
         self.reactor = reactor
+        self.held = held if held is not None else HeldBytes(reactor)
         self._idle: dict[Address, list[_Connection]] = {}
         reactor.timers.every(SWEEP_S, self._sweep, reactor.clock() + SWEEP_S)
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -20,6 +20,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_daemon.digestport import DigestPort
+from briarrelay_daemon.heldbytes import BufferLimits, HeldBytes
 from briarrelay_daemon.host import Host, SteadyClock
 from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.metrics import Metrics
@@ -81,9 +82,11 @@
         self.metrics = Metrics()
         core = _make_core(settings, clock())
         self.host = Host(core, self.reactor, self.metrics, logger)
-        client = HttpClient(self.reactor)
+        limits = BufferLimits.for_memory(settings.memory_bytes)
+        held = HeldBytes(self.reactor, limits)
+        client = HttpClient(self.reactor, held)
         self.routes = RoutePort(
-            self.host, client, settings.listen, settings.digests, dialect
+            self.host, client, settings.listen, settings.digests, dialect, held
         )
         attach_platform(self.host, client)
         peer_pages = PageServer(settings.questions, self.reactor)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -13,6 +13,7 @@
     DelegateRequest,
     ForwardRequest,
     InvalidRequest,
+    ReadingPaused,
     RelayEnd,
     RelayEvent,
     RelayFullResponse,
@@ -28,6 +29,7 @@
 from briarrelay_core.reasons import FailureReason
 from briarrelay_daemon.callerserver import CallerServer, RawExchange
 from briarrelay_daemon.eventsplit import MAX_EVENT_BYTES, EventSplitter
+from briarrelay_daemon.heldbytes import HeldBytes
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.httpcall import HttpCall, HttpClient
 from briarrelay_daemon.responsereader import CallSink
@@ -218,6 +220,7 @@
 
     :param started_at: ``perf_counter()`` when the request was received.
     :param is_delegated: it comes from a peer.
+    :param is_blocked: its caller reads too slowly for more of the response.
     """
 
     exchange: RawExchange
@@ -225,10 +228,14 @@
     is_delegated: bool = False
     attempt_ids: list[int] = field(factory=list)
     is_answered: bool = False
+    is_blocked: bool = False
 
 
 class RoutePort:
-    """Passes callers' requests to the core, and carries out its effects on them."""
+    """Passes callers' requests to the core, and carries out its effects on them.
+
+    :param held: sum of what is held for slow readers; one of its own if None.
+    """
 
     def __init__(
         self,
@@ -237,7 +244,10 @@
         listen: Address,
         delegations: Address,
         dialect: Dialect,
+        held: HeldBytes | None = None,
     ):
+        held = held if held is not None else HeldBytes(host.reactor)
+        self._held = held
         self.host = host
         self.dialect = dialect
         self._client = client
@@ -251,6 +261,7 @@
             self._on_request,
             self._on_disconnect,
             self._on_bad_request,
+            held,
         )
         self.delegations = CallerServer(
             delegations,
@@ -258,7 +269,11 @@
             self._on_delegated,
             self._on_disconnect,
             self._on_bad_request,
+            held,
         )
+        for server in self.servers:
+            server.on_blocked = self._on_blocked
+        held.on_ended = self._on_slow_reader_ended
         for effect_class, perform in (
             (ForwardRequest, self._forward),
             (DelegateRequest, self._delegate),
@@ -318,6 +333,32 @@
             self._remove(request_id)
             self.host.dispatch(CallerDisconnected(request_id))
 
+    def _on_blocked(self, exchange: RawExchange, is_blocked: bool) -> None:
+        """Stop or go on reading from the servers of a caller that reads slowly."""
+        request_id = self._request_ids.get(exchange)
+        if request_id is None:
+            return
+        pending = self._pending[request_id]
+        pending.is_blocked = is_blocked
+        self.host.dispatch(ReadingPaused(request_id, is_blocked))
+        for attempt_id in pending.attempt_ids:
+            attempt = self._attempts.get(attempt_id)
+            if attempt is None or attempt.call is None:
+                continue
+            if is_blocked:
+                attempt.call.pause()
+            else:
+                attempt.call.resume()
+
+    def _on_slow_reader_ended(self, size: int, seconds: float) -> None:
+        self.host.counters.add("route.slow_reader_ended")
+        self.host.logger.warning(
+            "slow_reader_ended",
+            held_bytes=size,
+            blocked_s=f"{seconds:.1f}",
+            total_bytes=self._held.total,
+        )
+
     def _on_bad_request(self, status: int, text: bytes) -> None:
         reason = f"improper_{status}"
         self.host.dispatch(InvalidRequest(reason=reason, problem=text.decode()))
@@ -372,6 +413,9 @@
             # No descriptor is free, or the address is none. Nothing was sent.
             problem = f"connecting failed: {error}"
             self.host.reactor.defer(lambda: attempt.report_unsent(problem))
+            return
+        if pending.is_blocked:
+            attempt.call.pause()
 
     def _abort_attempt(self, effect: AbortAttempt) -> None:
         attempt = self._attempts.get(effect.attempt_id)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
@@ -36,6 +36,7 @@
     :param news_s: seconds within which all instances must stop sending new requests
         to a server that leaves.
     :param seeds: peers to contact at the start.
+    :param memory_bytes: memory of the process, None if it is not known.
     :param retention: how long the audit record is kept after the store has it.
     """
 
@@ -54,6 +55,7 @@
     max_unused_s: float
     news_s: float
     seeds: tuple[PeerAddress, ...] = ()
+    memory_bytes: int | None = None
     retention: Retention = Retention(keep_s=60.0, keep_bytes=4_000_000)
 
 
