--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -39,6 +39,7 @@
         of the server.
     :param searched_at: time at which another server was last looked for, since this one
         is silent.
+    :param was_unread: it was not read for so long that its server may have cut it off.
     """
 
     attempt_id: int
@@ -62,6 +63,7 @@
     has_whole_prompt: bool = True
     silence_counted_at: float = float("-inf")
     searched_at: float = float("-inf")
+    was_unread: bool = False
 
     @property
     def incarnation(self) -> str:
@@ -103,6 +105,8 @@
         none.
     :param content: its name among the contents that can crash backend servers; the
         same for each repeat, empty if it is not known.
+    :param reading_paused_at: time since which its caller reads too slowly for more of
+        the response, None if it does not.
     :param quarantined_content: content for which it ended, empty for none.
     :param retention: None if the engines of its service keep nothing.
     :ivar beginnings: beginnings of its prompt that engines may hold.
@@ -137,6 +141,7 @@
     first_event_at: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
+    reading_paused_at: float | None = None
     retention: PromptRetention | None = None
     beginnings: tuple[Beginning, ...] = field(init=False)
 
