--- a/features/properties/evacuationworld.py
+++ b/features/properties/evacuationworld.py
@@ -5,7 +5,13 @@
 from attrs import evolve
 
 from briarrelay_core.identity import Identity
-from briarrelay_core.ports.directory import Topic, TopicChange, TopicFailed, TopicRead
+from briarrelay_core.ports.directory import (
+    ReadTopic,
+    Topic,
+    TopicChange,
+    TopicFailed,
+    TopicRead,
+)
 from briarrelay_core.ports.evacuation import Evacuation
 from briarrelay_core.ports.route import ForwardRequest
 from briarrelay_core.routes.budget import RetryLimits
@@ -95,6 +101,8 @@
                     if entry.address in helpers
                 ]
         super().run_effects(n, effects)
+        if any(isinstance(effect, ReadTopic) for effect in effects):
+            self.answer_reads()
 
     def load(self, per_s: float, seconds: float, tokens: int = 5_000) -> list:
         """Let each instance get requests at random times; return their views, later."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/evacuations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/evacuations.py
@@ -100,7 +100,7 @@
             known = self._known[data_centre]
             if known.key in listed_keys or known.position.era != end.era:
                 continue
-            if known.position <= end:
+            if known.position < end:
                 effects += self.apply(data_centre, False, end, now, known.key)
         return effects
 
