--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
@@ -141,6 +141,10 @@
             IncrementCounter("route.server_cold"),
         ]
 
+    def names(self) -> list[str]:
+        """Return the servers that were cold at the last check."""
+        return list(self._cold)
+
     def expire(self, now: float) -> None:
         """Forget the servers that are no longer cold."""
         for name in [n for n, known in self._cold.items() if known.until <= now]:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -41,6 +41,7 @@
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import AUDIT_STREAM, Recorder
+from briarrelay_core.routes.allowances.allowances import Allowances
 from briarrelay_core.routes.budget import RetryLimits, ServiceRetryBudget
 from briarrelay_core.routes.controller import RequestController
 from briarrelay_core.routes.delegation import Delegation
@@ -166,6 +167,11 @@
             self.grace_s,
         )
 
+    @property
+    def allowances(self) -> Allowances:
+        """What servers may get from this instance now."""
+        return self.controller.observations.allowances
+
     @property
     def is_ready(self) -> bool:
         """Whether this instance accepts requests of callers."""
@@ -257,9 +263,8 @@
     def _run_checks(self, now: float) -> list:
         self.updates.update_staleness(now)
         self.controller.budget.instances = self.peers.instances
-        allowances = self.controller.observations.allowances
-        allowances.set_members(*self.peers.members(), now)
-        allowances.cold.expire(now)
+        self.allowances.set_members(*self.peers.members(), now)
+        self.allowances.cold.expire(now)
         effects = self.silence.check(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/metrics.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/metrics.py
@@ -1,5 +1,8 @@
 """Counters and latency histograms, rendered as text."""
 
+from collections.abc import Callable, Iterable
+
+import orjson
 from hdrh.histogram import HdrHistogram
 
 from briarrelay_daemon.observe import reason_counter_names
@@ -17,10 +20,14 @@
 
 
 class Metrics:
-    """Counters and histograms in memory; the counters of all reasons start at zero."""
+    """Counters and histograms in memory; the counters of all reasons start at zero.
+
+    :ivar states: by name, a function that returns what is in that state now.
+    """
 
     def __init__(self):
         self.totals = dict.fromkeys(reason_counter_names(), 0)
+        self.states: dict[str, Callable[[], Iterable[str]]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def add(self, name: str, amount: int = 1) -> None:
@@ -41,6 +48,11 @@
             f'briarrelay_total{{name="{name}"}} {value}'
             for name, value in sorted(self.totals.items())
         ]
+        for name, read_members in sorted(self.states.items()):
+            lines += [
+                f'briarrelay_state{{name="{name}",of={orjson.dumps(of).decode()}}} 1'
+                for of in sorted(read_members())
+            ]
         for name, histogram in sorted(self._histograms.items()):
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -81,6 +81,9 @@
         self.metrics = Metrics()
         core = _make_core(settings, clock())
         self.host = Host(core, self.reactor, self.metrics, logger)
+        servers, allowances = core.controller.servers, core.allowances
+        self.metrics.states["evacuated"] = lambda: servers.evacuations.in_force
+        self.metrics.states["cold"] = allowances.cold.names
         client = HttpClient(self.reactor)
         self.routes = RoutePort(
             self.host, client, settings.listen, settings.digests, dialect
