--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -95,6 +95,7 @@
             changed = data.replace(b'["s",2.0,3.0,0.5]', bad)
             self.assertNotEqual(changed, data)
             self.assertEqual(decode_digest(changed).cold, ())
+            self.assertEqual(decode_digest(changed).invalid_reports, 1)
 
 
 if __name__ == "__main__":
--- a/features/properties/test_evacuations.py
+++ b/features/properties/test_evacuations.py
@@ -154,6 +154,7 @@
         for bad in ('"b"', "[1,1,0,1]", '["b",2,0,1]', '["b",1,-1,1]', '["b",1,0]'):
             data = encode_digest(sent).replace(b'[["a",1,2,7]]', f"[{bad}]".encode())
             self.assertEqual(decode_digest(data).evacuations, ())
+            self.assertEqual(decode_digest(data).invalid_reports, 1)
             self.assertEqual(decode_digest(data).sender, PEER)
 
 
--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -162,6 +162,8 @@
     :param evacuations: data centres whose evacuation was asked for, or taken back
         lately.
     :param cold: backend servers that are cold.
+    :param invalid_reports: number of these reports that were invalid and left out when
+        the digest was decoded.
     """
 
     sender: PeerAddress
@@ -185,6 +187,7 @@
     cut_off: tuple[str, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
     cold: tuple[ColdReport, ...] = ()
+    invalid_reports: int = 0
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -20,7 +20,7 @@
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
-from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.crashes import CrashTable
@@ -247,6 +247,8 @@
         effects += self.limits.apply_reports(
             filter(self._is_of_registered, digest.limits), now
         )
+        if digest.invalid_reports:
+            effects.append(IncrementCounter("peers.report_bad", digest.invalid_reports))
         effects += self.servers.evacuations.apply_reports(digest.evacuations, now)
         effects += self.cold.apply_reports(
             (
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -144,6 +144,8 @@
 
     Fields of later releases are ignored.
     """
+    evacuation_reports, invalid_evacuations = decode_evacuations(evacuations)
+    cold_reports, invalid_cold = decode_cold(cold)
     return {
         "presets": _decode_position(presets),
         "directory": _decode_position(directory),
@@ -156,8 +158,9 @@
         **(_decode_reports(*reports) if reports else {}),
         **(_decode_limits(*limits) if limits else {}),
         "cut_off": _decode_services(cut_off) if cut_off else (),
-        "evacuations": decode_evacuations(evacuations),
-        "cold": decode_cold(cold),
+        "evacuations": evacuation_reports,
+        "cold": cold_reports,
+        "invalid_reports": invalid_evacuations + invalid_cold,
     }
 
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/evacuationcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/evacuationcodec.py
@@ -18,12 +18,15 @@
     return rows or None
 
 
-def decode_evacuations(rows: object) -> tuple[EvacuationReport, ...]:
-    """Return the reports of a digest; invalid ones are left out."""
+def decode_evacuations(rows: object) -> tuple[tuple[EvacuationReport, ...], int]:
+    """Return the reports of a digest, and how many were invalid and left out."""
+    if rows is None:
+        return (), 0
     if not isinstance(rows, list):
-        return ()
-    reports = map(_decode_report, rows[:MAX_EVACUATION_REPORTS])
-    return tuple(report for report in reports if report is not None)
+        return (), 1
+    rows = rows[:MAX_EVACUATION_REPORTS]
+    reports = [report for report in map(_decode_report, rows) if report is not None]
+    return tuple(reports), len(rows) - len(reports)
 
 
 def _decode_report(row: object) -> EvacuationReport | None:
