--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -2,13 +2,18 @@
 
 import json
 import unittest
+from random import Random
 
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import LoadDigest
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.routes.allowances.cold import ColdTable
+from briarrelay_core.routes.allowances.turns import Membership
+from briarrelay_core.routes.model import Service
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from briarrelay_platform.decode import decode_server
 from properties.evacuationworld import COLD_PER_S, EvacuationWorld
+from properties.routeworld import make_entry
 
 WALL = COLD_PER_S * 1.5 + 5.0
 """Most requests in any second at which a cold server survives."""
@@ -66,6 +71,46 @@
             self.assertTrue(cold.is_cold("engine-0", world.now - 1.5, world.now))
 
 
+class ManyInstancesTest(unittest.TestCase):
+    """Tables of many instances that all want one cold server all the time."""
+
+    def test_any_second_with_and_without_digests(self):
+        service = Service(name="llm", cold_start_s=30.0, cold_per_s=23.0)
+        entry = make_entry("engine-1", "llm")
+        for count in (24, 63, 390):
+            for is_heard in (True, False):
+                with self.subTest(instances=count, is_heard=is_heard):
+                    times = self.sends(service, entry, count, is_heard)
+                    most = max(
+                        sum(at <= t < at + 1.0 for t in times[i : i + 90])
+                        for i, at in enumerate(times)
+                    )
+                    self.assertLess(most, 23.0 * 1.5 + 5.0)
+                    self.assertGreater(len(times), 10 * 23.0 / 2)
+
+    def sends(self, service, entry, count: int, is_heard: bool) -> list[float]:
+        random = Random(count)
+        learnt_at = {n: random.random() for n in range(count)}
+        tables = []
+        for rank in range(count):
+            table = ColdTable({"llm": service}, Membership(count, rank))
+            table.apply_entry(entry, True, learnt_at[rank])
+            tables.append(table)
+        if is_heard:
+            first = min(learnt_at, key=learnt_at.get)
+            report = tables[first].own_reports(1.0)[0]
+            for table in tables:
+                table.apply_reports([(report, entry)], 1.0)
+        times = []
+        for step in range(20, 240):
+            now = step / 20
+            for table in tables:
+                if table.admits_in_s("engine-1", entry.born, now) <= 0:
+                    table.record_send("engine-1", entry.born, now)
+                    times.append(now)
+        return times
+
+
 class EncodingTest(unittest.TestCase):
     def entry(self, cold_ms):
         value = {"service": "llm", "address": "10.0.0.1:1", "state": "ready"}
