--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -185,6 +185,8 @@
     :param evacuations: data centres whose evacuation was asked for, or taken back
         lately.
     :param cold: backend servers that are cold.
+    :param invalid_reports: number of these reports that were invalid and left out when
+        the digest was decoded.
     """
 
     sender: PeerAddress
@@ -210,6 +212,7 @@
     cold: tuple[ColdReport, ...] = ()
     held: tuple[HeldReport, ...] = ()
     dropped_fields: tuple[str, ...] = ()
+    invalid_reports: int = 0
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -251,6 +251,8 @@
         effects += self.limits.apply_reports(
             filter(self._is_of_registered, digest.limits), now
         )
+        if digest.invalid_reports:
+            effects.append(IncrementCounter("peers.report_bad", digest.invalid_reports))
         effects += self.servers.evacuations.apply_reports(digest.evacuations, now)
         effects += self.cold.apply_reports(
             (
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -85,6 +85,9 @@
         limits = BufferLimits.for_memory(settings.memory_bytes)
         held = HeldBytes(self.reactor, limits)
         client = HttpClient(self.reactor, held)
+        servers, allowances = core.controller.servers, core.allowances
+        self.metrics.states["evacuated"] = lambda: servers.evacuations.in_force
+        self.metrics.states["cold"] = allowances.cold.names
         self.routes = RoutePort(
             self.host, client, settings.listen, settings.digests, dialect, held
         )
