Bound the receivers of reports of long reads; test them

Cause: at 390 instances each long read would cost 389 digests of up to 0.8 KB. Change: beyond 64 peers it goes to as many as before.

--- a/features/properties/test_long_reads.py
+++ b/features/properties/test_long_reads.py
@@ -13,6 +13,7 @@
     ServerLoad,
 )
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.routes.peers import MAX_RECEIVERS
 from briarrelay_core.routes.placing.longreads import breaks_pause_limit
 from properties.routeworld import PROFILE, RouteWorld, engine_names
 
@@ -66,6 +67,13 @@
         engines = self.world.instance.controller.load.own_loads(self.world.now)
         self.assertEqual(set(to_all[-1].digest.loads), set(engines))
 
+    def test_larger_deployments_announce_to_as_many_as_before(self):
+        """With more than 64 peers, a long read does not cost a digest for each."""
+        for number in range(PEERS + 2, PEERS + 7):
+            self.world.instance.peers.add(make_peer(number))
+        receivers = self.receivers(self.send_long_prompt())
+        self.assertTrue(0 < len(receivers) <= 2 * MAX_RECEIVERS)
+
     def test_short_prompts_use_the_usual_digests(self):
         """A chat is not announced to all peers; its digest goes by turns."""
         effects = self.world.request("chat", prompt_tokens=2_000)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -29,7 +29,7 @@
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
 
-__all__ = ["PeerExchange"]
+__all__ = ["MAX_RECEIVERS", "PeerExchange"]
 
 DIGEST_PERIOD_S = 0.5
 """Maximum interval in seconds between digests."""
@@ -88,6 +88,9 @@
 """Maximum number of receivers of a digest, each for local and remote peers; bounds
 control traffic in large deployments."""
 
+MAX_READ_RECEIVERS = 64
+"""Number of peers up to which a long read is announced to all; bounds control traffic,
+as a larger deployment also has more long reads."""
 
 ANNOUNCE_SPACING_S = 0.05
 """Minimum interval in seconds between digests that announce crashes or long reads to
@@ -357,6 +360,13 @@
         self._last_remote_at = float("-inf")
         return self._send(now)
 
+    def announce_read(self, now: float) -> list:
+        """Send a digest about a long read to all peers, to as many as usual if there
+        are more than MAX_READ_RECEIVERS."""
+        if len(self._peers) > MAX_READ_RECEIVERS:
+            return self._send_urgent(now)
+        return self.announce(now)
+
     def announce(self, now: float) -> list:
         """Send a digest to all peers, soon if one was announced just before."""
         if self._is_announcement_scheduled:
