--- a/features/properties/test_long_reads.py
+++ b/features/properties/test_long_reads.py
@@ -13,6 +13,7 @@
     ServerLoad,
 )
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.telemetry import IncrementCounter
 from briarrelay_core.routes.peers import MAX_RECEIVERS
 from briarrelay_core.routes.placing.longreads import breaks_pause_limit
 from properties.routeworld import PROFILE, RouteWorld, engine_names
@@ -52,6 +53,7 @@
         """Two long prompts at different instances find each other's reads."""
         effects = self.send_long_prompt()
         self.assertEqual(len(self.receivers(effects)), PEERS)
+        self.assertIn(IncrementCounter("route.long_read_announced"), effects)
 
     def test_second_long_read_follows_soon(self):
         """A long prompt right after another is announced within 0.15 s."""
--- a/packages/briarrelay-bench/src/briarrelay_bench/sites.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/sites.py
@@ -122,8 +122,8 @@
     gaps = spec.get("gaps", (0.2, 0.5, 0.8))
     kinds = (
         prompt(
-            "chat", per_s[0], 0.3, 10.0, worth[0], (4_960, 0.9, 23_800),
-            (34.9, 0.7, 87.2), gaps[0],
+            "chat", per_s[0], spec.get("chat_aim_s", 0.3), 10.0, worth[0],
+            (4_960, 0.9, 23_800), (34.9, 0.7, 87.2), gaps[0],
         ),
         prompt(
             "history", per_s[1], 1.5, 10.0, worth[1], (45_000, 0.5, 110_000),
@@ -183,6 +183,27 @@
     stride=38,
     hop_s=0.0001,
 )
+_SOROT_NAMES = {
+    "chat": "clip-caption", "history": "half-summary", "file": "season-review",
+    "book": "license-grant", "look": "catalogue-browse",
+}  # fmt: skip
+_SOROT_CALL = {
+    "aim_s": 0.3, "deadline_s": 4.0, "worth": (1.0, 0.5), "work_s": 0.06,
+}  # fmt: skip
+_SOROT = {
+    "worth": ((1.8, 0.18), (2.5, 0.64), (11.0, 4.0)), "long": (220_000, 8.0),
+    "gaps": (0.25, 0.6, 1.0), "chat_aim_s": 0.25,
+}  # fmt: skip
+_SOROT_PROFILE = EngineProfile(
+    memory_tokens=315_000,
+    step_s=0.00085,
+    step_per_stream_s=0.00000425,
+    step_per_token_s=2.85e-9,
+    read_tokens_per_s=177_000.0,
+    pair_s=0.184e-9,
+    stride=57,
+    hop_s=0.00005,
+)
 _SMALL = {"worth": ((1.3, 0.33), (3.1, 0.79), (22.0, 5.4)), "long": (210_000, 3.0)}
 _GROWN = {"worth": ((1.4, 0.34), (2.6, 0.66), (30.0, 7.5)), "long": (300_000, 4.0)}
 
@@ -213,6 +234,13 @@
              "call": _KOCHI_GROWN_CALL},
             instances=25, data_centres=4, engines=69, slots=6, services=4,
         ),
+        _make_site(
+            "prpn-sorot-grown",
+            {**_SOROT, "names": _SOROT_NAMES, "per_s": (41.6, 4.59, 0.87, 6.7, 1.55),
+             "call": _SOROT_CALL},
+            instances=24, data_centres=3, engines=69, slots=12, services=6,
+            profile=_SOROT_PROFILE, hop_s=0.0004,
+        ),
         _make_site(
             "cesta-norte-grown",
             {**_CESTA, "names": _CESTA_NAMES, "per_s": (41.9, 2.94, 0.955, 3.9, 1.56),
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -247,6 +247,7 @@
             servers.has_urgent_change = False
             load.is_changed = load.is_urgent = True
         if load.has_long_read:
+            effects.append(IncrementCounter("route.long_read_announced"))
             effects += self.peers.announce_read(now)
             load.has_long_read = load.is_urgent = False
         if load.is_changed:
