--- a/features/properties/test_long_reads.py
+++ b/features/properties/test_long_reads.py
@@ -14,6 +14,7 @@
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.telemetry import IncrementCounter
+from briarrelay_core.routes.load import PEER_STALE_S
 from briarrelay_core.routes.peers import MAX_RECEIVERS
 from briarrelay_core.routes.placing.longreads import breaks_pause_limit
 from properties.routeworld import PROFILE, RouteWorld, engine_names
@@ -69,6 +70,14 @@
         engines = self.world.instance.controller.load.own_loads(self.world.now)
         self.assertEqual(set(to_all[-1].digest.loads), set(engines))
 
+    def test_lost_report_is_replaced_by_later_digests(self):
+        """Each peer gets a further digest with the read within PEER_STALE_S."""
+        self.send_long_prompt()
+        effects = self.world.advance(PEER_STALE_S)
+        self.assertEqual(len(self.receivers(effects)), PEERS)
+        digests = self.world.of_type(effects, SendDigest)
+        self.assertTrue(all(digest.digest.loads for digest in digests))
+
     def test_larger_deployments_announce_to_as_many_as_before(self):
         """With more than 64 peers, a long read does not cost a digest for each."""
         for number in range(PEERS + 2, PEERS + 7):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -7,7 +7,7 @@
 
 from briarrelay_core.ports.digest import LoadDigest, ServerLoad
 
-__all__ = ["AttemptLoad", "LoadTable"]
+__all__ = ["PEER_STALE_S", "AttemptLoad", "LoadTable"]
 
 PEER_STALE_S = 1.5
 """Seconds after which a peer's last digest is ignored; digests come twice a second."""
