Refuse only prompts that no engine reads in time

The best placement now may be an engine with a long backlog, while faster ones free a slot soon, so prompts that used to be served were refused after the loss of half of the engines. The backlog is now that of as many engines as read the prompt, those with the least reading; observed slowdown is left out of it.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -32,14 +32,18 @@
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.probes import PROBE_JITTER_S
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS, ContentQuarantine
-from briarrelay_core.routes.queueing.feasibility import NoPlace, find_no_place
+from briarrelay_core.routes.queueing.feasibility import (
+    MIN_BACKLOG_S,
+    NoPlace,
+    find_no_place,
+)
 from briarrelay_core.routes.queueing.rejections import RejectionTable
-from briarrelay_core.routes.queueing.retryafter import ReturnSchedule
+from briarrelay_core.routes.queueing.retryafter import spread_return_s
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
-from briarrelay_core.routes.servers import ServerTable
+from briarrelay_core.routes.servers import KnownServer, ServerTable
 from briarrelay_core.routes.waiting import RETURN_PAUSE_S, remaining_wait_s
 
 __all__ = ["RequestController"]
@@ -90,7 +94,6 @@
     :param delegation: set by the instance once its peers are set up.
     :param requests: requests in progress by request id.
     :param rejections: prompts that engines rejected lately.
-    :param returns: when refused callers return.
     :ivar refusals: refuses the requests that are not admitted.
     :ivar _waiting: queued requests by request id.
     """
@@ -105,7 +108,6 @@
     admission: RouteAdmission = field(factory=RouteAdmission)
     quarantine: ContentQuarantine = field(factory=ContentQuarantine)
     rejections: RejectionTable = field(factory=RejectionTable)
-    returns: ReturnSchedule = field(factory=ReturnSchedule)
     delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
@@ -185,7 +187,9 @@
             if accepting_servers
             else None
         )
-        no_place = placement and self._find_no_place(routed, placement, now)
+        no_place = placement and self._find_no_place(
+            routed, placement, accepting_servers, now
+        )
         if no_place:
             return self._refuse_without_place(routed, no_place, now)
         if (
@@ -208,10 +212,18 @@
         return [IncrementCounter("route.waited")]
 
     def _find_no_place(
-        self, routed: RoutedRequest, placement: Placement, now: float
+        self,
+        routed: RoutedRequest,
+        placement: Placement,
+        servers: list[KnownServer],
+        now: float,
     ) -> NoPlace | None:
-        engines = (placement.lead, *placement.helpers)
-        loads = (self.load.of(name, now) for name in engines)
+        if routed.is_head_relayed or not routed.is_prompt:
+            return None
+        if self.load.of(placement.lead, now).read_s <= MIN_BACKLOG_S:
+            return None
+        names = [server.entry.name for server in servers]
+        loads = {name: self.load.of(name, now) for name in names}
         return find_no_place(routed, placement, loads, now)
 
     def _refuse_without_place(
@@ -687,24 +699,12 @@
         if resumes_in_s is not None:
             return resumes_in_s + MIN_RETRY_AFTER_S * jitter
         if routed.room_in_s:
-            return self._spread_return_s(routed, share, now)
+            left_s = routed.deadline - now
+            return spread_return_s(routed.room_in_s, left_s, share)
         if reason is RefusalReason.NO_ENGINE:
             return NO_SERVER_RETRY_S * jitter
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
 
-    def _spread_return_s(
-        self, routed: RoutedRequest, share: float, now: float
-    ) -> float:
-        engines = len(self.servers.of_service(routed.service, now))
-        return self.returns.add(
-            room_in_s=routed.room_in_s,
-            read_s=routed.profile.read_s(routed.request.prompt_tokens),
-            share=share,
-            engines=max(1, engines) / max(1, self.budget.instances),
-            left_s=routed.deadline - now,
-            now=now,
-        )
-
     def _fail(self, routed: RoutedRequest, outcome: Failed, now: float) -> list:
         effects = self.close(routed, outcome.reason.value, now)
         effects.append(IncrementCounter(f"failed.{outcome.reason.value}"))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/queueing/rejections.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/queueing/rejections.py
@@ -6,7 +6,8 @@
 
 from attrs import define, field
 
-from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
+from briarrelay_core.ports.directory import ServerEntry
+from briarrelay_core.routes.requeststate import RoutedRequest
 from briarrelay_core.routes.servers import KnownServer
 
 __all__ = ["RECENT_REJECTION_S", "RejectionTable"]
@@ -25,15 +26,15 @@
 
     _by_server: dict[str, tuple[float, int, float]] = field(factory=dict)
 
-    def record(self, routed: RoutedRequest, attempt: AttemptState, now: float) -> None:
-        """Record that the server of an attempt rejected a prompt."""
+    def record(self, routed: RoutedRequest, engine: ServerEntry, now: float) -> None:
+        """Record that an engine rejected a prompt, or its share of it as a helper."""
         if not routed.is_prompt:
             return
-        tokens, born = _needed_tokens(routed), attempt.server_born
-        known = self._by_server.get(attempt.server)
+        tokens, born = _needed_tokens(routed), engine.born
+        known = self._by_server.get(engine.name)
         if known and known[0] == born and now - known[2] < RECENT_REJECTION_S:
             tokens = min(tokens, known[1])
-        self._by_server[attempt.server] = (born, tokens, now)
+        self._by_server[engine.name] = (born, tokens, now)
 
     def without_full(
         self, routed: RoutedRequest, servers: list[KnownServer], now: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -121,8 +121,9 @@
         if refusing_server != attempt.server:
             routed.exclude(refusing_server, now)
             self.controller.observations.health.record_failure(refusing_server, now)
-        elif not attempt.is_delegated:
-            self.controller.rejections.record(routed, attempt, now)
+        refusing = self.controller.servers.get(refusing_server)
+        if refusing is not None and not attempt.is_delegated:
+            self.controller.rejections.record(routed, refusing.entry, now)
         if attempt.is_delegated:
             routed.peer_retry_after_s = message.pause_s
         effects = [log_event, AbortAttempt(attempt.attempt_id)]
