--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -9,6 +9,8 @@
 
 from briarrelay_core.ports.digest import LoadDigest, ServerLoad
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.route import PromptPart, RouteRequest
+from briarrelay_core.routes.model import PromptRetention
 from briarrelay_daemon.callerserver import RawExchange
 from briarrelay_daemon.digestcodec import DigestError, decode_digest, encode_digest
 from briarrelay_platform.decode import (
@@ -151,6 +153,12 @@
     """The parts that a prompt shares with others, as a caller's header lists them."""
 
     def read(self, value: bytes) -> tuple[str, ...]:
+        return self.read_request(value).prompt_parts
+
+    def read_layout(self, value: bytes) -> tuple[PromptPart, ...]:
+        return self.read_request(value).prompt_layout
+
+    def read_request(self, value: bytes) -> RouteRequest:
         exchange = RawExchange(
             method="POST",
             target=b"/",
@@ -159,7 +167,14 @@
             keeps_alive=True,
             connection=None,
         )
-        return PlatformDialect().read_request(exchange, 1).prompt_parts
+        return PlatformDialect().read_request(exchange, 1)
+
+    def test_layout_lists_each_part_with_its_tokens(self):
+        layout = self.read_layout(b"5C1e:800, 91bd:410,e440:250")
+        sizes = [(part.name, part.tokens) for part in layout]
+        self.assertEqual([("5c1e", 800), ("91bd", 410), ("e440", 250)], sizes)
+        for value in (b"", b"5c1e", b"5c1e:-1", b"5c1e:8,91bd:x", b"5c1e:" + b"9" * 99):
+            self.assertEqual((), self.read_layout(value))
 
     def test_last_part_belongs_to_the_request_alone(self):
         self.assertEqual(self.read(b"5C1e:800, 91bd:410,e440:250"), ("5c1e", "91bd"))
@@ -172,6 +187,30 @@
         self.assertTrue(all(parts))
 
 
+class RetentionTest(unittest.TestCase):
+    """How long engines keep prompts, as the configuration of their service says."""
+
+    def read(self, *retention: dict) -> PromptRetention | None:
+        mapping = configuration(1)
+        for value in retention:
+            mapping["services"][0]["retention"] = value
+        decoded = decode_configuration(orjson.dumps(mapping))
+        return decoded.services["llm"].retention
+
+    def test_engines_keep_nothing_unless_it_is_configured(self):
+        self.assertIsNone(self.read())
+        self.assertEqual(PromptRetention(keep_s=30.0), self.read({"keep-s": 30}))
+        full = {"keep-s": 30, "memory-share": 0.5, "shared-by-workspaces": True}
+        expected = PromptRetention(keep_s=30.0, memory_share=0.5, is_shared=True)
+        self.assertEqual(expected, self.read(full))
+
+    def test_invalid_values_are_named(self):
+        for value in ({}, {"keep-s": 0}, {"keep-s": 9, "memory-share": 1.5}):
+            with self.assertRaises(DecodeError) as caught:
+                self.read(value)
+            self.assertRegex(str(caught.exception), "^(keep-s|memory-share): ")
+
+
 class FingerprintTest(unittest.TestCase):
     """Repeats of a request have one fingerprint, other requests have others."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -253,10 +253,11 @@
 def _place_on_one(profile: EngineProfile, with_room: list[Candidate], prompt: Prompt):
     """Return the cheapest placement that reads the prompt on a single engine."""
     total_s = profile.read_s(prompt.tokens)
-    costs = [
-        (_lead_cost(profile, c, prompt, total_s - _saved_s(profile, c)), c)
-        for c in with_room
-    ]
+
+    def read_s_of(lead: Candidate) -> float:
+        return total_s - _saved_s(profile, lead) if lead.held_tokens else total_s
+
+    costs = [(_lead_cost(profile, c, prompt, read_s_of(c)), c) for c in with_room]
     cost, lead = min(costs, key=lambda pair: (pair[0], pair[1].name))
     saved_s = _saved_s(profile, lead)
     read_s = total_s - saved_s
