--- a/features/properties/test_held_prompts.py
+++ b/features/properties/test_held_prompts.py
@@ -25,6 +25,7 @@
 from briarrelay_core.routes.placement import (
     MAX_HELPERS,
     Candidate,
+    HeldTokens,
     Placement,
     Prompt,
     place_prompt,
@@ -183,7 +184,8 @@
 
     def held(self, begun, used: int = 0, terms=TERMS, now: float = 0.0) -> int:
         memory = Memory(100_000, used)
-        return self.contents.estimate("s", 1.0, "llm", begun, terms, memory, now).tokens
+        held = self.contents.estimate("s", 1.0, "llm", begun, terms, memory, now)
+        return held.tokens if held else 0
 
     def test_full_memory_evicts_the_least_recently_used(self):
         first, second = self.record(1), self.record(2)
@@ -216,9 +218,8 @@
         memory = Memory(100_000, 0)
         found = peer.estimate("s", 1.0, "llm", begun[:1], TERMS, memory, 1.0)
         self.assertEqual(40_000, found.tokens)
-        self.assertEqual(
-            0, peer.estimate("s", 2.0, "llm", begun, TERMS, memory, 1.0).tokens
-        )
+        restarted = peer.estimate("s", 2.0, "llm", begun, TERMS, memory, 1.0)
+        self.assertIsNone(restarted)
 
 
 class DigestFieldTest(unittest.TestCase):
@@ -321,9 +322,7 @@
     @given(CANDIDATES, PROMPTS, st.floats(0.1, 1))
     def test_belief_never_raises_the_cost(self, candidates, prompt, confidence):
         before = place_prompt(PROFILE, candidates, prompt)
-        held = evolve(
-            candidates[0], held_tokens=prompt.tokens - 1, held_confidence=confidence
-        )
+        held = evolve(candidates[0], held=HeldTokens(prompt.tokens - 1, confidence))
         after = place_prompt(PROFILE, [held, *candidates[1:]], prompt)
         if before is not None and prompt.tokens > 1 and not before.memory_shares:
             self.assertLessEqual(after.cost, before.cost + 1e-9)
@@ -333,7 +332,7 @@
         saved_s = PROFILE.read_s(4_900)
         for backlog_s, holder_is_best in ((0.0, True), (10 * saved_s, False)):
             load = ServerLoad(read_s=backlog_s)
-            holder = Candidate("s-1", load, 8, True, held_tokens=4_900)
+            holder = Candidate("s-1", load, 8, True, held=HeldTokens(4_900))
             other = Candidate("s-2", ServerLoad(), 8, True)
             lead = place_prompt(PROFILE, [holder, other], prompt).lead
             self.assertEqual(holder_is_best, lead == "s-1")
@@ -341,7 +340,7 @@
     def test_lead_of_a_split_prompt_saves_what_it_holds(self):
         prompt = Prompt(300_000, 700, 3.0, 0.8, 20.0)
         engines = [Candidate(f"s-{n}", ServerLoad(), 8, True) for n in range(8)]
-        holder = evolve(engines[5], held_tokens=280_000)
+        holder = evolve(engines[5], held=HeldTokens(280_000))
         placement = place_prompt(PROFILE, [*engines[:5], holder, *engines[6:]], prompt)
         self.assertEqual("s-5", placement.lead)
         total_s = (placement.read_s + placement.saved_s) * (1 + len(placement.helpers))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -19,6 +19,7 @@
     "OLD_REPORT_COST",
     "REMOTE_COST",
     "Candidate",
+    "HeldTokens",
     "Placement",
     "Prompt",
     "max_prompt_tokens",
@@ -78,6 +79,17 @@
 delays and that no digest has reported yet."""
 
 
+@frozen(slots=True)
+class HeldTokens:
+    """Leading tokens of a prompt that an engine is believed to hold.
+
+    :param confidence: probability that it holds them.
+    """
+
+    tokens: int
+    confidence: float = 1.0
+
+
 @frozen(slots=True)
 class Candidate:
     """A server that may be chosen for a request.
@@ -88,8 +100,7 @@
     :param slowdown: observed time over expected time, 1 for a healthy server.
     :param affinity_distance: in [0, 1), small for the servers that this instance
         prefers.
-    :param held_tokens: leading tokens of the prompt that it is believed to hold.
-    :param held_confidence: probability that it holds them, above 0.
+    :param held: what it is believed to hold of the prompt, None for nothing.
     """
 
     name: str
@@ -99,8 +110,7 @@
     slowdown: float = 1.0
     affinity_distance: float = 0.0
     remote_cost: float = REMOTE_COST
-    held_tokens: int = 0
-    held_confidence: float = 1.0
+    held: HeldTokens | None = None
 
 
 @frozen(slots=True)
@@ -167,9 +177,14 @@
 
 def _saved_s(profile: EngineProfile, lead: Candidate) -> float:
     """Return the expected seconds of reading that a lead saves by what it holds."""
-    if not lead.held_tokens:
+    if lead.held is None:
         return 0.0
-    return lead.held_confidence * profile.read_s(lead.held_tokens)
+    return lead.held.confidence * profile.read_s(lead.held.tokens)
+
+
+def _held_s(profile: EngineProfile, lead: Candidate) -> float:
+    """Return the seconds of reading that a lead saves if it holds its tokens."""
+    return 0.0 if lead.held is None else profile.read_s(lead.held.tokens)
 
 
 def _stream_cost(profile: EngineProfile, candidate: Candidate, read_s: float) -> float:
@@ -253,11 +268,18 @@
 def _place_on_one(profile: EngineProfile, with_room: list[Candidate], prompt: Prompt):
     """Return the cheapest placement that reads the prompt on a single engine."""
     total_s = profile.read_s(prompt.tokens)
-
-    def read_s_of(lead: Candidate) -> float:
-        return total_s - _saved_s(profile, lead) if lead.held_tokens else total_s
-
-    costs = [(_lead_cost(profile, c, prompt, read_s_of(c)), c) for c in with_room]
+    costs = [
+        (
+            _lead_cost(
+                profile,
+                c,
+                prompt,
+                total_s if c.held is None else total_s - _saved_s(profile, c),
+            ),
+            c,
+        )
+        for c in with_room
+    ]
     cost, lead = min(costs, key=lambda pair: (pair[0], pair[1].name))
     saved_s = _saved_s(profile, lead)
     read_s = total_s - saved_s
@@ -271,7 +293,7 @@
         cost,
         stream_cost,
         saved_s=saved_s,
-        held_s=saved_s / lead.held_confidence,
+        held_s=_held_s(profile, lead),
     )
 
 
@@ -286,7 +308,7 @@
     The lead is the best one, or the best of those that hold the beginning.
     """
     placements = [_split_from_best(profile, with_room, candidates, prompt)]
-    holders = [c for c in with_room if c.held_tokens]
+    holders = [c for c in with_room if c.held is not None]
     if holders:
         placements.append(_split_from_best(profile, holders, candidates, prompt))
     return min(placements, key=lambda placement: placement.cost)
@@ -358,7 +380,7 @@
     ]
     reserved = zip(holders[1:], shares[1:], strict=True)
     # The memory of a spread prompt is divided anew, whatever the lead holds.
-    lead = evolve(lead, held_tokens=0)
+    lead = evolve(lead, held=None)
     best = _choose_helper_count(profile, lead, holders[1:], others, prompt)
     return evolve(best, memory_shares=tuple((c.name, tokens) for c, tokens in reserved))
 
@@ -452,7 +474,7 @@
         stream_cost,
         backlog_s,
         saved_s=saved_s,
-        held_s=saved_s / lead.held_confidence,
+        held_s=_held_s(profile, lead) / (len(helpers) + 1),
     )
 
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/retention/contents.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/retention/contents.py
@@ -7,10 +7,11 @@
 
 from briarrelay_core.ports.digest import MAX_HELD_REPORTS, HeldReport
 from briarrelay_core.routes.model import PromptRetention
+from briarrelay_core.routes.placement import HeldTokens
 from briarrelay_core.routes.retention.beginnings import Beginning
 from briarrelay_core.routing.confidence import ConfidenceTable
 
-__all__ = ["NOTHING_HELD", "HeldContents", "HeldEstimate", "Memory"]
+__all__ = ["HeldContents", "Memory"]
 
 MAX_ENTRIES = 256
 """Most beginnings that are remembered of one server."""
@@ -34,21 +35,6 @@
     used_tokens: int
 
 
-@frozen(slots=True)
-class HeldEstimate:
-    """How much of a prompt a server is believed to hold.
-
-    :param tokens: leading tokens of the prompt.
-    :param confidence: probability that it holds them.
-    """
-
-    tokens: int = 0
-    confidence: float = 1.0
-
-
-NOTHING_HELD = HeldEstimate()
-
-
 @define(slots=True)
 class _Entry:
     """A beginning that a server holds.
@@ -100,18 +86,18 @@
         terms: PromptRetention,
         memory: Memory,
         now: float,
-    ) -> HeldEstimate:
-        """Return how much of a prompt a server is believed to hold."""
+    ) -> HeldTokens | None:
+        """Return what a server is believed to hold of a prompt, None for nothing."""
         known = self._known(server, born)
         if known is None:
-            return NOTHING_HELD
+            return None
         self._evict(server, known, terms, memory, now)
         for beginning in reversed(beginnings):
             entry = known.entries.get(beginning.key)
             if entry is not None:
                 confidence = self._confidence(server, service)
-                return HeldEstimate(beginning.tokens, confidence)
-        return NOTHING_HELD
+                return HeldTokens(beginning.tokens, confidence)
+        return None
 
     def _confidence(self, server: str, service: str) -> float:
         by_service = self.service_confidence.of(service)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/retention/tracker.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/retention/tracker.py
@@ -76,9 +76,11 @@
             memory,
             now,
         )
+        if held is None:
+            return candidate
         # The last token is always read, since the first event follows from it.
         tokens = min(held.tokens, routed.request.prompt_tokens - 1)
-        return evolve(candidate, held_tokens=tokens, held_confidence=held.confidence)
+        return evolve(candidate, held=evolve(held, tokens=tokens))
 
     def on_first_event(
         self, routed: RoutedRequest, attempt: AttemptState, now: float
