--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -35,6 +35,7 @@
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
+from briarrelay_core.routes.retention.tracker import RetentionTracker
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.waiting import RETURN_PAUSE_S, remaining_wait_s
@@ -87,6 +88,7 @@
     :param delegation: set by the instance once its peers are set up.
     :param requests: requests in progress by request id.
     :ivar refusals: refuses the requests that are not admitted.
+    :ivar retention: records what servers have read.
     :ivar _waiting: queued requests by request id.
     """
 
@@ -102,11 +104,13 @@
     delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
+    retention: RetentionTracker = field(init=False)
     _attempt_table: AttemptTable = field(init=False)
     _waiting: dict[int, RoutedRequest] = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.refusals = RefusalHandler(self.admission, self.recorder)
+        self.retention = RetentionTracker(self.load, self.observations.held)
         self._attempt_table = AttemptTable(
             self.servers, self.load, self.reservations, self.observations
         )
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -182,7 +182,7 @@
     def _on_first_event(self, routed: RoutedRequest, now: float) -> list:
         attempt = routed.active_attempt
         self.controller.load.mark_read(attempt.attempt_id)
-        retention = self.controller.selector.retention
+        retention = self.controller.retention
         effects, expected_s = retention.on_first_event(routed, attempt, now)
         taken_s = now - attempt.sent_at
         self.controller.observations.slowdown.observe(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -49,6 +49,7 @@
     :param name: name of this instance.
     :param data_centre: data centre of this instance.
     :param size_factor: see :class:`briarrelay_core.routes.peers.PeerExchange`.
+    :ivar retention: estimates what servers hold.
     :ivar _affinity_distances: computed distances, by server.
     """
 
