--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -42,6 +42,7 @@
 from briarrelay_core.routes.refusals import RefusalHandler
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.reservations import Reservations
+from briarrelay_core.routes.retention.tracker import RetentionTracker
 from briarrelay_core.routes.selection import ServerSelector, is_too_large
 from briarrelay_core.routes.servers import KnownServer, ServerTable
 from briarrelay_core.routes.waiting import RETURN_PAUSE_S, remaining_wait_s
@@ -95,6 +96,7 @@
     :param requests: requests in progress by request id.
     :param rejections: prompts that engines rejected lately.
     :ivar refusals: refuses the requests that are not admitted.
+    :ivar retention: records what servers have read.
     :ivar _waiting: queued requests by request id.
     """
 
@@ -111,11 +113,13 @@
     delegation: Delegation | None = None
     requests: dict[int, RoutedRequest] = field(factory=dict)
     refusals: RefusalHandler = field(init=False)
+    retention: RetentionTracker = field(init=False)
     _attempt_table: AttemptTable = field(init=False)
     _waiting: dict[int, RoutedRequest] = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.refusals = RefusalHandler(self.admission, self.recorder)
+        self.retention = RetentionTracker(self.load, self.observations.held)
         self._attempt_table = AttemptTable(
             self.servers, self.load, self.reservations, self.observations
         )
