--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -187,7 +187,7 @@
     cut_off: tuple[str, ...] = ()
     evacuations: tuple[EvacuationReport, ...] = ()
     cold: tuple[ColdReport, ...] = ()
-    invalid_reports: int = 0
+    invalid_reports: int = field(default=0, eq=False)
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -245,7 +245,7 @@
         isolation = self.controller.observations.isolation
         evacuations = self.controller.servers.evacuations
         sources = (quarantine, limits, isolation, evacuations)
-        effects += self.updates.follow_evacuations(now)
+        effects += self.updates.evacuations.follow(now)
         if any(source.has_urgent_change for source in sources):
             for source in sources:
                 source.has_urgent_change = False
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -29,7 +29,8 @@
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.record.record import Entry
 from briarrelay_core.routes.admission import RouteAdmission
-from briarrelay_core.routes.allowances.cold import RETURN_S, ColdTable
+from briarrelay_core.routes.allowances.cold import ColdTable
+from briarrelay_core.routes.allowances.evacuationhandler import EvacuationHandler
 from briarrelay_core.routes.controller import RequestController
 from briarrelay_core.routes.follower import MAX_SKIP_S, TopicFollower
 from briarrelay_core.routes.model import RouteConfiguration
@@ -100,6 +101,7 @@
     :param on_store_returned: called with the time when the store has returned to a
         copy; returns effects.
     :ivar restorer: writes the presets in force again if the store has older ones.
+    :ivar evacuations: applies what operators ask for data centres.
     :ivar keeper: keeps the quarantined contents in the store.
     :ivar _query_count: number of queries to peers while reads of the store fail.
     :ivar _has_listed_servers: servers that are new from now on have started since.
@@ -114,6 +116,7 @@
     era: StoreEra = field(factory=StoreEra)
     restorer: PresetRestorer = field(init=False)
     keeper: QuarantineKeeper = field(init=False)
+    evacuations: EvacuationHandler = field(init=False)
     followers: dict[Topic, TopicFollower] = field(init=False)
     _query_count: int = 0
     _has_listed_servers: bool = False
@@ -129,6 +132,9 @@
             self.timers,
             self.peers.rank,
         )
+        self.evacuations = EvacuationHandler(
+            self.controller.servers, self._cold, self.controller.recorder
+        )
         self.keeper = QuarantineKeeper(
             self.controller.quarantine, self.era, self.timers, self.peers.rank
         )
@@ -349,7 +355,7 @@
                 effects += self._apply_server_change(change, now)
             elif isinstance(change.value, Evacuation):
                 position = EraPosition(self._era_of(message), change.position)
-                effects += self._apply_evacuation(change, position, now)
+                effects += self.evacuations.apply(change, position, now)
             elif topic is Topic.CONFIGURATION and change.value is not None:
                 effects += self.apply_configuration(change.value, "store", now)
             elif topic is Topic.PRESETS and change.value is not None:
@@ -361,50 +367,6 @@
                 self._apply_entry(change)
         return effects
 
-    def _apply_evacuation(
-        self, change: TopicChange, position: EraPosition, now: float
-    ) -> list:
-        evacuation = change.value
-        effects = self.controller.servers.evacuations.apply(
-            evacuation.data_centre,
-            evacuation.is_asked,
-            position,
-            now,
-            change.key,
-            change.is_from_copy,
-        )
-        known = {s.data_centre for s in self.controller.servers.entries()}
-        if effects and evacuation.is_asked and evacuation.data_centre not in known:
-            fields = (("data_centre", evacuation.data_centre),)
-            effects += [
-                LogEvent("warning", "evacuation_unknown", fields=fields),
-                IncrementCounter("evacuation.unknown_data_centre"),
-            ]
-        return effects
-
-    def follow_evacuations(self, now: float) -> list:
-        """Record the evacuations that came in force or ended; return effects.
-
-        The servers of one that ended are taken up again in steps, as cold ones.
-        """
-        effects = []
-        servers = self.controller.servers
-        for data_centre, outcome, source in servers.evacuations.pop_changes():
-            entry = Entry(
-                at=round(now, 3),
-                kind="evacuation",
-                subject=data_centre,
-                outcome=outcome,
-                why=source,
-            )
-            self.controller.recorder.add(entry)
-            if servers.evacuations.is_evacuated(data_centre):
-                continue
-            for server in servers.entries():
-                if server.data_centre == data_centre:
-                    effects += self._cold.mark(server, RETURN_S, now)
-        return effects
-
     @property
     def _cold(self) -> ColdTable:
         return self.controller.observations.allowances.cold
