--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -212,7 +212,7 @@
     cold: tuple[ColdReport, ...] = ()
     held: tuple[HeldReport, ...] = ()
     dropped_fields: tuple[str, ...] = ()
-    invalid_reports: int = 0
+    invalid_reports: int = field(default=0, eq=False)
 
 
 @frozen(slots=True)
