--- a/features/properties/test_cut_off_instances.py
+++ b/features/properties/test_cut_off_instances.py
@@ -16,7 +16,7 @@
     ResponseLost,
 )
 from briarrelay_core.reasons import FailureReason, RefusalReason
-from briarrelay_core.routes.delegation import MAX_PEERS
+from briarrelay_core.routes.cooperation.delegation import MAX_PEERS
 from briarrelay_daemon.callerserver import RawExchange
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from briarrelay_platform.dialect import PlatformDialect
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -25,8 +25,8 @@
     kind_of_content,
     request_content,
 )
+from briarrelay_core.routes.cooperation.delegation import Delegation
 from briarrelay_core.routes.deferral import should_defer
-from briarrelay_core.routes.delegation import Delegation
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_core.routes.placement import Placement
--- a/packages/briarrelay-core/src/briarrelay_core/routes/delegation.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/cooperation/delegation.py
@@ -4,7 +4,7 @@
 
 from briarrelay_core.membership.rendezvous import unit_hash
 from briarrelay_core.ports.directory import PeerAddress
-from briarrelay_core.routes.isolation import IsolationTable
+from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.peers import PeerExchange
 from briarrelay_core.routes.requeststate import RoutedRequest
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -45,7 +45,7 @@
 from briarrelay_core.routes.backpressure import apply_reading_paused
 from briarrelay_core.routes.budget import RetryLimits, ServiceRetryBudget
 from briarrelay_core.routes.controller import RequestController
-from briarrelay_core.routes.delegation import Delegation
+from briarrelay_core.routes.cooperation.delegation import Delegation
 from briarrelay_core.routes.gracefulstop import GracefulStop
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -2,8 +2,8 @@
 
 from attrs import define, field
 
+from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
-from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
 from briarrelay_core.routes.serverlimits import ServerLimitTable
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -20,8 +20,8 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
-from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.quarantine import ContentQuarantine
