--- a/features/properties/test_slow_readers.py
+++ b/features/properties/test_slow_readers.py
@@ -354,6 +354,15 @@
         self.assertNotIn(sent.server, health._by_name)
         self.assertEqual(world.of_type(effects, AbortResponse), [])
 
+    def test_response_that_may_not_resume_is_cut(self):
+        world, sent = self.start("once")
+        world.advance(3.0)
+        world.deliver(ReadingPaused(sent.request_id, False))
+        effects = world.deliver(ResponseLost(sent.attempt_id, True, "reset", True))
+        self.assertEqual(world.forwards(effects), [])
+        self.assertEqual(world.of_type(effects, RelayEnd), [])
+        self.assertEqual(len(world.of_type(effects, AbortResponse)), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
