--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -4,8 +4,8 @@
 
 from briarrelay_core.routes.allowances.allowances import Allowances
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
+from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
-from briarrelay_core.routes.isolation import IsolationTable
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
 from briarrelay_core.routes.retention.contents import HeldContents
