--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -84,7 +84,6 @@
         digest.cut_off or None,
         encode_evacuations(digest.evacuations),
         encode_cold(digest.cold),
-        None,  # capacity
         encode_held(digest.held),
     ]
     while optional and not optional[-1]:
@@ -141,7 +140,6 @@
     cut_off: list | None = None,
     evacuations: list | None = None,
     cold: list | None = None,
-    capacity: list | None = None,
     held: list | None = None,
     *_,
 ) -> dict:
