--- a/features/soak/evacuations.py
+++ b/features/soak/evacuations.py
@@ -1,4 +1,4 @@
-"""Evacuations of data centres in the soak, and cold servers, with their checks."""
+"""Evacuations of data centres in the soak, and what servers get meanwhile."""
 
 import time
 
