Count no strike for a response that is lost while it is not read

A loss after a pause in reading counted neither as a failure nor as a crash of the server only if reading had gone on before. An attempt that is lost during the pause (a failed write, a timeout) counted as both, and as a failed connection. was_unread() now also counts a pause that still lasts.

The new test failed before: the server had one failure.

--- a/features/properties/test_slow_readers.py
+++ b/features/properties/test_slow_readers.py
@@ -363,6 +363,14 @@
         self.assertEqual(world.of_type(effects, RelayEnd), [])
         self.assertEqual(len(world.of_type(effects, AbortResponse)), 1)
 
+    def test_loss_during_the_pause_is_no_strike(self):
+        world, sent = self.start()
+        world.advance(3.0)
+        effects = world.deliver(ResponseLost(sent.attempt_id, True, "reset", True))
+        health = world.instance.controller.observations.health
+        self.assertNotIn(sent.server, health._by_name)
+        self.assertEqual(len(world.forwards(effects)), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -17,6 +17,7 @@
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.reasons import RetryReason
+from briarrelay_core.routes.backpressure import was_unread
 from briarrelay_core.routes.controller import RequestController
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
@@ -253,9 +254,8 @@
         if routed is None:
             return []
         if message.is_sent:
-            attempt = routed.active_attempt
-            if not message.is_closed and not attempt.was_unread:
-                server = attempt.server
+            if not message.is_closed and not was_unread(routed, now):
+                server = routed.active_attempt.server
                 self.controller.observations.record_unacknowledged(server, now)
             return self._on_unusable(routed, message.problem, now, message.is_closed)
         attempt = self.controller.end_attempt(routed, now)
@@ -283,17 +283,18 @@
 
         :param is_closed: the server closed or reset the connection.
         """
+        is_unread = was_unread(routed, now)
         attempt = self.controller.end_attempt(routed, now)
         routed.possible_runs += attempt.max_runs
         effects = [
             self._make_lost_log(routed, attempt, problem, is_closed),
             AbortAttempt(attempt.attempt_id),
         ]
-        if attempt.was_unread:
+        if is_unread:
             effects.append(IncrementCounter("route.cut_unread"))
         else:
             self.controller.observations.health.record_failure(attempt.server, now)
-        is_crash = is_closed and not attempt.is_delegated and not attempt.was_unread
+        is_crash = is_closed and not attempt.is_delegated and not is_unread
         if is_crash:
             self.controller.observations.crashes.record_closed(attempt.incarnation, now)
         if is_crash and not attempt.is_survived:
