Do not take a response that was cut off as unread for a complete one

A response with neither a length nor chunks ends with its connection. A server that cuts it off since it stayed unread closes that connection too, so after a pause in reading its end does not show that it is complete. ResponseComplete now says whether only the end of the connection showed it; after at least 1 s of paused reading the core then handles the response as lost: a stream resumes after its last event, one that may not resume is cut.

The new test failed before: the response was ended as complete.

--- a/features/properties/test_slow_readers.py
+++ b/features/properties/test_slow_readers.py
@@ -371,6 +371,23 @@
         self.assertNotIn(sent.server, health._by_name)
         self.assertEqual(len(world.forwards(effects)), 1)
 
+    def test_response_that_ended_with_its_connection_after_a_pause_may_be_cut(self):
+        for route, forwards, aborts in (("chat", 1, 0), ("once", 0, 1)):
+            world, sent = self.start(route)
+            world.advance(3.0)
+            world.deliver(ReadingPaused(sent.request_id, False))
+            effects = world.deliver(ResponseComplete(sent.attempt_id, True))
+            self.assertEqual(world.of_type(effects, RelayEnd), [])
+            self.assertEqual(len(world.forwards(effects)), forwards)
+            self.assertEqual(len(world.of_type(effects, AbortResponse)), aborts)
+
+    def test_response_that_ended_with_its_connection_is_complete_if_it_was_read(self):
+        world, sent = self.start()
+        world.advance(0.5)
+        world.deliver(ReadingPaused(sent.request_id, False))
+        effects = world.deliver(ResponseComplete(sent.attempt_id, True))
+        self.assertEqual(len(world.of_type(effects, RelayEnd)), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -258,9 +258,13 @@
 
 @frozen(slots=True)
 class ResponseComplete:
-    """The response is complete."""
+    """The response is complete.
+
+    :param is_closed: only the end of its connection shows that it is.
+    """
 
     attempt_id: int
+    is_closed: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -204,6 +204,9 @@
         attempt = routed.active_attempt
         if attempt.kind is ResponseKind.FAILURE:
             return self._on_failure(routed, now)
+        if message.is_closed and was_unread(routed, now):
+            problem = "ended with its connection after a pause in reading"
+            return self._on_unusable(routed, problem, now, is_closed=True)
         if routed.is_head_relayed and not attempt.is_stream:
             return self._on_unusable(routed, "not a stream", now)
         request_controller.observations.health.record_success(attempt.server)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -184,7 +184,7 @@
             self.body += rest
         elif rest:
             self._notify_core(ResponseEvent(attempt_id, "", rest))
-        self._notify_core(ResponseComplete(attempt_id))
+        self._notify_core(ResponseComplete(attempt_id, self.call.ends_at_close))
 
     def _find_early_end(self) -> str:
         """Return why a stream that has ended is not complete, else empty."""
