Count no failed connection for a request ended because of the total bound

If a server reads a request so slowly that the instance ends it because of the total that it holds, the loss counted as a connection that failed without being closed. Several such losses could make the instance believe that it is cut off from the servers. ResponseLost now says that the instance ended the call; the failure of the server still counts.

Both tests failed before.

--- a/features/properties/test_slow_readers.py
+++ b/features/properties/test_slow_readers.py
@@ -4,6 +4,7 @@
 import unittest
 from struct import pack
 from time import monotonic
+from unittest.mock import patch
 
 from attrs import evolve
 from hypothesis import given
@@ -23,6 +24,7 @@
     ResponseLost,
     RouteRequest,
 )
+from briarrelay_core.routes.observations import ServerObservations
 from briarrelay_daemon.heldbytes import BufferLimits, HeldBytes, SlowReader
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.httpcall import READ_BYTES, HttpClient
@@ -256,7 +258,8 @@
         self.assertGreater(self.held.total, len(body))
         self.call(body=body)
         self.run_for(3.0, lambda: self.core.of_type(ResponseLost))
-        self.assertEqual(len(self.core.of_type(ResponseLost)), 1)
+        (lost,) = self.core.of_type(ResponseLost)
+        self.assertTrue(lost.is_ended_here)
         self.assertLess(self.held.total, 20_000_000)
 
 
@@ -363,6 +366,15 @@
         self.assertEqual(world.of_type(effects, RelayEnd), [])
         self.assertEqual(len(world.of_type(effects, AbortResponse)), 1)
 
+    def test_request_that_this_instance_ended_is_no_failed_connection(self):
+        for is_ended_here in (False, True):
+            world = RouteWorld()
+            (sent,) = world.forwards(world.request("chat"))
+            lost = ResponseLost(sent.attempt_id, True, "slow", False, is_ended_here)
+            with patch.object(ServerObservations, "record_unacknowledged") as record:
+                world.deliver(lost)
+            self.assertEqual(record.called, not is_ended_here)
+
     def test_loss_during_the_pause_is_no_strike(self):
         world, sent = self.start()
         world.advance(3.0)
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -273,12 +273,14 @@
 
     :param is_sent: False if the server cannot have received the request.
     :param is_closed: the server closed or reset the connection; it did not time out.
+    :param is_ended_here: the instance ended it, since it holds too many bytes.
     """
 
     attempt_id: int
     is_sent: bool
     problem: str = ""
     is_closed: bool = False
+    is_ended_here: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -257,7 +257,8 @@
         if routed is None:
             return []
         if message.is_sent:
-            if not message.is_closed and not was_unread(routed, now):
+            is_explained = message.is_closed or message.is_ended_here
+            if not is_explained and not was_unread(routed, now):
                 server = routed.active_attempt.server
                 self.controller.observations.record_unacknowledged(server, now)
             return self._on_unusable(routed, message.problem, now, message.is_closed)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -91,6 +91,7 @@
     :ivar problem: why the call failed, for logs.
     :ivar is_closed_by_server: the call failed because the server closed or reset the
         connection.
+    :ivar is_ended_here: the call was ended since too much is held in total.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         self.is_over = False
         self.problem = ""
         self.is_closed_by_server = False
+        self.is_ended_here = False
 
     @property
     def ends_at_close(self) -> bool:
@@ -175,6 +177,7 @@
 
     def end_slow(self) -> None:
         """End the call, whose request the server reads too slowly."""
+        self.is_ended_here = True
         self._fail("the server reads too slowly while much is held for others")
 
     def _on_timeout(self, _: float) -> list:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -202,7 +202,13 @@
         call = self.call
         attempt_id = self._forward.attempt_id
         self._notify_core(
-            ResponseLost(attempt_id, sent, call.problem, call.is_closed_by_server)
+            ResponseLost(
+                attempt_id,
+                sent,
+                call.problem,
+                call.is_closed_by_server,
+                call.is_ended_here,
+            )
         )
 
     def report_unsent(self, problem: str) -> None:
