--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -184,7 +184,7 @@
             self.body += rest
         elif rest:
             self._notify_core(ResponseEvent(attempt_id, "", rest))
-        self._notify_core(ResponseComplete(attempt_id))
+        self._notify_core(ResponseComplete(attempt_id, self.call.ends_at_close))
 
     def _find_early_end(self) -> str:
         """Return why a stream that has ended is not complete, else empty."""
@@ -202,7 +202,13 @@
         call = self.call
         attempt_id = self._forward.attempt_id
         self._notify_core(
-            ResponseLost(attempt_id, sent, call.problem, call.is_closed_by_server)
+            ResponseLost(
+                attempt_id,
+                sent,
+                call.problem,
+                call.is_closed_by_server,
+                call.is_ended_here,
+            )
         )
 
     def report_unsent(self, problem: str) -> None:
