Never refuse for shortage a stream that its caller resumes

A caller that names the last event it received has had a part of the stream, so the statement that its request has not run would be false. The decisions of queueing/ looked only at what this instance had sent.

--- a/features/properties/test_crowds.py
+++ b/features/properties/test_crowds.py
@@ -117,6 +117,12 @@
         routed.possible_runs = 1
         self.assertIsNone(self.find(routed, read_s=0.02, backlog_s=40.0))
 
+    def test_stream_that_has_begun_elsewhere_is_not_refused(self):
+        """Its caller names the last event that it received, so it has run."""
+        routed = make_prompt()
+        routed.request = evolve(routed.request, resume_after="7")
+        self.assertIsNone(self.find(routed, read_s=0.02, backlog_s=40.0))
+
     @given(st.floats(0, 9), st.floats(0, 0.4), st.floats(0, 50))
     def test_prompt_without_reading_ahead_is_never_refused(
         self, read_s, backlog_s, weight
--- a/packages/briarrelay-core/src/briarrelay_core/routes/queueing/feasibility.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/queueing/feasibility.py
@@ -97,7 +97,7 @@
 
 def _is_refusable(routed: RoutedRequest) -> bool:
     """Return whether a prompt can be refused: it has not run and never will."""
-    if not routed.is_prompt or routed.is_head_relayed:
+    if not routed.is_prompt or routed.is_head_relayed or routed.resume_after:
         return False
     return not routed.possible_runs and not routed.failed_attempt_id
 
