Bound the table of rejections by those of the last half second

An entry was dropped only when its engine was looked at again; those of engines that had left stayed for as long as the process. Recording a rejection now drops the outdated ones. The test failed before.

--- a/features/properties/test_crowds.py
+++ b/features/properties/test_crowds.py
@@ -17,7 +17,10 @@
 from briarrelay_core.routes.model import RouteKind
 from briarrelay_core.routes.placement import Placement
 from briarrelay_core.routes.queueing.feasibility import NoPlaceReason, find_no_place
-from briarrelay_core.routes.queueing.rejections import RECENT_REJECTION_S
+from briarrelay_core.routes.queueing.rejections import (
+    RECENT_REJECTION_S,
+    RejectionTable,
+)
 from briarrelay_core.routes.queueing.retryafter import (
     MAX_USEFUL_FRACTION,
     spread_return_s,
@@ -28,6 +31,7 @@
     PROFILE,
     RouteWorld,
     engine_names,
+    make_entry,
     make_route,
     start_response,
 )
@@ -282,6 +286,13 @@
             self.assertNotIn(helper, [h.address for h in sent.helpers])
             self.assertNotEqual(helper, f"{sent.host}:{sent.port}")
 
+    def test_engines_that_left_are_forgotten(self):
+        table = RejectionTable()
+        for number in range(1_000):
+            engine = make_entry(f"engine-{number}", "llm")
+            table.record(make_prompt(), engine, 100.0 + number)
+        self.assertEqual(len(table), 1)
+
     def test_restarted_engine_is_used_at_once(self):
         world = RouteWorld(engines=1)
         effects = world.request("chat")
--- a/packages/briarrelay-core/src/briarrelay_core/routes/queueing/rejections.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/queueing/rejections.py
@@ -21,20 +21,32 @@
 class RejectionTable:
     """The smallest prompt that each engine rejected lately.
 
-    :ivar _by_server: by server, its start, the tokens that it rejected and when.
+    :ivar _by_server: by server, its start, the tokens that it rejected and when; the
+        latest is last.
     """
 
     _by_server: dict[str, tuple[float, int, float]] = field(factory=dict)
 
+    def __len__(self) -> int:
+        return len(self._by_server)
+
     def record(self, routed: RoutedRequest, engine: ServerEntry, now: float) -> None:
         """Record that an engine rejected a prompt, or its share of it as a helper."""
         if not routed.is_prompt:
             return
         tokens, born = _needed_tokens(routed), engine.born
-        known = self._by_server.get(engine.name)
+        known = self._by_server.pop(engine.name, None)
         if known and known[0] == born and now - known[2] < RECENT_REJECTION_S:
             tokens = min(tokens, known[1])
         self._by_server[engine.name] = (born, tokens, now)
+        self._drop_old(now)
+
+    def _drop_old(self, now: float) -> None:
+        """Forget old rejections, also those of engines that have left."""
+        for name, (_, _, at) in list(self._by_server.items()):
+            if now - at < RECENT_REJECTION_S:
+                break
+            del self._by_server[name]
 
     def without_full(
         self, routed: RoutedRequest, servers: list[KnownServer], now: float
