--- a/features/properties/test_held_prompts.py
+++ b/features/properties/test_held_prompts.py
@@ -2,7 +2,7 @@
 
 import unittest
 from statistics import mean
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
 from attrs import evolve
 from hypothesis import given
@@ -45,7 +45,7 @@
 OTHER_KEY = "key-2"
 SESSION = PromptPart("5c1e", 40_000)
 LAYOUT = (SESSION, PromptPart("91bd", 500))
-PROMPT = {"prompt_layout": LAYOUT, "prompt_tokens": 40_500}
+PROMPT = {"read_layout": lambda: LAYOUT, "prompt_tokens": 40_500}
 READ_S = PROFILE.read_s(SESSION.tokens)
 SENDER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
 
@@ -124,7 +124,7 @@
 
     def test_longer_prompt_of_a_session_saves_what_it_shares(self):
         layout = (SESSION, PromptPart("e440", 9_000))
-        _, effects = self.world.serve(prompt_layout=layout, prompt_tokens=49_000)
+        _, effects = self.world.serve(read_layout=lambda: layout, prompt_tokens=49_000)
         self.assertIn("route.held_believed", names(effects))
 
     def test_stale_belief_is_forgotten(self):
@@ -313,12 +313,17 @@
     def test_without_the_switch_layouts_change_no_decision(self):
         with_layout, without = HeldWorld(None), HeldWorld(None)
         for _ in range(5):
-            expected, _ = without.serve(prompt_layout=())
+            expected, _ = without.serve(read_layout=tuple)
             server, effects = with_layout.serve()
             self.assertEqual((expected, []), (server, names(effects)))
         held = with_layout.instance.controller.observations.held
         self.assertEqual((0, ()), (len(held), held.own_reports(with_layout.now)))
 
+    def test_without_the_switch_no_layout_is_read(self):
+        world, read = HeldWorld(None), Mock(return_value=LAYOUT)
+        world.serve(read_layout=read)
+        read.assert_not_called()
+
     @given(CANDIDATES, PROMPTS, st.floats(0.1, 1))
     def test_belief_never_raises_the_cost(self, candidates, prompt, confidence):
         before = place_prompt(PROFILE, candidates, prompt)
--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -156,7 +156,7 @@
         return self.read_request(value).prompt_parts
 
     def read_layout(self, value: bytes) -> tuple[PromptPart, ...]:
-        return self.read_request(value).prompt_layout
+        return self.read_request(value).read_layout()
 
     def read_request(self, value: bytes) -> RouteRequest:
         exchange = RawExchange(
--- a/packages/briarrelay-bench/src/briarrelay_bench/routefleet.py
+++ b/packages/briarrelay-bench/src/briarrelay_bench/routefleet.py
@@ -172,7 +172,7 @@
             time_limit_s=caller.remaining_s(self.now),
             prompt_tokens=arrival.tokens,
             output_tokens=arrival.events * self.site.profile.stride,
-            prompt_layout=arrival.layout,
+            read_layout=lambda: arrival.layout,
             resume_after=str(caller.events) if caller.events else "",
         )
 
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -1,5 +1,6 @@
 """Messages between the core, callers of routes and backend servers."""
 
+from collections.abc import Callable
 from enum import StrEnum
 
 from attrs import field, frozen
@@ -59,8 +60,8 @@
     :param prompt_tokens: 0 for requests other than prompts.
     :param resume_after: id of the last event that the caller received, empty for none.
     :param prompt_parts: ids of the parts that its prompt shares with others, in order.
-    :param prompt_layout: all parts of its prompt with their tokens, in order; empty if
-        it is not known.
+    :param read_layout: returns all parts of its prompt with their tokens, in order, or
+        none if they are not known; called only for services that keep prompts.
     :param fingerprint: hash of what a backend server is asked to do, the same for each
         repeat of a request; empty if it is not known.
     :param is_delegated: it comes from a peer that can not reach the backend servers.
@@ -78,7 +79,7 @@
     output_tokens: int = 0
     resume_after: str = ""
     prompt_parts: tuple[str, ...] = ()
-    prompt_layout: tuple[PromptPart, ...] = ()
+    read_layout: Callable[[], tuple[PromptPart, ...]] = field(default=tuple, eq=False)
     fingerprint: str = ""
     is_delegated: bool = False
     max_attempts: int | None = None
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -150,7 +150,7 @@
         if self.retention is None or not self.is_prompt:
             return ()
         workspace = None if self.retention.is_shared else self.workspace
-        return beginnings_of(self.request.prompt_layout, self.service, workspace)
+        return beginnings_of(self.request.read_layout(), self.service, workspace)
 
     def exclude(self, engine: str, now: float) -> None:
         """Exclude an engine that caused a refusal or denied memory."""
