Let a prompt wait for the only engine that rejected it

A prompt that every usable engine had rejected ended no_engine at once, as before on, though it has not run and its caller is still there. It now returns to those engines half a second after the last rejection, within its wait and its attempts; one that may have run, was delegated or did not reach a server does not.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -350,13 +350,19 @@
 
         A stream that has begun waits as long as its caller does, since it can no longer
         be refused. Other requests wait if a paused or limited server is expected to
-        take them in their time.
+        take them in their time, and prompts also if an engine rejected them.
         """
         if routed.is_head_relayed:
             return remaining_wait_s(routed, now) > 0
+        may_return = routed.has_only_rejections
         resumes_in_s = self.selector.resumes_in_s(
-            routed, now, is_untried=True, requests_ahead=self._requests_ahead(routed)
+            routed,
+            now,
+            is_untried=not may_return,
+            requests_ahead=self._requests_ahead(routed),
         )
+        if may_return and self.selector.has_usable(routed, now):
+            resumes_in_s = max(0.0, routed.refused_at + RETURN_PAUSE_S - now)
         if resumes_in_s is None:
             return False
         return resumes_in_s + PLACEMENT_MARGIN_S < remaining_wait_s(routed, now)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -162,6 +162,19 @@
         """Id of the last event that the caller has, from any response so far."""
         return self.last_event or self.request.resume_after
 
+    @property
+    def has_only_rejections(self) -> bool:
+        """Whether it is a prompt that engines rejected, and that has surely not run.
+
+        It may then be sent again to an engine that rejected it.
+        """
+        if not self.is_prompt or self.is_head_relayed or self.active_attempt:
+            return False
+        if self.possible_runs or self.failed_attempt_id:
+            return False
+        is_elsewhere = self.undelivered or self.delegated_count
+        return self.refused_at > float("-inf") and not is_elsewhere
+
     @property
     def is_prompt(self) -> bool:
         """Whether an engine has to read a prompt for it."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/selection.py
@@ -89,12 +89,16 @@
         then other healthy servers, then unhealthy ones. A stream that has begun may
         return to a server that it was sent to before the last one, and to the last one
         after a restart, or `RETURN_PAUSE_S` after that refused it. It may also use
-        excluded engines again, that long after the last one was excluded.
+        excluded engines again, that long after the last one was excluded. A prompt that
+        all usable engines rejected may return to them, that long after the last did.
         """
         usable, untried, healthy = self._filter(routed, now)
         is_enough = untried and not is_too_large(routed, len(untried))
         if routed.is_head_relayed and not is_enough:
             return self._earlier_servers(routed, usable, now)
+        if not untried and routed.has_only_rejections:
+            has_paused = now - routed.refused_at >= RETURN_PAUSE_S
+            return self._earlier_servers(routed, usable, now) if has_paused else []
         suspects = self._suspect_data_centres(healthy, now)
         reachable = [s for s in healthy if s.entry.data_centre not in suspects]
         pauses = self.observations.pauses
@@ -191,6 +195,10 @@
             waits_s.append(_nth_turn_s(turns, requests_ahead + 1))
         return min(waits_s, default=None)
 
+    def has_usable(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether a server may get requests now, whatever a request tried."""
+        return bool(self._filter(routed, now)[0])
+
     def has_limited(self, service: str, now: float) -> bool:
         """Return whether a usable server of a service has a limit in force."""
         allowances = self.observations.allowances
