--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -358,7 +358,7 @@
         resumes_in_s = self.selector.resumes_in_s(
             routed,
             now,
-            is_untried=not may_return,
+            is_untried=True,
             requests_ahead=self._requests_ahead(routed),
         )
         if may_return and self.selector.has_usable(routed, now):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -122,7 +122,8 @@
             routed.exclude(refusing_server, now)
             self.controller.observations.health.record_failure(refusing_server, now)
         refusing = self.controller.servers.get(refusing_server)
-        if refusing is not None and not attempt.is_delegated:
+        # A pause that it names says itself when it takes requests again.
+        if refusing is not None and not attempt.is_delegated and not message.pause_s:
             self.controller.rejections.record(routed, refusing.entry, now)
         if attempt.is_delegated:
             routed.peer_retry_after_s = message.pause_s
