Do not count a server that is listed again as started

Cause: an entry that expired in an outage of the store and was written again with the same born counted as new, so its server was cold for cold_start_s. Change: the last incarnation that was listed is remembered, with the time until which its start leaves it cold. Services without cold_per_s keep no such memory.

--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -4,6 +4,8 @@
 import unittest
 from random import Random
 
+from attrs import evolve
+
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import LoadDigest
 from briarrelay_core.ports.directory import PeerAddress
@@ -70,6 +72,21 @@
             cold = instance.controller.observations.allowances.cold
             self.assertTrue(cold.is_cold("engine-0", world.now - 1.5, world.now))
 
+    def test_server_that_is_listed_again_has_not_restarted(self):
+        service = Service(name="llm", cold_start_s=30.0, cold_per_s=23.0)
+        table = ColdTable({"llm": service})
+        entry = make_entry("engine-1", "llm")
+        table.apply_entry(entry, False, 1.0)
+        table.forget("engine-1")
+        table.apply_entry(entry, True, 100.0)
+        self.assertFalse(table.is_cold("engine-1", entry.born, 100.0))
+        again = evolve(entry, born=entry.born + 1.0)
+        table.apply_entry(again, True, 101.0)
+        table.forget("engine-1")
+        table.apply_entry(again, True, 110.0)
+        self.assertTrue(table.is_cold("engine-1", again.born, 130.9))
+        self.assertFalse(table.is_cold("engine-1", again.born, 131.1))
+
 
 class ManyInstancesTest(unittest.TestCase):
     """Tables of many instances that all want one cold server all the time."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
@@ -29,6 +29,9 @@
 """Seconds after an evacuation for which the servers of the data centre count as cold;
 by then each instance has read their entries."""
 
+MAX_STARTS = 4_096
+"""Most servers of which the last known start is remembered."""
+
 MIN_EARLIER_S = 0.05
 """Seconds by which a peer must have known of a cold server earlier for its time to be
 used; digests take some of it."""
@@ -55,11 +58,15 @@
     """The servers that are cold, with this instance's turns at them.
 
     :param services: services of the configuration in force, by name.
+    :ivar _starts: by name, the ``born`` value of the incarnation that was listed last,
+        and the time until which it is cold because it started. It is kept while the
+        server is not listed, as in an outage of the store.
     """
 
     services: dict[str, Service] = field(factory=dict)
     membership: Membership = field(factory=Membership)
     _cold: dict[str, _Cold] = field(factory=dict)
+    _starts: dict[str, tuple[float, float]] = field(factory=dict)
 
     def __bool__(self) -> bool:
         """Whether a server has been cold lately."""
@@ -70,13 +77,28 @@
     def apply_entry(self, entry: ServerEntry, has_started: bool, now: float) -> list:
         """Apply a server's entry; return effects.
 
-        :param has_started: it is known to have started since the last look.
+        :param has_started: it is new in the listing, so that it has started unless this
+            incarnation was listed before.
         """
-        cold_s = entry.cold_remaining_s
         service = self.services.get(entry.service)
-        if has_started and service is not None:
-            cold_s = max(cold_s, service.cold_start_s)
-        return self.mark(entry, cold_s, now)
+        if service is None or service.cold_per_s <= 0:
+            return []
+        start_s = self._start_remaining_s(
+            entry, has_started * service.cold_start_s, now
+        )
+        return self.mark(entry, max(entry.cold_remaining_s, start_s), now)
+
+    def _start_remaining_s(
+        self, entry: ServerEntry, cold_start_s: float, now: float
+    ) -> float:
+        """Return the seconds for which a server stays cold because it started."""
+        born, until = self._starts.pop(entry.name, (None, 0.0))
+        if born != entry.born:
+            until = now + cold_start_s
+        self._starts[entry.name] = entry.born, until
+        if len(self._starts) > MAX_STARTS:
+            del self._starts[next(iter(self._starts))]
+        return until - now
 
     def mark(self, entry: ServerEntry, cold_s: float, now: float) -> list:
         """Treat a server as cold for some seconds at least; return effects."""
