Log a bad value of an entry that is used once for each server and value

Cause: servers renew their entries often, and each renewal logged the same value. Change: it is logged when it is new or differs; each one is still counted. Entries that cannot be used at all are logged each time as before.

--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -8,14 +8,15 @@
 
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import LoadDigest
-from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange
+from briarrelay_core.ports.telemetry import IncrementCounter
 from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.turns import Membership
 from briarrelay_core.routes.model import Service
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from briarrelay_platform.decode import decode_server
 from properties.evacuationworld import COLD_PER_S, EvacuationWorld
-from properties.routeworld import make_entry
+from properties.routeworld import RouteWorld, make_entry
 
 WALL = COLD_PER_S * 1.5 + 5.0
 """Most requests in any second at which a cold server survives."""
@@ -128,6 +129,20 @@
         return times
 
 
+class BadEntryTest(unittest.TestCase):
+    def test_each_bad_value_is_logged_once_and_counted_each_time(self):
+        world = RouteWorld()
+        start = world.end_positions[Topic.SERVERS]
+        log = []
+        for number, problem in enumerate(("x", "x", "y", "", "y")):
+            entry = make_entry("engine-1", "llm")
+            change = TopicChange("engine-1", entry, problem, start + number)
+            log += world.deliver_changes(Topic.SERVERS, change)
+        bad = [e for e in log if getattr(e, "event", "") == "entry_bad"]
+        self.assertEqual([dict(e.fields)["problem"] for e in bad], ["x", "y", "y"])
+        self.assertEqual(log.count(IncrementCounter("store.entry_bad")), 4)
+
+
 class EncodingTest(unittest.TestCase):
     def entry(self, cold_ms):
         value = {"service": "llm", "address": "10.0.0.1:1", "state": "ready"}
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -106,6 +106,8 @@
     :ivar _query_count: number of queries to peers while reads of the store fail.
     :ivar _has_listed_servers: servers that are new from now on have started since.
     :ivar _polled_at: time of the last read beside a topic's long poll.
+    :ivar _logged_problems: by topic and key, the last logged problem of an entry that
+        is used in spite of it.
     """
 
     controller: RequestController
@@ -121,6 +123,7 @@
     _query_count: int = 0
     _has_listed_servers: bool = False
     _polled_at: dict[Topic, float] = field(factory=dict)
+    _logged_problems: dict[tuple[Topic, str], str] = field(factory=dict)
 
     def __attrs_post_init__(self):
         self.followers = _make_followers(self.timers, self.news_s)
@@ -336,16 +339,7 @@
         """Apply changes that a response of the store holds."""
         topic, effects = message.topic, []
         for change in changes:
-            if change.problem:
-                fields = (
-                    ("topic", topic.value),
-                    ("key", change.key),
-                    ("problem", change.problem),
-                )
-                effects += [
-                    LogEvent("warning", "entry_bad", fields=fields),
-                    IncrementCounter("store.entry_bad"),
-                ]
+            effects += self._report_problem(topic, change)
             if change.problem and change.value is None:
                 continue
             if topic is Topic.SERVERS:
@@ -367,6 +361,29 @@
                 self._apply_entry(change)
         return effects
 
+    def _report_problem(self, topic: Topic, change: TopicChange) -> list:
+        """Count an invalid record.
+
+        It is logged unless the entry is used and was logged with this problem before,
+        since servers renew their entries often.
+        """
+        key = topic, change.key
+        if not change.problem:
+            if self._logged_problems:
+                self._logged_problems.pop(key, None)
+            return []
+        counter = IncrementCounter("store.entry_bad")
+        if change.value is not None:
+            if self._logged_problems.get(key) == change.problem:
+                return [counter]
+            self._logged_problems[key] = change.problem
+        fields = (
+            ("topic", topic.value),
+            ("key", change.key),
+            ("problem", change.problem),
+        )
+        return [LogEvent("warning", "entry_bad", fields=fields), counter]
+
     @property
     def _cold(self) -> ColdTable:
         return self.controller.observations.allowances.cold
