Ask for a turn again when memory of a cold server is granted late

Cause: a request used its turn when its memory was requested, and left when it was granted, which may be much later, or after the server became cold. Change: on a grant more than 0.2 s after the turn, or of a server that became cold since, a turn is needed again; without one the request is placed anew and a move is dropped. Without cold servers nothing changes.

--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -9,7 +9,10 @@
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import LoadDigest
 from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange
+from briarrelay_core.ports.memory import Reserve, ReserveResponse
+from briarrelay_core.ports.route import ForwardRequest
 from briarrelay_core.ports.telemetry import IncrementCounter
+from briarrelay_core.routes.allowances.allowances import Allowances
 from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.turns import Membership
 from briarrelay_core.routes.model import Service
@@ -129,6 +132,43 @@
         return times
 
 
+class ReservedTest(unittest.TestCase):
+    """A request whose memory was granted late needs another turn."""
+
+    def test_turn_of_a_late_grant(self):
+        service = Service(name="llm", cold_start_s=30.0, cold_per_s=23.0)
+        allowances = Allowances()
+        cold = allowances.cold
+        cold.services, cold.membership.count = {"llm": service}, 24
+        servers = [("engine-1", 1.0)]
+        self.assertTrue(allowances.admit_reserved(servers, 0.0, 5.0))
+        cold.apply_entry(make_entry("engine-1", "llm"), True, 10.0)
+        self.assertFalse(allowances.admit_reserved(servers, 9.9, 10.0))
+        at = 10.0 + cold.admits_in_s(*servers[0], 10.0) + 0.001
+        cold.record_send(*servers[0], at)
+        self.assertTrue(allowances.admit_reserved(servers, at, at + 0.1))
+        self.assertFalse(allowances.admit_reserved(servers, at, at + 0.3))
+        later = at + 0.3 + cold.admits_in_s(*servers[0], at + 0.3) + 0.001
+        self.assertTrue(allowances.admit_reserved(servers, at, later))
+        self.assertGreater(cold.admits_in_s(*servers[0], later), 0.5)
+
+    def test_grant_of_a_server_that_became_cold_sends_nothing(self):
+        for is_cold in (False, True):
+            world = RouteWorld()
+            cold = world.instance.allowances.cold
+            cold.services = {"llm": Service(name="llm", cold_per_s=0.1)}
+            effects = world.request("file", prompt_tokens=500_000, time_limit_s=15.0)
+            reserves = world.of_type(effects, Reserve)
+            self.assertTrue(reserves)
+            for number in (1, 2, 3) if is_cold else ():
+                cold.mark(make_entry(f"engine-{number}", "llm"), 9.0, world.now)
+            world.now += 0.01
+            effects = []
+            for reserve in reserves:
+                effects += world.deliver(ReserveResponse(reserve.reservation_id, True))
+            self.assertEqual(len(world.of_type(effects, ForwardRequest)), not is_cold)
+
+
 class BadEntryTest(unittest.TestCase):
     def test_each_bad_value_is_logged_once_and_counted_each_time(self):
         world = RouteWorld()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/allowances.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/allowances.py
@@ -46,6 +46,25 @@
         self.limits.record_send(server, born, now)
         self.cold.record_send(server, born, now)
 
+    def admit_reserved(
+        self, servers: list[tuple[str, float]], reserved_at: float, now: float
+    ) -> bool:
+        """Return whether a request whose memory is reserved may be sent now.
+
+        Turns that it needs once more, at servers that are cold, are used.
+
+        :param servers: name and ``born`` of each server of the request.
+        :param reserved_at: time at which its turns were used.
+        """
+        if not self.cold:
+            return True
+        late = [s for s in servers if self.cold.needs_turn(*s, reserved_at, now)]
+        if any(self.cold.admits_in_s(*server, now) > 0 for server in late):
+            return False
+        for server in late:
+            self.cold.record_send(*server, now)
+        return True
+
     def set_members(self, count: int, rank: int, now: float) -> None:
         """Set the number of instances, and how many of them precede this one."""
         membership = self.cold.membership
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
@@ -25,6 +25,11 @@
 """Seconds for which an unused turn stays usable. In one second, all instances together
 use the turns of that second and of this time before it."""
 
+MAX_RESERVE_S = 0.2
+"""Seconds after which a request that waited for memory needs another turn. In one
+second, all instances together use the turns of that second, of STORE_S and of this
+time before it, which is below the bound of 1.5 times the rate."""
+
 RETURN_S = 2.0
 """Seconds after an evacuation for which the servers of the data centre count as cold;
 by then each instance has read their entries."""
@@ -43,6 +48,7 @@
 
     :param born: start of the server's incarnation.
     :param until: time until which it is cold.
+    :param known_at: time at which this instance learnt it.
     :param spaced_until: time before which it gets no further request of this instance,
         which keeps a turn that was used late apart from the next one.
     """
@@ -50,6 +56,7 @@
     born: float
     until: float
     turns: Turns
+    known_at: float
     spaced_until: float = float("-inf")
 
 
@@ -156,7 +163,7 @@
         if until <= now:
             return []
         turns = Turns(rate_per_s, since, now, unit_hash(name, "cold"), STORE_S)
-        self._cold[name] = _Cold(entry.born, until, turns)
+        self._cold[name] = _Cold(entry.born, until, turns, now)
         fields = (("server", name), ("cold_s", f"{until - now:.2f}"))
         return [
             LogEvent("info", "server_cold", fields=fields),
@@ -196,6 +203,18 @@
         at = max(known.turns.next(self.membership, now), known.spaced_until)
         return max(0.0, min(at, known.until) - now)
 
+    def needs_turn(
+        self, server: str, born: float, reserved_at: float, now: float
+    ) -> bool:
+        """Return whether a request whose memory was reserved needs another turn.
+
+        :param reserved_at: time at which its turn was used, if the server was cold.
+        """
+        if not self._cold or not self.is_cold(server, born, now):
+            return False
+        is_late = now - reserved_at > MAX_RESERVE_S
+        return is_late or reserved_at <= self._cold[server].known_at
+
     def period_s(self, server: str) -> float:
         """Return the seconds between two turns of this instance at a cold server."""
         return self._cold[server].turns.period_s(self.membership)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -419,12 +419,25 @@
         routed = self.attempts[attempt_id]
         placement = routed.active_attempt.pending_placement
         routed.active_attempt.pending_placement = None
+        reserved_at = routed.active_attempt.sent_at
         routed.active_attempt.sent_at = routed.active_attempt.progress_at = now
-        server_names = (placement.lead, *placement.helpers)
-        if not all(self.servers.is_usable(name, now) for name in server_names):
+        if not self._may_send_reserved(placement, reserved_at, now):
             return self.on_denied(attempt_id, "", now)
         return [self._attempt_table.forward(routed, placement, now)]
 
+    def _may_send_reserved(
+        self, placement: Placement, reserved_at: float, now: float
+    ) -> bool:
+        """Return whether a request may still be sent after its memory was reserved."""
+        names = (placement.lead, *placement.helpers)
+        if not all(self.servers.is_usable(name, now) for name in names):
+            return False
+        allowances = self.observations.allowances
+        if not allowances:
+            return True
+        servers = [(name, self.servers.get(name).entry.born) for name in names]
+        return allowances.admit_reserved(servers, reserved_at, now)
+
     def on_denied(self, attempt_id: int, engine: str, now: float) -> list:
         """Queue a request again because its memory could not be reserved.
 
@@ -571,11 +584,10 @@
         """Replace the active attempt by the prepared one, whose memory is reserved."""
         prepared = routed.prepared_attempt
         placement = prepared.pending_placement
-        server_names = (placement.lead, *placement.helpers)
         if (
             not self._may_retry(routed, routed.possible_runs + 1, now)
             or not self.budget.allows(routed.service, now)
-            or not all(self.servers.is_usable(name, now) for name in server_names)
+            or not self._may_send_reserved(placement, prepared.sent_at, now)
         ):
             self._attempt_table.drop_prepared(routed, now)
             return []
