--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -4,16 +4,22 @@
 import unittest
 from random import Random
 
+from attrs import evolve
+
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import LoadDigest
-from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange
+from briarrelay_core.ports.memory import Reserve, ReserveResponse
+from briarrelay_core.ports.route import ForwardRequest
+from briarrelay_core.ports.telemetry import IncrementCounter
+from briarrelay_core.routes.allowances.allowances import Allowances
 from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.turns import Membership
 from briarrelay_core.routes.model import Service
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from briarrelay_platform.decode import decode_server
 from properties.evacuationworld import COLD_PER_S, EvacuationWorld
-from properties.routeworld import make_entry
+from properties.routeworld import RouteWorld, make_entry
 
 WALL = COLD_PER_S * 1.5 + 5.0
 """Most requests in any second at which a cold server survives."""
@@ -70,6 +76,21 @@
             cold = instance.controller.observations.allowances.cold
             self.assertTrue(cold.is_cold("engine-0", world.now - 1.5, world.now))
 
+    def test_server_that_is_listed_again_has_not_restarted(self):
+        service = Service(name="llm", cold_start_s=30.0, cold_per_s=23.0)
+        table = ColdTable({"llm": service})
+        entry = make_entry("engine-1", "llm")
+        table.apply_entry(entry, False, 1.0)
+        table.forget("engine-1")
+        table.apply_entry(entry, True, 100.0)
+        self.assertFalse(table.is_cold("engine-1", entry.born, 100.0))
+        again = evolve(entry, born=entry.born + 1.0)
+        table.apply_entry(again, True, 101.0)
+        table.forget("engine-1")
+        table.apply_entry(again, True, 110.0)
+        self.assertTrue(table.is_cold("engine-1", again.born, 130.9))
+        self.assertFalse(table.is_cold("engine-1", again.born, 131.1))
+
 
 class ManyInstancesTest(unittest.TestCase):
     """Tables of many instances that all want one cold server all the time."""
@@ -111,6 +132,57 @@
         return times
 
 
+class ReservedTest(unittest.TestCase):
+    """A request whose memory was granted late needs another turn."""
+
+    def test_turn_of_a_late_grant(self):
+        service = Service(name="llm", cold_start_s=30.0, cold_per_s=23.0)
+        allowances = Allowances()
+        cold = allowances.cold
+        cold.services, cold.membership.count = {"llm": service}, 24
+        servers = [("engine-1", 1.0)]
+        self.assertTrue(allowances.admit_reserved(servers, 0.0, 5.0))
+        cold.apply_entry(make_entry("engine-1", "llm"), True, 10.0)
+        self.assertFalse(allowances.admit_reserved(servers, 9.9, 10.0))
+        at = 10.0 + cold.admits_in_s(*servers[0], 10.0) + 0.001
+        cold.record_send(*servers[0], at)
+        self.assertTrue(allowances.admit_reserved(servers, at, at + 0.1))
+        self.assertFalse(allowances.admit_reserved(servers, at, at + 0.3))
+        later = at + 0.3 + cold.admits_in_s(*servers[0], at + 0.3) + 0.001
+        self.assertTrue(allowances.admit_reserved(servers, at, later))
+        self.assertGreater(cold.admits_in_s(*servers[0], later), 0.5)
+
+    def test_grant_of_a_server_that_became_cold_sends_nothing(self):
+        for is_cold in (False, True):
+            world = RouteWorld()
+            cold = world.instance.allowances.cold
+            cold.services = {"llm": Service(name="llm", cold_per_s=0.1)}
+            effects = world.request("file", prompt_tokens=500_000, time_limit_s=15.0)
+            reserves = world.of_type(effects, Reserve)
+            self.assertTrue(reserves)
+            for number in (1, 2, 3) if is_cold else ():
+                cold.mark(make_entry(f"engine-{number}", "llm"), 9.0, world.now)
+            world.now += 0.01
+            effects = []
+            for reserve in reserves:
+                effects += world.deliver(ReserveResponse(reserve.reservation_id, True))
+            self.assertEqual(len(world.of_type(effects, ForwardRequest)), not is_cold)
+
+
+class BadEntryTest(unittest.TestCase):
+    def test_each_bad_value_is_logged_once_and_counted_each_time(self):
+        world = RouteWorld()
+        start = world.end_positions[Topic.SERVERS]
+        log = []
+        for number, problem in enumerate(("x", "x", "y", "", "y")):
+            entry = make_entry("engine-1", "llm")
+            change = TopicChange("engine-1", entry, problem, start + number)
+            log += world.deliver_changes(Topic.SERVERS, change)
+        bad = [e for e in log if getattr(e, "event", "") == "entry_bad"]
+        self.assertEqual([dict(e.fields)["problem"] for e in bad], ["x", "y", "y"])
+        self.assertEqual(log.count(IncrementCounter("store.entry_bad")), 4)
+
+
 class EncodingTest(unittest.TestCase):
     def entry(self, cold_ms):
         value = {"service": "llm", "address": "10.0.0.1:1", "state": "ready"}
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
@@ -25,10 +25,18 @@
 """Seconds for which an unused turn stays usable. In one second, all instances together
 use the turns of that second and of this time before it."""
 
+MAX_RESERVE_S = 0.2
+"""Seconds after which a request that waited for memory needs another turn. In one
+second, all instances together use the turns of that second, of STORE_S and of this
+time before it, which is below the bound of 1.5 times the rate."""
+
 RETURN_S = 2.0
 """Seconds after an evacuation for which the servers of the data centre count as cold;
 by then each instance has read their entries."""
 
+MAX_STARTS = 4_096
+"""Most servers of which the last known start is remembered."""
+
 MIN_EARLIER_S = 0.05
 """Seconds by which a peer must have known of a cold server earlier for its time to be
 used; digests take some of it."""
@@ -40,6 +48,7 @@
 
     :param born: start of the server's incarnation.
     :param until: time until which it is cold.
+    :param known_at: time at which this instance learnt it.
     :param spaced_until: time before which it gets no further request of this instance,
         which keeps a turn that was used late apart from the next one.
     """
@@ -47,6 +56,7 @@
     born: float
     until: float
     turns: Turns
+    known_at: float
     spaced_until: float = float("-inf")
 
 
@@ -55,11 +65,15 @@
     """The servers that are cold, with this instance's turns at them.
 
     :param services: services of the configuration in force, by name.
+    :ivar _starts: by name, the ``born`` value of the incarnation that was listed last,
+        and the time until which it is cold because it started. It is kept while the
+        server is not listed, as in an outage of the store.
     """
 
     services: dict[str, Service] = field(factory=dict)
     membership: Membership = field(factory=Membership)
     _cold: dict[str, _Cold] = field(factory=dict)
+    _starts: dict[str, tuple[float, float]] = field(factory=dict)
 
     def __bool__(self) -> bool:
         """Whether a server has been cold lately."""
@@ -70,13 +84,28 @@
     def apply_entry(self, entry: ServerEntry, has_started: bool, now: float) -> list:
         """Apply a server's entry; return effects.
 
-        :param has_started: it is known to have started since the last look.
+        :param has_started: it is new in the listing, so that it has started unless this
+            incarnation was listed before.
         """
-        cold_s = entry.cold_remaining_s
         service = self.services.get(entry.service)
-        if has_started and service is not None:
-            cold_s = max(cold_s, service.cold_start_s)
-        return self.mark(entry, cold_s, now)
+        if service is None or service.cold_per_s <= 0:
+            return []
+        start_s = self._start_remaining_s(
+            entry, has_started * service.cold_start_s, now
+        )
+        return self.mark(entry, max(entry.cold_remaining_s, start_s), now)
+
+    def _start_remaining_s(
+        self, entry: ServerEntry, cold_start_s: float, now: float
+    ) -> float:
+        """Return the seconds for which a server stays cold because it started."""
+        born, until = self._starts.pop(entry.name, (None, 0.0))
+        if born != entry.born:
+            until = now + cold_start_s
+        self._starts[entry.name] = entry.born, until
+        if len(self._starts) > MAX_STARTS:
+            del self._starts[next(iter(self._starts))]
+        return until - now
 
     def mark(self, entry: ServerEntry, cold_s: float, now: float) -> list:
         """Treat a server as cold for some seconds at least; return effects."""
@@ -134,7 +163,7 @@
         if until <= now:
             return []
         turns = Turns(rate_per_s, since, now, unit_hash(name, "cold"), STORE_S)
-        self._cold[name] = _Cold(entry.born, until, turns)
+        self._cold[name] = _Cold(entry.born, until, turns, now)
         fields = (("server", name), ("cold_s", f"{until - now:.2f}"))
         return [
             LogEvent("info", "server_cold", fields=fields),
@@ -174,6 +203,18 @@
         at = max(known.turns.next(self.membership, now), known.spaced_until)
         return max(0.0, min(at, known.until) - now)
 
+    def needs_turn(
+        self, server: str, born: float, reserved_at: float, now: float
+    ) -> bool:
+        """Return whether a request whose memory was reserved needs another turn.
+
+        :param reserved_at: time at which its turn was used, if the server was cold.
+        """
+        if not self._cold or not self.is_cold(server, born, now):
+            return False
+        is_late = now - reserved_at > MAX_RESERVE_S
+        return is_late or reserved_at <= self._cold[server].known_at
+
     def period_s(self, server: str) -> float:
         """Return the seconds between two turns of this instance at a cold server."""
         return self._cold[server].turns.period_s(self.membership)
