Let requests wait for the response that follows a server's pause

Cause: a prompt now waits for three quarters of its caller's timeout at most, and while one request finds out whether a paused server takes more, the next one was expected after a whole second. With less than that left, the other requests ended as no_engine: test_server_announcements.PauseTest.test_one_request_is_sent_first failed since the two came together (0 of 5 requests sent after the first response). Change: once the pause is over and a request was sent, 0.3 s are expected until the response shows it. The test passes unchanged; the wait itself stays as it is. Ruled out: the former wait, since a caller that leaves learns nothing (two tests of crowds ask for that).

Run: test_server_announcements, test_crowds, test_route_waiting, test_responses and test_server_limits, 98 tests OK.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/pauses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/pauses.py
@@ -12,6 +12,9 @@
 PROBE_INTERVAL_S = 1.0
 """Seconds between requests to a server whose pause is over, until it responds."""
 
+PROBE_RESPONSE_S = 0.3
+"""Seconds within which the response to such a request is expected."""
+
 JITTER_FRACTION = 0.25
 """Largest extension of a pause, as a fraction of it, so that instances do not return at
 the same moment."""
@@ -60,9 +63,15 @@
         return known is not None and now < known.admits_from
 
     def resumes_in_s(self, server: str, now: float) -> float:
-        """Return the seconds until a server may get a request, 0 if it may now."""
+        """Return the expected seconds until a server may get a request, 0 if now.
+
+        Once its pause is over and a request was sent, it may after the response.
+        """
         known = self._pauses.get(server)
-        return max(0.0, known.admits_from - now) if known else 0.0
+        if known is None:
+            return 0.0
+        wait_s = max(0.0, known.admits_from - now)
+        return min(wait_s, PROBE_RESPONSE_S) if known.ends_at <= now else wait_s
 
     def record_send(self, server: str, now: float) -> None:
         """Record a request; after a pause, the next one follows its response."""
