--- a/packages/briarrelay-core/src/briarrelay_core/routes/retention/judgement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/retention/judgement.py
@@ -5,8 +5,8 @@
 __all__ = ["Judgement", "judge"]
 
 MIN_SAVED_S = 0.06
-"""Seconds of saved reading from which its effect can be told from the spread of first
-events, which is about one pass."""
+"""Seconds of saved reading from which its effect shows; first events vary by about one
+pass."""
 
 CONFIRMED_FRACTION = 0.5
 """Fraction of the saving by which a first event may be late if it confirms it."""
