Give each fleet of the tests addresses of its own

Change: a fleet reserves its network by binding a socket on its first address, and takes another network while that one is reserved.

--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -15,6 +15,8 @@
 import orjson
 from attrs import define, field, frozen
 
+from standins.networks import reserve_network
+
 ROOT = Path(__file__).resolve().parents[2]
 
 METRICS_PORT = 9464
@@ -159,7 +161,8 @@
 
     :param plain_servers: number of servers of the plain service.
     :param entries: number of entry instances.
-    :param subnet: octets ``x.y`` of the loopback addresses ``127.x.y.*``.
+    :param subnet: octets ``x.y`` of the loopback addresses ``127.x.y.*``; others are
+        used instead while another run uses these.
     :param environment: additional variables for the entry instances.
     :param checkout: folder of the build that the entry instances run.
     :param map_address: called with a stand-in's host and port; returns the address that
@@ -180,9 +183,11 @@
     instances: list[EntryInstance] = field(factory=list)
     server_names: list[str] = field(factory=list)
     processes: list[subprocess.Popen] = field(factory=list)
+    _network_lock: socket.socket | None = None
 
     def __enter__(self) -> "Fleet":
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
+        self.subnet, self._network_lock = reserve_network(self.subnet)
         try:
             self._start_all()
         except BaseException:
@@ -208,6 +213,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        self._network_lock.close()
 
     @property
     def _host(self) -> str:
