Ask the limits of servers again when memory is granted

A request that waited for memory was sent without a turn when its server had named a limit meanwhile, or long after its turn at a limited server. It now needs another turn, as at a cold server; without one it is placed anew.

test_turn_of_a_late_grant_at_a_limited_server fails before in both of its cases and passes now.

--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -10,7 +10,7 @@
 from briarrelay_core.ports.digest import LoadDigest
 from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange
 from briarrelay_core.ports.memory import Reserve, ReserveResponse
-from briarrelay_core.ports.route import ForwardRequest
+from briarrelay_core.ports.route import ForwardRequest, RateLimit
 from briarrelay_core.ports.telemetry import IncrementCounter
 from briarrelay_core.routes.allowances.allowances import Allowances
 from briarrelay_core.routes.allowances.cold import ColdTable
@@ -152,6 +152,25 @@
         self.assertTrue(allowances.admit_reserved(servers, at, later))
         self.assertGreater(cold.admits_in_s(*servers[0], later), 0.5)
 
+    def test_turn_of_a_late_grant_at_a_limited_server(self):
+        servers = [("engine-1", 1.0)]
+        for limited_at, granted_at in ((10.0, 10.05), (5.0, 13.0)):
+            with self.subTest(limited_at=limited_at):
+                allowances = Allowances()
+                allowances.set_members(4, 0, 0.0)
+                limits = allowances.limits
+                limits.record_limit(*servers[0], RateLimit(per_s=1.0), limited_at)
+                reserved_at = 9.0
+                self.assertFalse(
+                    allowances.admit_reserved(servers, reserved_at, granted_at)
+                    and allowances.admit_reserved(servers, reserved_at, granted_at)
+                )
+                wait_s = limits.admits_in_s(*servers[0], granted_at + 0.01)
+                later = granted_at + 0.02 + wait_s
+                self.assertTrue(allowances.admit_reserved(servers, reserved_at, later))
+                self.assertGreater(limits.admits_in_s(*servers[0], later), 1.0)
+                self.assertTrue(allowances.admit_reserved(servers, later, later + 0.1))
+
     def test_grant_of_a_server_that_became_cold_sends_nothing(self):
         for is_cold in (False, True):
             world = RouteWorld()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/allowances.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/allowances.py
@@ -51,18 +51,23 @@
     ) -> bool:
         """Return whether a request whose memory is reserved may be sent now.
 
-        Turns that it needs once more, at servers that are cold, are used.
+        Turns that it needs once more are used.
 
         :param servers: name and ``born`` of each server of the request.
         :param reserved_at: time at which its turns were used.
         """
-        if not self.cold:
+        if not self:
             return True
-        late = [s for s in servers if self.cold.needs_turn(*s, reserved_at, now)]
-        if any(self.cold.admits_in_s(*server, now) > 0 for server in late):
+        cold = [s for s in servers if self.cold.needs_turn(*s, reserved_at, now)]
+        limited = [s for s in servers if self.limits.needs_turn(*s, reserved_at, now)]
+        if any(self.cold.admits_in_s(*server, now) > 0 for server in cold):
             return False
-        for server in late:
+        if any(self.limits.admits_in_s(*server, now) > 0 for server in limited):
+            return False
+        for server in cold:
             self.cold.record_send(*server, now)
+        for server in limited:
+            self.limits.record_send(*server, now)
         return True
 
     def set_members(self, count: int, rank: int, now: float) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/limits.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/limits.py
@@ -51,6 +51,7 @@
     :param limit: None if it is no longer in force.
     :param observed_at: time of the last response that named the limit; for one that
         did not, the time at which its request was sent.
+    :param known_at: time at which this instance learnt the limit in force.
     :param own_at: time of this instance's last own observation.
     """
 
@@ -58,11 +59,12 @@
     limit: RateLimit | None
     observed_at: float
     turns: Turns
+    known_at: float
     own_at: float = float("-inf")
 
-    def set_limit(self, limit: RateLimit) -> None:
+    def set_limit(self, limit: RateLimit, now: float) -> None:
         """Replace the limit in force."""
-        self.limit = limit
+        self.limit, self.known_at = limit, now
         self.turns.rate_per_s = _rate_per_s(limit)
         self.turns.store_s = _store_s(self.turns.rate_per_s)
 
@@ -170,7 +172,7 @@
                 return False
             rate_per_s, order = _rate_per_s(limit), unit_hash(server, "turn")
             turns = Turns(rate_per_s, since, now, order, _store_s(rate_per_s))
-            self._known[server] = _KnownLimit(born, limit, at, turns)
+            self._known[server] = _KnownLimit(born, limit, at, turns, now)
             return True
         if since < known.turns.since - MIN_EARLIER_S:
             known.turns.since = since
@@ -180,7 +182,7 @@
         known.observed_at = at
         if known.limit == limit:
             return False
-        known.set_limit(limit)
+        known.set_limit(limit, now)
         known.turns.use_until(now)
         return True
 
@@ -232,6 +234,19 @@
         """Return the seconds between two turns of this instance at a limited server."""
         return self._known[server].turns.period_s(self._membership)
 
+    def needs_turn(
+        self, server: str, born: float, reserved_at: float, now: float
+    ) -> bool:
+        """Return whether a request whose memory was reserved needs another turn.
+
+        :param reserved_at: time at which its turn was used, if the server was limited.
+        """
+        if not self._known or not self.is_limited(server, born):
+            return False
+        known = self._known[server]
+        is_late = now - reserved_at > known.turns.store_s
+        return is_late or reserved_at <= known.known_at
+
     def record_send(self, server: str, born: float, now: float) -> None:
         """Use a turn for a request, or for help with one."""
         if not self._known or not self.is_limited(server, born):
