Keep the rate of cold servers without a common time

Each instance counted its turns from the time at which it learned that a server is cold until a digest told the earliest one. With more instances than the wall allows in a second, their turns could come together.

At most 1.3 x cold-per-s instances now have turns at one cold server, chosen by the registered instances and the server's name, and each sends at most its part in a second. So the bound holds whatever time each counts from. Requests are spaced from the grant of their memory.

--- a/features/properties/test_cold_servers.py
+++ b/features/properties/test_cold_servers.py
@@ -2,9 +2,12 @@
 
 import json
 import unittest
+from bisect import bisect_left
 from random import Random
 
 from attrs import evolve
+from hypothesis import example, given, settings
+from hypothesis.strategies import booleans, integers, sampled_from
 
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import LoadDigest
@@ -132,6 +135,76 @@
         return times
 
 
+class AnyPhaseTest(unittest.TestCase):
+    """The bound holds from the first moment, in whatever order instances learn.
+
+    Half of the instances, at random, are silent: they hear no digest.
+    """
+
+    SERVICE = Service(name="llm", cold_start_s=30.0, cold_per_s=23.0)
+    ENTRY = make_entry("engine-1", "llm")
+
+    @settings(max_examples=12, deadline=None)
+    @given(
+        count=sampled_from((24, 63, 390)),
+        seed=integers(0, 2**32),
+        spread_s=sampled_from((0.0, 1.0, 4.0)),
+        is_aligned=booleans(),
+        grant_s=sampled_from((0.0, 0.2)),
+    )
+    @example(count=63, seed=0, spread_s=1.0, is_aligned=True, grant_s=0.0)
+    @example(count=390, seed=0, spread_s=1.0, is_aligned=True, grant_s=0.2)
+    @example(count=20, seed=0, spread_s=1.0, is_aligned=True, grant_s=0.2)
+    def test_any_second(self, count, seed, spread_s, is_aligned, grant_s):
+        times = self.sends(count, Random(seed), spread_s, is_aligned, grant_s)
+        most = max(bisect_left(times, t + 1.0) - i for i, t in enumerate(times))
+        self.assertLessEqual(most, 23.0 * 1.5 + 5.0)
+        self.assertGreater(len(times), 10 * 23.0 / 2)
+
+    def sends(self, count, random, spread_s, is_aligned, grant_s) -> list[float]:
+        """Return the times of requests when all instances always want the server.
+
+        :param is_aligned: instances learn at times that bring their turns together.
+        :param grant_s: most seconds from a turn to the grant of memory.
+        """
+        born = self.ENTRY.born
+        tables = []
+        for rank in range(count):
+            allowances = Allowances()
+            allowances.cold.services = {"llm": self.SERVICE}
+            allowances.set_members(count, rank, 0.0)
+            at = random.uniform(0.0, spread_s)
+            allowances.cold.apply_entry(self.ENTRY, True, at)
+            if is_aligned:
+                at += allowances.admits_in_s("engine-1", born, at + 0.001)
+                ahead_s = at % allowances.cold.period_s("engine-1")
+                allowances.cold.forget("engine-1")
+                allowances.cold.mark(self.ENTRY, 60.0, spread_s - ahead_s)
+            tables.append(allowances)
+        heard = [a for a in tables if random.random() < 0.5]
+        report_at = spread_s + random.uniform(0.0, 1.0)
+        sent: list[float] = []
+        granted: dict[int, tuple[float, float]] = {}
+        for step in range(int(spread_s * 50), 700):
+            now = step / 50
+            if heard and now >= report_at:
+                report = heard[0].cold.own_reports(now)[0]
+                for allowances in heard:
+                    allowances.cold.apply_reports([(report, self.ENTRY)], now)
+                heard = []
+            for n, allowances in enumerate(tables):
+                if n in granted and granted[n][1] <= now:
+                    reserved_at, _ = granted.pop(n)
+                    servers = [("engine-1", born)]
+                    if allowances.admit_reserved(servers, reserved_at, now):
+                        sent.append(now)
+                if n in granted or allowances.admits_in_s("engine-1", born, now) > 0:
+                    continue
+                allowances.record_send("engine-1", born, now)
+                granted[n] = now, now + random.uniform(0.0, grant_s)
+        return sorted(sent)
+
+
 class ReservedTest(unittest.TestCase):
     """A request whose memory was granted late needs another turn."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/allowances.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/allowances.py
@@ -68,6 +68,8 @@
             self.cold.record_send(*server, now)
         for server in limited:
             self.limits.record_send(*server, now)
+        for server in servers:
+            self.cold.record_grant(*server, now)
         return True
 
     def set_members(self, count: int, rank: int, now: float) -> None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/cold.py
@@ -21,14 +21,16 @@
 """Fraction of the rate that is used; below 1 because instances that join are not known
 to all others at once."""
 
+MOST_FRACTION = 1.3
+"""Most requests in any second as a fraction of the rate, whatever time each instance
+counts its turns from; below the bound of 1.5 because one that joins or leaves changes
+which instances have turns at a server."""
+
 STORE_S = 0.3
-"""Seconds for which an unused turn stays usable. In one second, all instances together
-use the turns of that second and of this time before it."""
+"""Seconds for which an unused turn stays usable."""
 
 MAX_RESERVE_S = 0.2
-"""Seconds after which a request that waited for memory needs another turn. In one
-second, all instances together use the turns of that second, of STORE_S and of this
-time before it, which is below the bound of 1.5 times the rate."""
+"""Seconds after which a request that waited for memory needs another turn."""
 
 RETURN_S = 2.0
 """Seconds after an evacuation for which the servers of the data centre count as cold;
@@ -158,11 +160,13 @@
                 known.turns.use_until(now)
             if known.turns.rate_per_s != rate_per_s:
                 known.turns.rate_per_s = rate_per_s
+                known.turns.most_in_a_second = _most_in_a_second(per_s)
                 known.turns.use_until(now)
             return []
         if until <= now:
             return []
-        turns = Turns(rate_per_s, since, now, unit_hash(name, "cold"), STORE_S)
+        order, most = unit_hash(name, "cold"), _most_in_a_second(per_s)
+        turns = Turns(rate_per_s, since, now, order, STORE_S, most)
         self._cold[name] = _Cold(entry.born, until, turns, now)
         fields = (("server", name), ("cold_s", f"{until - now:.2f}"))
         return [
@@ -223,6 +227,16 @@
         """Use a turn for a request, or for help with one."""
         if not self._cold or not self.is_cold(server, born, now):
             return
-        known = self._cold[server]
-        known.turns.use(self.membership, now)
-        known.spaced_until = now + known.turns.period_s(self.membership)
+        self._cold[server].turns.use(self.membership, now)
+        self.record_grant(server, born, now)
+
+    def record_grant(self, server: str, born: float, now: float) -> None:
+        """Space later requests from one that is sent now, after its turn."""
+        if self.is_cold(server, born, now):
+            known = self._cold[server]
+            known.spaced_until = now + known.turns.period_s(self.membership)
+
+
+def _most_in_a_second(cold_per_s: float) -> float:
+    """Return the most requests in any second at a server that takes a rate."""
+    return max(1.0, MOST_FRACTION * cold_per_s)
