Put a listed configuration in force after the listed evacuations

With a listing of several pages the configuration came in force with its page, so that a new process could send requests to a data centre whose evacuation was on a later page. On one page the configuration came first too. A listing that failed after its first page was read on from its end, which lost the later pages.

The configuration is now applied after the last page, evacuations with their own; a listing that fails between two pages starts anew. Both tests of PagesTest fail before and pass now.

--- a/features/properties/test_evacuations.py
+++ b/features/properties/test_evacuations.py
@@ -2,15 +2,26 @@
 
 import unittest
 
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
 from briarrelay_core.ports.digest import DigestReceived, LoadDigest
-from briarrelay_core.ports.directory import PeerAddress, Topic, TopicChange, TopicListed
+from briarrelay_core.ports.directory import (
+    ListTopic,
+    PeerAddress,
+    Topic,
+    TopicChange,
+    TopicFailed,
+    TopicListed,
+)
 from briarrelay_core.ports.evacuation import Evacuation, EvacuationReport
 from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.allowances.evacuations import EvacuationTable
+from briarrelay_core.routes.follower import TopicFollower
+from briarrelay_core.routes.model import RouteConfiguration
+from briarrelay_core.timers import TimerService
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from briarrelay_platform.store import _decode_change
 from properties.evacuationworld import EvacuationWorld
@@ -140,6 +151,44 @@
         self.assertEqual(table.is_evacuated("a"), asked[5])
 
 
+class PagesTest(unittest.TestCase):
+    """The configuration is on an earlier page of a listing than an evacuation."""
+
+    PAGE = TopicListed(
+        Topic.CONFIGURATION, (TopicChange("config", make_configuration(2)),), 9, True
+    )
+
+    def test_configuration_is_in_force_after_all_evacuations(self):
+        world = RouteWorld()
+        world.deliver(self.PAGE)
+        admission = world.instance.controller.admission
+        self.assertEqual(admission.configuration.version, 1)
+        change = TopicChange("evacuate/a", Evacuation("a", True), position=8)
+        world.deliver(TopicListed(Topic.CONFIGURATION, (change,), 9, False))
+        self.assertEqual(admission.configuration.version, 2)
+        self.assertTrue(world.instance.controller.servers.evacuations.in_force)
+
+    def test_listing_that_fails_between_pages_starts_anew(self):
+        timers = TimerService()
+        follower = TopicFollower(
+            Topic.CONFIGURATION, timers, 0.0, 1.0, last_type=RouteConfiguration
+        )
+        follower.start(0.0)
+        evacuation = TopicChange("evacuate/a", Evacuation("a", True), position=8)
+        last = TopicListed(
+            Topic.CONFIGURATION, (*self.PAGE.changes, evacuation), 9, False
+        )
+        self.assertEqual(len(follower.on_listed(last, 0.0)[0]), 2)
+        follower.restart()
+        self.assertEqual(
+            follower.on_listed(evolve(self.PAGE, generation=1), 1.0)[0], []
+        )
+        follower.on_failed(TopicFailed(Topic.CONFIGURATION, "lost", 1), 1.1)
+        self.assertIsInstance(follower._send_request(3.0)[0], ListTopic)
+        changes, _ = follower.on_listed(evolve(last, generation=1), 3.1)
+        self.assertEqual([c.key for c in changes], ["evacuate/a", "config"])
+
+
 class EncodingTest(unittest.TestCase):
     def test_presence_of_the_record_counts(self):
         for value, is_asked in ((b"{", True), (b"null", True), (b"", False)):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -48,6 +48,8 @@
     :param read_delay_s: called with the offset of the next record and the time; returns
         the seconds for which reads by peers make a read unnecessary.
     :param max_skip_s: seconds for which reads by peers replace own ones.
+    :param last_type: type of the values of a listing that are applied at its end,
+        None if each is applied with its own page.
     :ivar is_listed: a listing has been completed.
     :ivar last_response_at: time of the platform's last response.
     :ivar failing_since: time of the first of the current consecutive failures, None
@@ -59,6 +61,7 @@
     :ivar _timer: start of the next request, None if none is scheduled.
     :ivar _next_offset: offset of the next record to read, None before a listing.
     :ivar _listed_keys: keys on the pages of the current listing so far.
+    :ivar _held: changes of the listing so far that are applied with its last page.
     :ivar _known_keys: keys that exist, as of the last response.
     :ivar _failures: number of consecutive failures.
     """
@@ -69,6 +72,7 @@
     wait_s: float
     read_delay_s: Callable[[int, float], float] | None = None
     max_skip_s: float = MAX_SKIP_S
+    last_type: type | None = None
     is_listed: bool = False
     last_response_at: float = float("-inf")
     failing_since: float | None = None
@@ -78,6 +82,7 @@
     _timer: Timer | None = None
     _next_offset: int | None = None
     _listed_keys: set[str] = field(factory=set)
+    _held: list[TopicChange] = field(factory=list)
     _known_keys: set[str] = field(factory=set)
     _failures: int = 0
 
@@ -105,6 +110,7 @@
         if not after:
             self._next_offset = None
             self._listed_keys = set()
+            self._held = []
         return ListTopic(self.topic, after, self.generation)
 
     def on_listed(self, page: TopicListed, now: float) -> tuple[list, list]:
@@ -118,16 +124,26 @@
         self._listed_keys.update(change.key for change in changes)
         if page.has_more and changes:
             next_page = self._list(changes[-1].key)
-            return self._mark_copy(changes), [*effects, next_page]
+            return self._mark_copy(self._hold(changes)), [*effects, next_page]
+        changes = self._hold(changes)
         gone = self._known_keys - self._listed_keys
         changes += [TopicChange(key, None) for key in sorted(gone)]
-        changes = self._mark_copy(changes)
+        changes = self._mark_copy(changes + self._held)
+        self._held = []
         self._is_listing_copy = False
         self._known_keys = self._listed_keys
         self._listed_keys = set()
         self.is_listed = True
         return changes, effects + self._schedule_read(now)
 
+    def _hold(self, changes: list[TopicChange]) -> list[TopicChange]:
+        """Keep the changes that are applied last; return the others."""
+        if self.last_type is None:
+            return changes
+        held = [c for c in changes if isinstance(c.value, self.last_type)]
+        self._held += held
+        return [change for change in changes if change not in held]
+
     def _mark_copy(self, changes: list[TopicChange]) -> list[TopicChange]:
         if not self._is_listing_copy:
             return changes
@@ -183,6 +199,8 @@
             effects.append(LogEvent("warning", "store_lost", fields=fields))
         pause = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**self._failures)
         self._failures += 1
+        if self._listed_keys:
+            self._next_offset = None
         self._timer = self.timers.at(now + pause, self._send_request)
         return effects
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -83,7 +83,11 @@
 def _make_followers(timers: TimerService, news_s: float) -> dict[Topic, TopicFollower]:
     return {
         Topic.CONFIGURATION: TopicFollower(
-            Topic.CONFIGURATION, timers, 0.0, CONFIGURATION_WAIT_S
+            Topic.CONFIGURATION,
+            timers,
+            0.0,
+            CONFIGURATION_WAIT_S,
+            last_type=RouteConfiguration,
         ),
         Topic.SERVERS: TopicFollower(
             Topic.SERVERS, timers, READ_INTERVAL_FRACTION * news_s, 0.0
