Try beliefs of an unproven service with few requests at a time

Where a configuration says that servers keep prompts while they keep nothing, requests for a hot beginning were sent by it until the first events refuted it. Until a belief of a service has been confirmed, two requests at a time rely on one; it has to be proven again once the confidence in the service falls under a half.

--- a/features/properties/test_held_prompts.py
+++ b/features/properties/test_held_prompts.py
@@ -32,6 +32,7 @@
 )
 from briarrelay_core.routes.retention.beginnings import beginnings_of
 from briarrelay_core.routes.retention.contents import HeldContents, Memory
+from briarrelay_core.routes.retention.trials import MAX_TRIALS, TrialTable
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from properties.routeworld import (
     KEY,
@@ -46,6 +47,7 @@
 SESSION = PromptPart("5c1e", 40_000)
 LAYOUT = (SESSION, PromptPart("91bd", 500))
 PROMPT = {"read_layout": lambda: LAYOUT, "prompt_tokens": 40_500}
+MAX_LATE = 3  # requests that a wrong configuration may delay beyond their time
 READ_S = PROFILE.read_s(SESSION.tokens)
 SENDER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
 
@@ -169,6 +171,48 @@
         self.assertNotEqual(self.server, again.server)
 
 
+class TrialTest(unittest.TestCase):
+    """Few requests at a time rely on servers that were not shown to keep prompts."""
+
+    def believed(self, world: HeldWorld, count: int) -> int:
+        """Return how many of some requests at the same time rely on what is held."""
+        begun = len(world.all_effects)
+        for _ in range(count):
+            world.request("file", **PROMPT)
+        return names(world.all_effects[begun:]).count("route.held_believed")
+
+    def test_few_requests_at_a_time_rely_on_an_unproven_service(self):
+        world = HeldWorld()
+        world.serve()
+        self.assertEqual(MAX_TRIALS, self.believed(world, 4))
+
+    def test_confirmed_belief_lifts_the_bound(self):
+        world = HeldWorld()
+        world.serve()
+        world.serve()
+        self.assertEqual(4, self.believed(world, 4))
+
+    def test_overdue_trial_makes_room(self):
+        trials = TrialTable()
+        for number in range(MAX_TRIALS):
+            trials.begin("llm", f"r-{number}", 1.0, 0.0)
+        self.assertFalse(trials.has_room("llm", 2.9))
+        self.assertTrue(trials.has_room("desk", 2.9))
+        self.assertTrue(trials.has_room("llm", 3.0))
+
+    def test_service_that_stops_keeping_is_tried_again(self):
+        trials = TrialTable()
+        trials.confirm("llm")
+        trials.refute("llm", 0.5)
+        trials.begin("llm", "r-0", 1.0, 0.0)
+        trials.begin("llm", "r-1", 1.0, 0.0)
+        self.assertTrue(trials.has_room("llm", 0.0))
+        trials.refute("llm", 0.3)
+        for number in range(MAX_TRIALS):
+            trials.begin("llm", f"r-{number}", 1.0, 0.0)
+        self.assertFalse(trials.has_room("llm", 0.0))
+
+
 class ForgettingTest(unittest.TestCase):
     """Content is bounded by the memory that requests leave."""
 
@@ -358,18 +402,24 @@
     20 sessions ask 20 times a second; their prompts have 40,000 tokens in common.
     """
 
-    def mean_first_event_s(self, keeps: bool, retention: PromptRetention | None):
-        """Return the mean time to the first event; all must be on time."""
+    def serve(
+        self,
+        keeps: bool,
+        retention: PromptRetention | None,
+        sessions: int = 20,
+        per_s: float = 20.0,
+    ) -> list:
+        """Return the callers of 200 requests."""
         site = evolve(SITES["himali-salons"], keeps_prompts=keeps, retention=retention)
         arrivals = [
             Arrival(
-                at=1.0 + n / 20,
+                at=1.0 + n / per_s,
                 number=n,
                 kind=site.kinds[2],
                 tokens=41_000,
                 events=8,
                 layout=(
-                    PromptPart(f"{n * 7_919 % 20:04x}", 40_000),
+                    PromptPart(f"{n * 7_919 % sessions:04x}", 40_000),
                     PromptPart(f"f{n}", 1_000),
                 ),
             )
@@ -377,7 +427,11 @@
         ]
         fleet = RouteFleet(site, seed=1)
         fleet.run(arrivals, 30.0)
-        callers = list(fleet.callers.values())
+        return list(fleet.callers.values())
+
+    def mean_first_event_s(self, keeps: bool, retention: PromptRetention | None):
+        """Return the mean time to the first event; all must be on time."""
+        callers = self.serve(keeps, retention)
         self.assertTrue(all(caller.is_on_time for caller in callers))
         return mean(caller.first_event_s for caller in callers)
 
@@ -389,6 +443,21 @@
         plain = self.mean_first_event_s(False, None)
         self.assertLess(self.mean_first_event_s(False, TERMS), 1.1 * plain)
 
+    def test_hot_beginnings_cost_little_where_engines_keep_nothing(self):
+        figures = [
+            (
+                mean(c.first_event_s for c in callers),
+                sum(caller.is_on_time for caller in callers),
+            )
+            for callers in (
+                self.serve(False, terms, sessions=3, per_s=50.0)
+                for terms in (None, TERMS)
+            )
+        ]
+        (plain_s, plain_on_time), (believing_s, on_time) = figures
+        self.assertLess(believing_s, 1.05 * plain_s)
+        self.assertGreaterEqual(on_time, plain_on_time - MAX_LATE)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -392,9 +392,7 @@
     ) -> list:
         self._record_probe(routed, placement, now)
         effects = self._attempt_table.start(routed, placement, now)
-        if placement.saved_s:
-            effects.append(IncrementCounter("route.held_believed"))
-        return effects
+        return effects + self.retention.on_sent(routed, placement, now)
 
     def _record_probe(
         self, routed: RoutedRequest, placement: Placement, now: float
--- a/packages/briarrelay-core/src/briarrelay_core/routes/retention/contents.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/retention/contents.py
@@ -9,6 +9,7 @@
 from briarrelay_core.routes.model import PromptRetention
 from briarrelay_core.routes.placement import HeldTokens
 from briarrelay_core.routes.retention.beginnings import Beginning
+from briarrelay_core.routes.retention.trials import TrialTable
 from briarrelay_core.routing.confidence import ConfidenceTable
 
 __all__ = ["HeldContents", "Memory"]
@@ -64,11 +65,13 @@
 
     :ivar confidence: by server, lowered when it was shown not to hold something.
     :ivar service_confidence: the same by service, whose servers keep prompts alike.
+    :ivar trials: requests that rely on servers which were not shown to keep prompts.
     :ivar _is_used: a service keeps prompts; until then peers' reports are ignored.
     """
 
     confidence: ConfidenceTable = field(factory=ConfidenceTable)
     service_confidence: ConfidenceTable = field(factory=ConfidenceTable)
+    trials: TrialTable = field(factory=TrialTable)
     _servers: dict[str, _Server] = field(factory=dict)
     _holders: dict[str, set[str]] = field(factory=dict)
     _own_reads: OrderedDict[tuple[str, str], float] = field(factory=OrderedDict)
@@ -141,11 +144,13 @@
                 self._drop(server, known, beginning.key)
         self.confidence.adjust(server, confirmed=False, refuted=True)
         self.service_confidence.adjust(service, confirmed=False, refuted=True)
+        self.trials.refute(service, self.service_confidence.of(service))
 
     def confirm(self, server: str, service: str) -> None:
         """Record that a server was shown to hold what it was believed to hold."""
         self.confidence.adjust(server, confirmed=True, refuted=False)
         self.service_confidence.adjust(service, confirmed=True, refuted=False)
+        self.trials.confirm(service)
 
     def forget(self, server: str) -> None:
         """Forget the content of a server that restarted or left."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/retention/tracker.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/retention/tracker.py
@@ -5,7 +5,7 @@
 from briarrelay_core.ports.digest import HeldReport
 from briarrelay_core.ports.telemetry import IncrementCounter
 from briarrelay_core.routes.load import LoadTable
-from briarrelay_core.routes.placement import Candidate
+from briarrelay_core.routes.placement import Candidate, Placement
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 from briarrelay_core.routes.retention.contents import HeldContents, Memory
 from briarrelay_core.routes.retention.judgement import Judgement, judge
@@ -49,7 +49,8 @@
 
         :param known: the servers of the candidates, in the same order.
         """
-        if not routed.beginnings:
+        trials = self.contents.trials
+        if not routed.beginnings or not trials.has_room(routed.service, now):
             return candidates
         holders = self.contents.holders(routed.beginnings)
         return [
@@ -82,6 +83,15 @@
         tokens = min(held.tokens, routed.request.prompt_tokens - 1)
         return evolve(candidate, held=evolve(held, tokens=tokens))
 
+    def on_sent(self, routed: RoutedRequest, placement: Placement, now: float) -> list:
+        """Record that a request relies on what its server is believed to hold."""
+        if not placement.saved_s:
+            return []
+        unheld_s = placement.expected_s + placement.saved_s
+        request_id = routed.request.request_id
+        self.contents.trials.begin(routed.service, request_id, unheld_s, now)
+        return [IncrementCounter("route.held_believed")]
+
     def on_first_event(
         self, routed: RoutedRequest, attempt: AttemptState, now: float
     ) -> tuple[list, float]:
@@ -96,6 +106,7 @@
             return [], expected_s
         effects = []
         if attempt.saved_s:
+            self.contents.trials.end(routed.service, routed.request.request_id)
             taken_s = now - attempt.sent_at
             judgement = judge(unheld_s, attempt.held_s, taken_s)
             effects = [IncrementCounter(f"route.held_{judgement.value}")]
