Check a configuration before it is sent

Nothing told operators before publishing that a route can never match or that limits contradict each other; a timeout of -1 s was accepted.

--- a/packages/briarrelay-ctl/src/briarrelay_ctl/commands.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/commands.py
@@ -9,6 +9,7 @@
 from briarrelay_core.mappings import MappingError, to_mapping
 from briarrelay_ctl.audits import find_entries
 from briarrelay_ctl.changes import ChangeClient
+from briarrelay_ctl.configchecks import report_check, report_invalid
 from briarrelay_ctl.remote import InstanceClient, RemoteError
 from briarrelay_ctl.results import (
     EXIT_CONFLICT,
@@ -17,11 +18,14 @@
     EXIT_NOT_FOUND,
     Result,
 )
-from briarrelay_ctl.settings import CtlSettings, Place
+from briarrelay_ctl.settings import CtlSettings, Place, SettingsError, read_json
 from briarrelay_ctl.tables import format_table
 
 __all__ = ["Commands"]
 
+IN_FORCE = "in-force"
+"""Names the configuration in force instead of a file."""
+
 IN_FORCE_TIMEOUT_S = 30.0
 """Longest wait for a change to be in force on every instance."""
 
@@ -52,6 +56,27 @@
         verdict = self.changes.publish(ChangeKind.PATCH, revision, patch)
         return self._report_verdict(verdict, wait)
 
+    def check(self, path: str, against: str | None) -> Result:
+        """Check a configuration before it is published.
+
+        :param against: ``in-force`` or another file to compare with.
+        """
+        try:
+            configuration = read_configuration(read_json(path), path)
+        except (MappingError, SettingsError) as error:
+            return report_invalid(str(error))
+        if against is None:
+            return report_check(configuration)
+        if against != IN_FORCE:
+            return report_check(
+                configuration, read_configuration(read_json(against), against)
+            )
+        in_force = self.changes.read().configuration
+        if in_force is None:
+            text = "no configuration is in force yet; check without --against"
+            return Result(EXIT_NOT_FOUND, None, text)
+        return report_check(configuration, in_force)
+
     def activate(self, name: str, base: int | None, wait: bool) -> Result:
         """Put a preset in force."""
         fold = self.changes.read()
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/main.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/main.py
@@ -2,6 +2,7 @@
 
 Usage:
   briarrelayctl --settings FILE config publish PATCH [--base N] [--wait] [--json]
+  briarrelayctl --settings FILE config check FILE_IN [--against VERSION] [--json]
   briarrelayctl --settings FILE config show [--json]
   briarrelayctl --settings FILE config history [--json]
   briarrelayctl --settings FILE config settle ID [--json]
@@ -18,13 +19,18 @@
   --settings FILE  settings file, JSON with comments
   --base N         revision that the change is based on; default: the current one
   --wait           wait until the change is in force on every instance
+  --against VERSION  also list what differs from 'in-force' or from another file
   --json           print the result as JSON
 
-PATCH is a file with a JSON merge patch. PLACE is HOST:PORT of an entry instance.
+PATCH is a file with a JSON merge patch. 'config check' reads a complete configuration;
+with nothing found it exits with 0, with an error with 4, and with 7 if entries can
+never match or limits contradict each other; differences do not change the code. PLACE
+is HOST:PORT of an entry instance.
 
 Exit codes: 0 success; 2 invalid command line or settings; 3 conflict with another
 change; 4 invalid change; 5 unknown whether the change was written; 6 the log or an
-instance does not answer; 7 the audit record has faults; 8 nothing found.
+instance does not answer; 7 the audit record or the configuration has faults; 8 nothing
+found.
 """
 
 import json
@@ -77,6 +83,8 @@
     base = int(options["--base"]) if options["--base"] is not None else None
     if options["audit"]:
         return _audit(options, commands)
+    if options["check"]:
+        return commands.check(options["FILE_IN"], options["--against"])
     if options["publish"]:
         patch = read_json(options["PATCH"])
         return commands.publish(patch, base, options["--wait"])
--- a/packages/briarrelay-ctl/src/briarrelay_ctl/settings.py
+++ b/packages/briarrelay-ctl/src/briarrelay_ctl/settings.py
@@ -57,7 +57,7 @@
         raise SettingsError(
             f"{path}: can not be read ({error}); name a readable file"
         ) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(
             f"{path}: not JSON with comments ({error}); correct the file"
         ) from error
