Reject a configuration whose keys are lists or objects with its own error

They raised a TypeError in the decoder instead of a DecodeError that names the field. Found by reading, while the check was tested; the new test failed before.

--- a/features/properties/test_route_decoders.py
+++ b/features/properties/test_route_decoders.py
@@ -113,6 +113,13 @@
             decode_configuration, orjson.dumps(mapping), DecodeError
         )
 
+    def test_keys_that_are_no_values_are_rejected(self):
+        for key in ([1], {}):
+            mapping = configuration(3)
+            mapping["tenants"][0]["api-keys"] = [key]
+            with self.subTest(key), self.assertRaises(DecodeError):
+                decode_configuration(orjson.dumps(mapping))
+
     def test_server_without_a_usable_address_is_rejected(self):
         """A host name would be resolved while all other requests wait."""
         entry = {"service": "s", "state": "ready", "slots": 1, "address": ""}
