--- a/packages/briarrelay-core/src/briarrelay_core/routes/load.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/load.py
@@ -102,7 +102,9 @@
             total = self._total = self._sum()
         if own is NO_LOAD and not self.reads:
             return total
-        read_s = own.read_s + self._remaining_read_s(now)
+        read_s = own.read_s
+        for reported_s, received_at in self.reads.values():
+            read_s += max(0.0, reported_s - (now - received_at))
         return ServerLoad(
             read_s,
             own.lead_requests + total.lead_requests,
@@ -111,20 +113,6 @@
             _merge_streams(own.streams, total.streams),
         )
 
-    def _remaining_read_s(self, now: float) -> float:
-        """Return the seconds of reading that remain of what peers reported.
-
-        The server reads one prompt after another, so it has read no more of them all
-        than the age of the oldest report.
-        """
-        sum_s = each_s = oldest_s = 0.0
-        for reported_s, received_at in self.reads.values():
-            age_s = now - received_at
-            sum_s += reported_s
-            each_s += max(0.0, reported_s - age_s)
-            oldest_s = max(oldest_s, age_s)
-        return max(each_s, sum_s - oldest_s)
-
     def _sum(self) -> ServerLoad:
         leads = helpers = tokens = 0
         streams: dict[float, float] = {}
@@ -179,9 +167,8 @@
         weight: float = 0.0,
     ) -> None:
         """Add the load of an attempt on one server, as lead or as helper."""
-        # The server reads one prompt after another, also those that peers sent.
-        starts_at = now + (self.of(server, now).read_s if read_s else 0.0)
         server_loads = self._by_server.setdefault(server, [])
+        starts_at = max([now, *(s.read_until for s in server_loads if s.is_reading)])
         load = AttemptLoad(
             server, is_lead, tokens, read_s, starts_at + read_s, limit_s, weight
         )
