--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -6,6 +6,7 @@
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.evacuation import EvacuationReport
 from briarrelay_core.ports.position import START, EraPosition
+from briarrelay_core.ports.room import PeerRoom
 from briarrelay_core.ports.route import RateLimit
 
 __all__ = [
@@ -179,6 +180,7 @@
     :param limits: limits of servers that the sender observed lately.
     :param cut_off: services whose backend servers the sender can not reach.
     :param held: beginnings of prompts that servers have read for the sender lately.
+    :param room: what peers may give the sender, None if it does not say.
     :param dropped_fields: fields that the receiver could not read.
     :param members: number of instances that the sender knows, itself included; 1 if it
         reports no limits.
@@ -211,6 +213,7 @@
     evacuations: tuple[EvacuationReport, ...] = ()
     cold: tuple[ColdReport, ...] = ()
     held: tuple[HeldReport, ...] = ()
+    room: PeerRoom | None = None
     dropped_fields: tuple[str, ...] = ()
     invalid_reports: int = field(default=0, eq=False)
 
--- a/packages/briarrelay-core/src/briarrelay_core/ports/route.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/route.py
@@ -64,9 +64,11 @@
         none if they are not known; called only for services that keep prompts.
     :param fingerprint: hash of what a backend server is asked to do, the same for each
         repeat of a request; empty if it is not known.
-    :param is_delegated: it comes from a peer that can not reach the backend servers.
+    :param is_delegated: it comes from a peer that can not reach the backend servers, or
+        is overloaded.
     :param max_attempts: most attempts after which it may have run, None for as many as
         its route allows.
+    :param body_bytes: size of its body.
     """
 
     request_id: int
@@ -83,6 +85,7 @@
     fingerprint: str = ""
     is_delegated: bool = False
     max_attempts: int | None = None
+    body_bytes: int = 0
 
 
 @frozen(slots=True, kw_only=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/attempts.py
@@ -49,6 +49,9 @@
         """Start an attempt of a peer, which may use the attempts that are left."""
         self._last_id += 1
         max_attempts = routed.route.attempts - routed.possible_runs
+        if routed.is_relief:
+            # The others are left for the loss of the peer.
+            max_attempts = 1
         attempt = AttemptState(
             attempt_id=self._last_id,
             server=peer.name,
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -248,13 +248,15 @@
         ]
 
     def _delegate(self, routed: RoutedRequest, peer: PeerAddress, now: float) -> list:
-        """Let a peer send a request, since this instance reaches no server."""
+        """Let a peer send a request that this instance does not send itself."""
         self._waiting.pop(routed.request.request_id, None)
         fields = (("peer", peer.name), ("unreached", str(routed.undelivered)))
         return [
             self._attempt_table.delegate(routed, peer, now),
             LogEvent("info", "delegated", routed.request.caller_request_id, fields),
-            IncrementCounter("route.delegated"),
+            IncrementCounter(
+                "route.delegated_overload" if routed.is_relief else "route.delegated"
+            ),
         ]
 
     def can_delegate(self, routed: RoutedRequest, now: float) -> bool:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -29,6 +29,7 @@
 from briarrelay_core.ports.log import AppendDone, AppendFailed
 from briarrelay_core.ports.memory import ReleaseResponse, ReserveResponse
 from briarrelay_core.ports.quarantine import QuarantineWritten
+from briarrelay_core.ports.room import RelayLimits
 from briarrelay_core.ports.route import (
     CallerDisconnected,
     InvalidRequest,
@@ -46,7 +47,9 @@
 from briarrelay_core.routes.backpressure import apply_reading_paused
 from briarrelay_core.routes.budget import RetryLimits, ServiceRetryBudget
 from briarrelay_core.routes.controller import RequestController
+from briarrelay_core.routes.cooperation.capacity import RelayCapacity
 from briarrelay_core.routes.cooperation.delegation import Delegation
+from briarrelay_core.routes.cooperation.overload import OverloadRelief
 from briarrelay_core.routes.gracefulstop import GracefulStop
 from briarrelay_core.routes.load import LoadTable
 from briarrelay_core.routes.observations import ServerObservations
@@ -85,6 +88,7 @@
     :param max_unused_s: seconds for which reserved memory may stay unused.
     :param news_s: seconds within which a leaving server must get no new requests.
     :param seeds: addresses of the peers to contact at the start.
+    :param relay_limits: what it can relay, from its settings.
     :param retention: how long the audit record is kept after the store has it.
     """
 
@@ -97,6 +101,7 @@
     news_s: float = 2.0
     seeds: tuple[PeerAddress, ...] = ()
     retention: Retention = Retention()
+    relay_limits: RelayLimits = RelayLimits()
     timers: TimerService = field(factory=TimerService)
     recorder: Recorder = field(init=False)
     outbox: Outbox = field(init=False)
@@ -104,6 +109,7 @@
     controller: RequestController = field(init=False)
     responses: ResponseHandler = field(init=False)
     silence: SilenceChecker = field(init=False)
+    capacity: RelayCapacity = field(init=False)
     peers: PeerExchange = field(init=False)
     updates: UpdateHandler = field(init=False)
     stopping: GracefulStop = field(init=False)
@@ -137,6 +143,7 @@
         self.reservations.on_denied = self.controller.on_denied
         self.responses = ResponseHandler(self.controller)
         self.silence = SilenceChecker(self.controller, self.max_unused_s)
+        self.capacity = RelayCapacity(self.relay_limits)
         self.peers = PeerExchange(
             self.address,
             identity.incarnation,
@@ -150,8 +157,16 @@
             observations.isolation,
             observations.allowances.cold,
             observations.held,
+            self.capacity,
+        )
+        relief = None
+        if self.capacity.is_known:
+            relief = OverloadRelief(
+                self.capacity, identity.data_centre, self.peers.rooms
+            )
+        self.controller.delegation = Delegation(
+            observations.isolation, self.peers, relief
         )
-        self.controller.delegation = Delegation(observations.isolation, self.peers)
         for seed in self.seeds:
             self.peers.add(seed)
         self.updates = UpdateHandler(
@@ -199,7 +214,15 @@
         self.timers.every(
             RECORD_PERIOD_S, self._append_audit_batch, now + RECORD_PERIOD_S
         )
-        return self.peers.start(now) + self.updates.start(now)
+        dropped = [
+            effect
+            for name in self.relay_limits.invalid
+            for effect in (
+                LogEvent("warning", "setting_dropped", fields=(("name", name),)),
+                IncrementCounter("settings.limit_dropped"),
+            )
+        ]
+        return dropped + self.peers.start(now) + self.updates.start(now)
 
     def handle(self, message, now: float) -> list:
         """Handle a message from the driver; return effects to carry out."""
@@ -210,6 +233,8 @@
     def run_timers(self, now: float) -> list:
         """Run the timers that are due; return effects to carry out."""
         effects = self._check_suspension(now)
+        if (due := self.timers.next_due) is not None:
+            self.capacity.record_delay(now - due)
         effects += self.timers.run_due(now)
         return self._add_pending(effects, now)
 
@@ -247,7 +272,7 @@
         limits = self.controller.observations.limits
         isolation = self.controller.observations.isolation
         evacuations = self.controller.servers.evacuations
-        sources = (quarantine, limits, isolation, evacuations)
+        sources = (quarantine, limits, isolation, evacuations, self.capacity)
         effects += self.updates.evacuations.follow(now)
         if any(source.has_urgent_change for source in sources):
             for source in sources:
@@ -272,7 +297,8 @@
         self.controller.budget.instances = self.peers.instances
         self.allowances.set_members(*self.peers.members(), now)
         self.allowances.cold.expire(now)
-        effects = self.silence.check(now)
+        effects = self.capacity.check(self.controller.requests.values(), now)
+        effects += self.silence.check(now)
         for name in self.controller.servers.remove_expired(now):
             self.controller.observations.forget(name)
         self.controller.observations.crashes.expire(now)
@@ -297,6 +323,7 @@
 
     @_dispatch.register
     def _(self, message: RouteRequest, now: float) -> list:
+        self.capacity.record_request(message.body_bytes, now)
         if self.resumption.is_active:
             self.resumption.hold(message, now)
             return [IncrementCounter("route.held")]
@@ -322,6 +349,7 @@
 
     @_dispatch.register
     def _(self, message: ResponseEvent, now: float) -> list:
+        self.capacity.record_event(len(message.data), now)
         return self.responses.on_event(message, now)
 
     @_dispatch.register
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -21,9 +21,11 @@
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import START, EraPosition
+from briarrelay_core.ports.room import PeerRoom
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.routes.allowances.cold import ColdTable
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
+from briarrelay_core.routes.cooperation.capacity import RelayCapacity
 from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.load import LoadTable
@@ -113,6 +115,7 @@
     :param directory_at: time of its last read of the servers topic.
     :param members: number of instances that it knows, itself included.
     :param cut_off: services whose backend servers it can not reach.
+    :param room: what it may be given, None if it did not say.
     """
 
     address: PeerAddress
@@ -125,6 +128,7 @@
     directory_at: float = float("-inf")
     members: int = 1
     cut_off: tuple[str, ...] = ()
+    room: PeerRoom | None = None
 
 
 @define(slots=True)
@@ -158,6 +162,7 @@
     isolation: IsolationTable = field(factory=IsolationTable)
     cold: ColdTable = field(factory=ColdTable)
     held: HeldContents = field(factory=HeldContents)
+    capacity: RelayCapacity = field(factory=RelayCapacity)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -203,6 +208,14 @@
             and service not in peer.cut_off
         ]
 
+    def rooms(self, service: str, now: float) -> list[tuple[PeerAddress, PeerRoom]]:
+        """Return the peers of :meth:`connected_to` that named their room, with it."""
+        return [
+            (address, room)
+            for address in self.connected_to(service, now)
+            if (room := self._peers[address.host].room) is not None
+        ]
+
     def addresses(self) -> tuple[PeerAddress, ...]:
         """Return the addresses of all peers."""
         return tuple(peer.address for peer in self._peers.values())
@@ -251,6 +264,7 @@
         peer.directory = digest.directory
         peer.directory_at = now - digest.directory_age_s
         peer.members, peer.cut_off = digest.members, digest.cut_off
+        peer.room = digest.room
         effects += self.limits.apply_reports(
             filter(self._is_of_registered, digest.limits), now
         )
@@ -483,6 +497,7 @@
             evacuations=self.servers.evacuations.own_reports(now),
             cold=self.cold.own_reports(now),
             held=self.held.own_reports(now),
+            room=self.capacity.room(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/requeststate.py
@@ -93,6 +93,7 @@
     :param undelivered: attempts that never reached their server.
     :param refused_at: time at which its last attempt was refused or failed to reach its
         server, minus infinity if it did not end so.
+    :param is_relief: it goes to a peer since this instance is overloaded.
     :param delegated_count: number of attempts that went to a peer.
     :param peer_retry_after_s: time to return that the last peer named which refused it.
     :param room_in_s: seconds after which engines have room for it, 0 if not known.
@@ -129,6 +130,7 @@
     attempt_count: int = 0
     undelivered: int = 0
     delegated_count: int = 0
+    is_relief: bool = False
     peer_retry_after_s: float = 0.0
     refused_at: float = float("-inf")
     room_in_s: float = 0.0
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -27,6 +27,7 @@
 )
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.position import EraPosition
+from briarrelay_core.ports.room import PeerRoom
 from briarrelay_core.ports.route import MAX_PAUSE_S, RateLimit
 from briarrelay_daemon.coldcodec import decode_cold, encode_cold
 from briarrelay_daemon.evacuationcodec import decode_evacuations, encode_evacuations
@@ -85,6 +86,7 @@
         encode_evacuations(digest.evacuations),
         encode_cold(digest.cold),
         encode_held(digest.held),
+        _encode_room(digest.room),
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -141,6 +143,7 @@
     evacuations: list | None = None,
     cold: list | None = None,
     held: list | None = None,
+    room: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -164,7 +167,7 @@
         "evacuations": evacuation_reports,
         "cold": cold_reports,
         "invalid_reports": invalid_evacuations + invalid_cold,
-        **_decode_held_field(held),
+        **_merge_dropped(_decode_held_field(held), _decode_room_field(room)),
     }
 
 
@@ -178,6 +181,32 @@
         return {"dropped_fields": ("held",)}
 
 
+def _merge_dropped(*decoded: dict) -> dict:
+    """Return the fields of all, with all names of fields that were dropped."""
+    merged: dict = {}
+    for fields in decoded:
+        dropped = merged.get("dropped_fields", ()) + fields.get("dropped_fields", ())
+        merged |= fields | ({"dropped_fields": dropped} if dropped else {})
+    return merged
+
+
+def _encode_room(room: PeerRoom | None) -> list | None:
+    if room is None:
+        return None
+    return [int(room.requests_per_s), int(room.bytes_per_s)]
+
+
+def _decode_room_field(room: list | None) -> dict:
+    """Return the sender's room; an invalid one is dropped alone."""
+    if not room:
+        return {}
+    try:
+        requests_per_s, bytes_per_s, *_ = room
+        return {"room": PeerRoom(requests_per_s, bytes_per_s)}
+    except (TypeError, ValueError):
+        return {"dropped_fields": ("room",)}
+
+
 def _decode_services(services: list) -> tuple[str, ...]:
     if not isinstance(services, list):
         raise ValueError("not a list of services")
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -18,6 +18,7 @@
     ProcessResumed,
 )
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.routes.cooperation.capacity import describe_room
 from briarrelay_core.routes.instance import RouteInstance
 from briarrelay_daemon.digestport import DigestPort
 from briarrelay_daemon.heldbytes import BufferLimits, HeldBytes
@@ -88,6 +89,7 @@
         servers, allowances = core.controller.servers, core.allowances
         self.metrics.states["evacuated"] = lambda: servers.evacuations.in_force
         self.metrics.states["cold"] = allowances.cold.names
+        self.metrics.states["room"] = lambda: describe_room(core.capacity, clock())
         self.routes = RoutePort(
             self.host, client, settings.listen, settings.digests, dialect, held
         )
@@ -205,4 +207,5 @@
         news_s=settings.news_s,
         seeds=settings.seeds,
         retention=settings.retention,
+        relay_limits=settings.relay_limits,
     )
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
@@ -9,6 +9,7 @@
 from briarrelay_core.agreement.outbox import Retention
 from briarrelay_core.ports.control import RouteSettingsChanged
 from briarrelay_core.ports.directory import PeerAddress
+from briarrelay_core.ports.room import RelayLimits
 from briarrelay_core.routes.budget import RetryLimits
 from briarrelay_daemon.host import Host
 from briarrelay_daemon.reactor import READ
@@ -37,6 +38,7 @@
         to a server that leaves.
     :param seeds: peers to contact at the start.
     :param memory_bytes: memory of the process, None if it is not known.
+    :param relay_limits: what it can relay.
     :param retention: how long the audit record is kept after the store has it.
     """
 
@@ -56,6 +58,7 @@
     news_s: float
     seeds: tuple[PeerAddress, ...] = ()
     memory_bytes: int | None = None
+    relay_limits: RelayLimits = RelayLimits()
     retention: Retention = Retention(keep_s=60.0, keep_bytes=4_000_000)
 
 
