--- a/packages/briarrelay-core/src/briarrelay_core/routes/cooperation/overload.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/cooperation/overload.py
@@ -15,6 +15,9 @@
 MIN_ROOM_PER_S = 1.0
 """Least room in requests a second of a peer that is given one."""
 
+MAX_GIVEN = 512
+"""Peers of which it is kept what they were given; they count for about a second."""
+
 
 @define(slots=True)
 class _Given:
@@ -76,14 +79,12 @@
         return room.requests_per_s - taken_requests
 
     def _record(self, name: str, body_bytes: int, now: float) -> None:
+        if name not in self._given and len(self._given) >= MAX_GIVEN:
+            self._given.pop(next(iter(self._given)))
         given = self._given.setdefault(name, _Given())
         given.requests.add(1.0, now)
         given.bytes.add(2 * body_bytes, now)
 
-    def forget(self, name: str) -> None:
-        """Forget a peer that is gone."""
-        self._given.pop(name, None)
-
 
 def _is_unsent(routed: RoutedRequest) -> bool:
     """Return whether nothing of a request was sent, by this instance or a peer."""
