--- a/features/properties/unevenworld.py
+++ b/features/properties/unevenworld.py
@@ -35,6 +35,7 @@
     :param cores: processor of each instance, in cores.
     :param is_relieved: whether the settings name what the instances can relay.
     :ivar without_room: instances whose digests lack the field, as of an older build.
+    :ivar named: instances whose digests named their room.
     :ivar mute: instances whose digests are lost.
     """
 
@@ -42,6 +43,7 @@
         self.cores = cores
         self.without_room: set[int] = set()
         self.mute: set[int] = set()
+        self.named: set[int] = set()
         self.busy_until = [0.0] * len(cores)
         super().__init__(len(cores), 12, **options)
         if is_relieved:
@@ -83,6 +85,8 @@
         self.busy_until[n] = started + seconds / self.cores[n]
 
     def _deliver_digest(self, n: int, effect: SendDigest) -> None:
+        if effect.digest.room is not None:
+            self.named.add(n)
         if n in self.mute:
             return
         if n in self.without_room:
--- a/packages/briarrelay-core/src/briarrelay_core/ports/room.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/room.py
@@ -38,6 +38,11 @@
     requests_per_s: float
     bytes_per_s: float
 
+    @property
+    def is_none(self) -> bool:
+        """Whether it may be given nothing, since it is overloaded."""
+        return self.requests_per_s == 0
+
     def __attrs_post_init__(self):
         for value in (self.requests_per_s, self.bytes_per_s):
             is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -216,6 +216,16 @@
             if (room := self._peers[address.host].room) is not None
         ]
 
+    def _is_room_asked(self, now: float) -> bool:
+        """Return whether this instance or a peer is overloaded; others name no room."""
+        return self.capacity.is_overloaded or any(
+            peer.room is not None
+            and peer.room.is_none
+            and now - peer.last_digest_at <= CONNECTED_REPORT_FRESH_S
+            for peer in self._peers.values()
+            if peer.last_digest_at is not None
+        )
+
     def addresses(self) -> tuple[PeerAddress, ...]:
         """Return the addresses of all peers."""
         return tuple(peer.address for peer in self._peers.values())
@@ -264,6 +274,8 @@
         peer.directory = digest.directory
         peer.directory_at = now - digest.directory_age_s
         peer.members, peer.cut_off = digest.members, digest.cut_off
+        if digest.room is not None and digest.room.is_none and peer.room is None:
+            effects += self.on_changed(now)
         peer.room = digest.room
         effects += self.limits.apply_reports(
             filter(self._is_of_registered, digest.limits), now
@@ -497,7 +509,7 @@
             evacuations=self.servers.evacuations.own_reports(now),
             cold=self.cold.own_reports(now),
             held=self.held.own_reports(now),
-            room=self.capacity.room(now),
+            room=self.capacity.room(now) if self._is_room_asked(now) else None,
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
