Judge in one place whether a loss was of the links or of a server

Cause: an instance that is cut off from its servers by resets reported their closed connections as crashes. Peers avoided living servers for 2 s and counted strikes against what was running there.

Change: routes/losses/judge.py says for each closed or failed connection whether it was of the links: most servers that were reached before are lost within 0.3 s. Strikes, crash table and failures of servers ask it; what was counted before is withdrawn here, and at peers by the digest field reach (a share below one half voids the sender's crash reports). Such losses are held (64, 5 s) and count as crashes if their server registers with another start; a response of it drops them.

The log line send_lost names what the loss shows and why.

--- a/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/digest.py
@@ -19,6 +19,7 @@
     "MAX_QUARANTINE_REPORTS",
     "MAX_REPORT_SERVERS",
     "MAX_SURVIVED_REPORTS",
+    "MIN_REACH",
     "UNKNOWN_AGE_S",
     "CrashReport",
     "DigestReceived",
@@ -61,6 +62,10 @@
 MAX_LIMIT_REPORTS = 16
 """Most limits of servers that a digest reports."""
 
+MIN_REACH = 0.5
+"""Share of servers that a sender still reaches, below which its reports of crashes do
+not count."""
+
 MAX_REPORT_SERVERS = 8
 """Most servers named as the reason for a quarantine."""
 
@@ -179,6 +184,8 @@
     :param limits: limits of servers that the sender observed lately.
     :param cut_off: services whose backend servers the sender can not reach.
     :param held: beginnings of prompts that servers have read for the sender lately.
+    :param reach: share of the servers of a service that the sender still reaches, of
+        those that it reached before it lost some at once; 1 if it lost none.
     :param dropped_fields: fields that the receiver could not read.
     :param members: number of instances that the sender knows, itself included; 1 if it
         reports no limits.
@@ -211,6 +218,7 @@
     evacuations: tuple[EvacuationReport, ...] = ()
     cold: tuple[ColdReport, ...] = ()
     held: tuple[HeldReport, ...] = ()
+    reach: float = 1.0
     dropped_fields: tuple[str, ...] = ()
     invalid_reports: int = field(default=0, eq=False)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -119,6 +119,7 @@
 
     def __attrs_post_init__(self):
         self.refusals = RefusalHandler(self.admission, self.recorder)
+        self.quarantine.held_losses = self.observations.held_losses
         self.retention = RetentionTracker(self.load, self.observations.held)
         self._attempt_table = AttemptTable(
             self.servers, self.load, self.reservations, self.observations
--- a/packages/briarrelay-core/src/briarrelay_core/routes/crashes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/crashes.py
@@ -59,6 +59,16 @@
         closings = self._recent(server, at)
         self._count(closings, peer, max(count, closings.counts.get(peer, 0)), at)
 
+    def withdraw(self, source: str, since: float) -> None:
+        """Drop what a source reported since a time; it had lost its links.
+
+        :param source: name of a peer, empty for this instance.
+        """
+        for closings in self._closings.values():
+            if closings.at >= since and closings.counts.pop(source, 0):
+                if sum(closings.counts.values()) < CLOSED_CONNECTIONS:
+                    closings.avoided_until = float("-inf")
+
     def _recent(self, server: str, at: float) -> _Closings:
         known = self._closings.get(server)
         if known is None or at - known.at > CRASH_WINDOW_S:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -150,6 +150,7 @@
             observations.isolation,
             observations.allowances.cold,
             observations.held,
+            observations.losses,
         )
         self.controller.delegation = Delegation(observations.isolation, self.peers)
         for seed in self.seeds:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -6,6 +6,8 @@
 from briarrelay_core.routes.allowances.limits import ServerLimitTable
 from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
+from briarrelay_core.routes.losses.held import HeldLosses
+from briarrelay_core.routes.losses.judge import Finding, LossJudge
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
 from briarrelay_core.routes.retention.contents import HeldContents
@@ -31,6 +33,8 @@
     crashes: CrashTable = field(factory=CrashTable)
     allowances: Allowances = field(factory=Allowances)
     isolation: IsolationTable = field(factory=IsolationTable)
+    losses: LossJudge = field(factory=LossJudge)
+    held_losses: HeldLosses = field(factory=HeldLosses)
     held: HeldContents = field(factory=HeldContents)
     last_response_at: dict[str, float] = field(factory=dict)
 
@@ -47,23 +51,43 @@
             self.reachability.record_response(known.entry.data_centre)
             self.crashes.record_response(server, known.entry.born)
             self.isolation.record_response(known.entry.service, now)
+            self.losses.record_response(known.entry.service, server, now)
+            self.held_losses.record_response(known.incarnation)
 
-    def record_unreachable(self, server: str, now: float) -> None:
-        """Record that no connection to a server could be made."""
+    def judge_closed(self, server: str, sent_at: float, now: float) -> Finding | None:
+        """Return what a connection that a server closed shows.
+
+        :returns: None if the server is unknown.
+        """
+        known = self.servers.get(server)
+        if known is None:
+            return None
+        service = known.entry.service
+        count = len(self.servers.of_service(service, now))
+        return self.losses.judge_closed(service, server, count, sent_at, now)
+
+    def record_unreachable(self, server: str, now: float) -> Finding | None:
+        """Record that no connection to a server could be made.
+
+        :returns: what it shows, None if the server is unknown.
+        """
         known = self.servers.get(server)
         if known is not None:
             self.reachability.record_unreachable(known.entry.data_centre, server, now)
-            self._record_unreached(known.entry.service, server, now)
+            return self._record_unreached(known.entry.service, server, now)
+        return None
 
-    def record_unacknowledged(self, server: str, now: float) -> None:
+    def record_unacknowledged(self, server: str, now: float) -> Finding | None:
         """Record that a connection to a server failed, which it did not close."""
         known = self.servers.get(server)
         if known is not None:
-            self._record_unreached(known.entry.service, server, now)
+            return self._record_unreached(known.entry.service, server, now)
+        return None
 
-    def _record_unreached(self, service: str, server: str, now: float) -> None:
+    def _record_unreached(self, service: str, server: str, now: float) -> Finding:
         count = len(self.servers.of_service(service, now))
         self.isolation.record_failure(service, server, count, now)
+        return self.losses.judge_unreached(service, server, count, now)
 
     def forget(self, name: str) -> None:
         """Discard the observations of a server that left or restarted."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -10,6 +10,7 @@
 
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import (
+    MIN_REACH,
     UNKNOWN_AGE_S,
     DigestReceived,
     HeldReport,
@@ -27,8 +28,9 @@
 from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.losses.judge import LossJudge
 from briarrelay_core.routes.pauses import PauseTable
-from briarrelay_core.routes.quarantine import ContentQuarantine
+from briarrelay_core.routes.quarantine import WITHDRAWN_S, ContentQuarantine
 from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
@@ -158,6 +160,7 @@
     isolation: IsolationTable = field(factory=IsolationTable)
     cold: ColdTable = field(factory=ColdTable)
     held: HeldContents = field(factory=HeldContents)
+    losses: LossJudge = field(factory=LossJudge)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -277,7 +280,12 @@
             effects += self.servers.apply_peer_gone(report, now)
         self.pauses.apply_peer_pauses(digest.paused, now)
         effects += self.quarantine.apply_digest(digest, now)
-        self._apply_crashes(digest, now)
+        if digest.reach >= MIN_REACH:
+            self._apply_crashes(digest, now)
+        else:
+            self.crashes.withdraw(digest.sender.name, now - WITHDRAWN_S)
+            ignored = len(digest.crashes)
+            effects.append(IncrementCounter("peers.crash_of_links", ignored))
         self._check_behind(peer, now)
         return effects
 
@@ -483,6 +491,7 @@
             evacuations=self.servers.evacuations.own_reports(now),
             cold=self.cold.own_reports(now),
             held=self.held.own_reports(now),
+            reach=self.losses.reach(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantine.py
@@ -9,19 +9,21 @@
 
 from collections import OrderedDict
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from briarrelay_core.ports.digest import (
     MAX_CRASH_REPORTS,
     MAX_QUARANTINE_REPORTS,
     MAX_REPORT_SERVERS,
     MAX_SURVIVED_REPORTS,
+    MIN_REACH,
     CrashReport,
     LoadDigest,
     QuarantineReport,
 )
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.routes.contents import is_request_content, kind_of_content
+from briarrelay_core.routes.losses.held import HeldLosses
 from briarrelay_core.routes.probes import ProbeTable
 from briarrelay_core.routes.strikes import (
     MAX_STRIKES,
@@ -35,6 +37,7 @@
     "STRIKES_OF_REQUEST",
     "STRIKES_TO_QUARANTINE",
     "SURVIVAL_EVENTS",
+    "WITHDRAWN_S",
     "ContentQuarantine",
 ]
 
@@ -74,6 +77,10 @@
 MAX_QUARANTINED = 256
 """Number of contents in quarantine; beyond it, the one that lapses first is dropped."""
 
+WITHDRAWN_S = 1.0
+"""Seconds before a peer reported the loss of its links since which its reports of
+crashes are dropped."""
+
 MAX_CRASH_CHARS = 12_000
 """Characters of the contents in a digest's crash reports; it is one datagram."""
 
@@ -102,6 +109,7 @@
     Its methods return the effects to execute, unless said otherwise.
 
     :param probes: suspect contents of requests that are on engines.
+    :param held_losses: own losses that may have been of the links.
     :ivar has_urgent_change: peers have not been notified of a strike or a quarantine.
     :ivar _survived: time at which a server last survived a content, the latest last.
     :ivar _struck: contents with strikes, the one struck last at the end.
@@ -112,6 +120,7 @@
     """
 
     probes: ProbeTable = field(factory=ProbeTable)
+    held_losses: HeldLosses = field(factory=HeldLosses)
     has_urgent_change: bool = False
     _survived: OrderedDict[str, float] = field(factory=OrderedDict)
     _struck: OrderedDict[str, StruckContent] = field(factory=OrderedDict)
@@ -217,7 +226,26 @@
 
         :param server: the engine's incarnation, ``name@born``.
         """
-        crash = Crash(sent_at, now, server, tuple(dict.fromkeys(contents)))
+        return self._record(Crash(sent_at, now, server, _distinct(contents)), now)
+
+    def hold_loss(
+        self, contents: tuple[str, ...], server: str, sent_at: float, now: float
+    ) -> None:
+        """Record a loss of the links that counts as a crash if the server restarts.
+
+        :param server: the engine's incarnation, ``name@born``.
+        """
+        self.held_losses.hold(Crash(sent_at, now, server, _distinct(contents)))
+
+    def record_start(self, name: str, born: float, now: float) -> list:
+        """Record that a server has started, so that held losses were crashes."""
+        effects = []
+        for loss in self.held_losses.pop_restarted(name, born, now):
+            effects.append(IncrementCounter("route.held_loss_was_crash"))
+            effects += self._record(evolve(loss, known_at=now), now)
+        return effects
+
+    def _record(self, crash: Crash, now: float) -> list:
         if not crash.contents:
             return []
         self._crashes = [*self._crashes, crash][-MAX_CRASH_REPORTS:]
@@ -238,6 +266,34 @@
             self._remember_survival(content, now)
         return effects
 
+    def withdraw(self, source: str, since: float) -> list:
+        """Drop the strikes that a source reported since a time; it had lost its links.
+
+        :param source: name of a peer, empty for this instance.
+        """
+        if not source:
+            self.has_urgent_change = True
+            self.held_losses.hold(*(c for c in self._crashes if c.lost_at >= since))
+            self._crashes = [c for c in self._crashes if c.lost_at < since]
+        withdrawn = 0
+        for content, struck in list(self._struck.items()):
+            if struck.withdraw(source, since):
+                withdrawn += 1
+                if not struck.strikes and not struck.earlier:
+                    del self._struck[content]
+                    self.probes.end(content)
+        if not withdrawn:
+            return []
+        fields = (
+            ("source", source or "own"),
+            ("contents", str(withdrawn)),
+            ("reason", "sender_lost_links"),
+        )
+        return [
+            LogEvent("info", "strikes_withdrawn", fields=fields),
+            IncrementCounter("route.strikes_withdrawn", withdrawn),
+        ]
+
     def _remember_survival(self, content: str, at: float) -> None:
         self._survived[content] = max(at, self._survived.get(content, at))
         self._survived.move_to_end(content)
@@ -250,7 +306,7 @@
 
     # Strikes
 
-    def _strike(self, crash: Crash, source: str, now: float) -> list:
+    def _strike(self, crash: Crash, source: str, now: float, peer: str = "") -> list:
         effects, counts = [], {}
         for position, content in self._unexplained(crash):
             if crash.sent_at <= self._survived.get(content, float("-inf")):
@@ -262,6 +318,7 @@
             if crash.server in struck.strikes or len(struck.strikes) >= MAX_STRIKES:
                 continue
             struck.strikes[crash.server] = (crash.sent_at, crash.lost_at)
+            struck.sources[crash.server] = peer
             struck.known_at = now
             self.probes.end(content)
             count = struck.count
@@ -418,7 +475,9 @@
         """Return the latest own observations for a digest."""
         if not self._crashes:
             return ()
-        self._crashes = [c for c in self._crashes if now - c.lost_at < REPORT_S]
+        self._crashes = [
+            c for c in self._crashes if now - max(c.lost_at, c.known_at) < REPORT_S
+        ]
         reports, chars = [], 0
         for crash in reversed(self._crashes):
             chars += sum(map(len, crash.contents))
@@ -479,8 +538,10 @@
         self.probes.apply(digest.probed, now)
         for content, age_s in digest.survived.items():
             effects += self._apply_survival(content, now - age_s)
+        if digest.reach < MIN_REACH:
+            effects += self.withdraw(digest.sender.name, now - WITHDRAWN_S)
         known = set(self._quarantined) if digest.crashes else set()
-        for report in digest.crashes:
+        for report in digest.crashes if digest.reach >= MIN_REACH else ():
             crash = Crash(
                 now - report.sent_age_s,
                 now - report.lost_age_s,
@@ -490,7 +551,7 @@
             for content in crash.contents:
                 if content in self._survived:
                     self._answer(content, now)
-            effects += self._strike(crash, "peer", now)
+            effects += self._strike(crash, "peer", now, digest.sender.name)
         if digest.crashes:
             reported = {report.content for report in digest.quarantined}
             for content in self._quarantined.keys() - known - reported:
@@ -537,6 +598,10 @@
         return effects
 
 
+def _distinct(contents: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(dict.fromkeys(contents))
+
+
 def _report(change: str, content: str, source: str, servers: str = "") -> list:
     """Return the log line and the count of a change of a content."""
     kind = kind_of_content(content)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -19,6 +19,7 @@
 from briarrelay_core.reasons import RetryReason
 from briarrelay_core.routes.backpressure import was_unread
 from briarrelay_core.routes.controller import RequestController
+from briarrelay_core.routes.losses.judge import Cause, Finding
 from briarrelay_core.routes.quarantine import SURVIVAL_EVENTS
 from briarrelay_core.routes.requeststate import AttemptState, RoutedRequest
 
@@ -258,19 +259,28 @@
         if routed is None:
             return []
         if message.is_sent:
+            effects = []
             is_explained = message.is_closed or message.is_ended_here
             if not is_explained and not was_unread(routed, now):
                 server = routed.active_attempt.server
-                self.controller.observations.record_unacknowledged(server, now)
-            return self._on_unusable(routed, message.problem, now, message.is_closed)
+                finding = self.controller.observations.record_unacknowledged(
+                    server, now
+                )
+                effects = self._withdraw(finding)
+            return effects + self._on_unusable(
+                routed, message.problem, now, message.is_closed
+            )
         attempt = self.controller.end_attempt(routed, now)
         observations = self.controller.observations
         if not observations.isolation.is_cut_off(routed.service, now):
             observations.health.record_failure(attempt.server, now, certain=True)
-        observations.record_unreachable(attempt.server, now)
+        finding = observations.record_unreachable(attempt.server, now)
         routed.undelivered += 1
         return [
-            self._make_lost_log(routed, attempt, message.problem, message.is_closed),
+            self._make_lost_log(
+                routed, attempt, message.problem, message.is_closed, finding
+            ),
+            *self._withdraw(finding),
             *self.controller.retry_or_give_up(
                 routed, RetryReason.SERVER_LOST, now, was_delivered=False
             ),
@@ -291,17 +301,30 @@
         is_unread = was_unread(routed, now)
         attempt = self.controller.end_attempt(routed, now)
         routed.possible_runs += attempt.max_runs
+        is_closing = is_closed and not attempt.is_delegated and not is_unread
+        observations = self.controller.observations
+        finding = (
+            observations.judge_closed(attempt.server, attempt.sent_at, now)
+            if is_closing
+            else None
+        )
+        is_of_links = finding is not None and finding.cause is Cause.LINKS
         effects = [
-            self._make_lost_log(routed, attempt, problem, is_closed),
+            self._make_lost_log(routed, attempt, problem, is_closed, finding),
+            *self._withdraw(finding),
             AbortAttempt(attempt.attempt_id),
         ]
         if is_unread:
             effects.append(IncrementCounter("route.cut_unread"))
-        else:
-            self.controller.observations.health.record_failure(attempt.server, now)
-        is_crash = is_closed and not attempt.is_delegated and not is_unread
+        elif not is_of_links:
+            observations.health.record_failure(attempt.server, now)
+        is_crash = is_closing and not is_of_links
         if is_crash:
-            self.controller.observations.crashes.record_closed(attempt.incarnation, now)
+            observations.crashes.record_closed(attempt.incarnation, now)
+        if is_of_links and not attempt.is_survived:
+            self.controller.quarantine.hold_loss(
+                routed.contents, attempt.incarnation, attempt.sent_at, now
+            )
         if is_crash and not attempt.is_survived:
             effects += self.controller.record_crash(routed, attempt, now)
         if routed.request.request_id not in self.controller.requests:
@@ -312,12 +335,21 @@
             *self.controller.place_waiting(now),
         ]
 
+    def _withdraw(self, finding: Finding | None) -> list:
+        """Withdraw what was taken for crashes before the links proved to be lost."""
+        if finding is None or finding.withdrawn_since is None:
+            return []
+        since = finding.withdrawn_since
+        self.controller.observations.crashes.withdraw("", since)
+        return self.controller.quarantine.withdraw("", since)
+
     def _make_lost_log(
         self,
         routed: RoutedRequest,
         attempt: AttemptState,
         problem: str,
         is_closed: bool,
+        finding: Finding | None = None,
     ) -> LogEvent:
         fields = (
             ("server", attempt.server),
@@ -326,6 +358,8 @@
             ("events", str(attempt.events)),
             ("parts", ",".join(routed.request.prompt_parts)),
             ("content", routed.content),
+            ("shows", finding.cause.value if finding else ""),
+            ("reason", finding.reason if finding else ""),
         )
         return LogEvent("info", "send_lost", routed.request.caller_request_id, fields)
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/strikes.py
@@ -22,12 +22,14 @@
     """An attempt that an engine ended by closing its connection.
 
     :param server: the engine's incarnation, ``name@born``.
+    :param known_at: time at which it was known to be a crash, if later than the loss.
     """
 
     sent_at: float
     lost_at: float
     server: str
     contents: tuple[str, ...]
+    known_at: float = float("-inf")
 
 
 @define(slots=True, eq=False)
@@ -36,6 +38,7 @@
 
     :param position: its place in a prompt, from 0.
     :param strikes: time of sending and of the loss, by incarnation of an engine.
+    :param sources: name of the peer that reported each strike, empty for this instance.
     :param attempts: incarnation and contents of the attempts with it that were lost.
     :param earlier: strikes that a lapsed quarantine left.
     :param known_at: time at which the last strike became known here.
@@ -43,6 +46,7 @@
 
     position: int = 0
     strikes: dict[str, tuple[float, float]] = field(factory=dict)
+    sources: dict[str, str] = field(factory=dict)
     attempts: set[tuple[str, tuple[str, ...]]] = field(factory=set)
     earlier: int = 0
     known_at: float = float("-inf")
@@ -66,6 +70,18 @@
         requests = {contents[-1] for _, contents in self.attempts}
         return len(requests) == 1 and is_request_content(requests.pop())
 
+    def withdraw(self, source: str, since: float) -> bool:
+        """Drop the strikes that a source reported since a time; return whether any."""
+        servers = {
+            server
+            for server, (_, lost_at) in self.strikes.items()
+            if lost_at >= since and self.sources.get(server) == source
+        }
+        for server in servers:
+            del self.strikes[server], self.sources[server]
+        self.attempts = {a for a in self.attempts if a[0] not in servers}
+        return bool(servers)
+
     def has_attempt(self, server: str, content: str) -> bool:
         """Return whether an attempt with another content was lost at a server."""
         return any(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -404,6 +404,8 @@
         is_new, effects = self.controller.servers.apply(entry, now)
         if is_new:
             self.controller.observations.forget(entry.name)
+            quarantine = self.controller.quarantine
+            effects += quarantine.record_start(entry.name, entry.born, now)
         has_started = is_new and self._has_listed_servers
         return effects + self._cold.apply_entry(entry, has_started, now)
 
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -85,6 +85,10 @@
         encode_evacuations(digest.evacuations),
         encode_cold(digest.cold),
         encode_held(digest.held),
+        None,  # room
+        None,  # queued
+        None,  # lingering
+        [round(digest.reach, 3)] if digest.reach < 1 else None,
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -141,6 +145,10 @@
     evacuations: list | None = None,
     cold: list | None = None,
     held: list | None = None,
+    room: None = None,
+    queued: None = None,
+    lingering: None = None,
+    reach: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -164,10 +172,24 @@
         "evacuations": evacuation_reports,
         "cold": cold_reports,
         "invalid_reports": invalid_evacuations + invalid_cold,
-        **_decode_held_field(held),
+        **_decode_last_fields(held, reach),
     }
 
 
+def _decode_last_fields(held: list | None, reach: list | None) -> dict:
+    fields = _decode_held_field(held)
+    if reach is None:
+        return fields
+    try:
+        [share] = reach
+        if not 0 <= _decode_number(share) <= 1:
+            raise ValueError("share out of bounds")
+    except (TypeError, ValueError):
+        dropped = (*fields.get("dropped_fields", ()), "reach")
+        return {**fields, "dropped_fields": dropped}
+    return {**fields, "reach": float(share)}
+
+
 def _decode_held_field(held: list | None) -> dict:
     """Return what servers still hold; an invalid report is dropped alone."""
     if held is None:
