Test and document what a loss shows

Tests: a server that restarts in a cut, no peers, many engines that crash at one moment, held losses, reports of cut off peers at 24, 63 and 390.

Partial: silence, isolation and the counting of closings keep their own judgement; a quarantine in force is not taken back.

--- a/features/properties/test_losses.py
+++ b/features/properties/test_losses.py
@@ -4,18 +4,24 @@
 from functools import partial
 
 import orjson
+from attrs import evolve
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briarrelay_core.ports.digest import LoadDigest
+from briarrelay_core.ports.digest import CrashReport, LoadDigest
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_core.ports.route import ResponseLost
+from briarrelay_core.ports.telemetry import IncrementCounter
+from briarrelay_core.routes.contents import request_content
+from briarrelay_core.routes.losses.held import MAX_HELD
 from briarrelay_core.routes.losses.judge import Cause, LossJudge
+from briarrelay_core.routes.quarantine import ContentQuarantine
 from briarrelay_daemon.digestcodec import decode_digest, encode_digest
 from properties.crashworld import make_part
 from properties.cutworld import Cut, CutWorld
 
 PEER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
+CONTENT = request_content("same", "owners")
 BAD_PART = make_part(7)
 
 
@@ -82,6 +88,43 @@
         self.assertEqual(world.quarantined(), {BAD_PART})
         self.assertLess(len(world.forwarded(BAD_PART, 0.0)), 16)
 
+    def test_server_that_restarts_in_the_cut(self):
+        """Its crash is one, the resets of the living ones are none."""
+        world = self.run_cuts("look", 1)
+        world.crash("desk-1")
+        for n in (0, 3):
+            world.cut(n, Cut.RESET)
+        world.request_steadily(24.0, 3.0, "look", "same")
+        for n in (0, 3):
+            world.heal(n)
+        views = world.request_steadily(24.0, 2.0, "look", "same")
+        world.advance(2.0)
+        self.assertEqual(world.quarantined(), set())
+        late = [view.outcome for view in views if view.at > world.now - 3.5]
+        self.assertEqual(set(late), {"done"})
+
+    def test_without_peers(self):
+        world = ResetWorld(1, 6, plain_count=6)
+        world.advance(2.0)
+        world.request_steadily(24.0, 1.0, "chat", "same")
+        world.cut(0, Cut.RESET)
+        world.request_steadily(24.0, 0.3, "chat", "same")
+        self.assertEqual(world.avoided(0), [])
+        world.heal(0)
+        world.request_steadily(24.0, 2.0, "chat", "same")
+        self.assertEqual(world.quarantined(), set())
+
+    def test_many_engines_crash_at_one_moment(self):
+        for step_s in (2.5, 4.0):
+            world = ResetWorld(4, 6)
+            world.advance(2.0)
+            for _ in range(3):
+                world.request_steadily(24.0, 1.0, "chat", "same")
+                for n in range(6):
+                    world.crash(f"engine-{n}")
+                world.request_steadily(24.0, step_s, "chat", "same")
+            self.assertEqual(world.quarantined(), set())
+
 
 class JudgeTest(unittest.TestCase):
     def close(self, judge: LossJudge, *servers: str, sent_at: float = 0.0, now=1.0):
@@ -120,6 +163,81 @@
         self.assertEqual(judge.reach(1.5), 1.0)
 
 
+class HeldLossTest(unittest.TestCase):
+    """Losses that looked like those of the links."""
+
+    def lose_most(self, table: ContentQuarantine, now: float) -> None:
+        for number in range(4):
+            table.hold_loss((CONTENT,), f"s-{number}@1.0", now - 0.1, now)
+
+    def test_they_are_no_strikes_until_the_servers_restart(self):
+        table = ContentQuarantine()
+        for burst in range(3):
+            self.lose_most(table, 1.0 + burst)
+        self.assertEqual(table.own_crashes(3.1), ())
+        self.assertEqual(table.suspects((CONTENT,)), frozenset())
+        for number in range(4):
+            table.record_start(f"s-{number}", 2.0, 4.0)
+        self.assertNotEqual(table.own_crashes(4.1), ())
+        self.assertEqual(table.suspects((CONTENT,)), {CONTENT})
+
+    def test_response_or_time_ends_them(self):
+        table = ContentQuarantine()
+        self.lose_most(table, 1.0)
+        table.held_losses.record_response("s-0@1.0")
+        table.record_start("s-0", 2.0, 2.0)
+        table.record_start("s-1", 1.0, 2.0)
+        table.record_start("s-2", 2.0, 7.0)
+        self.assertEqual(table.own_crashes(7.0), ())
+
+    def test_they_are_bounded(self):
+        table = ContentQuarantine()
+        for number in range(1_000):
+            table.hold_loss((f"{CONTENT}{number}",), "s-0@1.0", 0.9, 1.0)
+        effects = table.record_start("s-0", 2.0, 1.1)
+        counted = [e for e in effects if isinstance(e, IncrementCounter)]
+        names = [e.name for e in counted]
+        self.assertEqual(names.count("route.held_loss_was_crash"), MAX_HELD)
+
+
+class PeerReportTest(unittest.TestCase):
+    """Half of the instances are cut off, and report crashes of all servers."""
+
+    def digest(self, peer: int, number: int, reach: float, crash: str) -> LoadDigest:
+        report = CrashReport(
+            server=crash, contents=(CONTENT,), sent_age_s=0.1, lost_age_s=0.0
+        )
+        return LoadDigest(
+            sender=evolve(PEER, name=f"p-{peer}"),
+            incarnation=1,
+            number=number,
+            version=1,
+            crashes=(report,),
+            reach=reach,
+        )
+
+    def test_reports_of_cut_off_peers_quarantine_nothing(self):
+        for count in (24, 63, 390):
+            table = ContentQuarantine()
+            now = 1.0
+            for peer in range(count // 2):
+                now += 0.2
+                table.apply_digest(self.digest(peer, 1, 1.0, f"s-{peer % 9}@1"), now)
+                now += 0.01
+                table.apply_digest(self.digest(peer, 2, 0.3, f"s-{peer % 9}@1"), now)
+            self.assertEqual(table.contents, ())
+            self.assertEqual(table.suspects((CONTENT,)), frozenset())
+
+    def test_sound_peers_still_count_meanwhile(self):
+        table = ContentQuarantine()
+        now = 1.0
+        for peer in range(3):
+            now += 0.2
+            table.apply_digest(self.digest(peer, 1, 1.0, f"s-{peer}@1"), now)
+            table.apply_digest(self.digest(9, peer, 0.0, f"s-{peer}@1"), now)
+        self.assertEqual(table.contents, (CONTENT,))
+
+
 class ReachTest(unittest.TestCase):
     @given(st.floats(0.0, 1.0))
     def test_digest_keeps_it(self, reach):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -284,8 +284,9 @@
             self._apply_crashes(digest, now)
         else:
             self.crashes.withdraw(digest.sender.name, now - WITHDRAWN_S)
-            ignored = len(digest.crashes)
-            effects.append(IncrementCounter("peers.crash_of_links", ignored))
+            if digest.crashes:
+                ignored = len(digest.crashes)
+                effects.append(IncrementCounter("peers.crash_of_links", ignored))
         self._check_behind(peer, now)
         return effects
 
