--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -158,6 +158,7 @@
             observations.allowances.cold,
             observations.held,
             self.capacity,
+            observations.losses,
         )
         relief = None
         if self.capacity.is_known:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -10,6 +10,7 @@
 
 from briarrelay_core.ports.cold import ColdReport
 from briarrelay_core.ports.digest import (
+    MIN_REACH,
     UNKNOWN_AGE_S,
     DigestReceived,
     HeldReport,
@@ -29,8 +30,9 @@
 from briarrelay_core.routes.cooperation.isolation import IsolationTable
 from briarrelay_core.routes.crashes import CrashTable
 from briarrelay_core.routes.load import LoadTable
+from briarrelay_core.routes.losses.judge import LossJudge
 from briarrelay_core.routes.pauses import PauseTable
-from briarrelay_core.routes.quarantine import ContentQuarantine
+from briarrelay_core.routes.quarantine import WITHDRAWN_S, ContentQuarantine
 from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.timers import TimerService
@@ -163,6 +165,7 @@
     cold: ColdTable = field(factory=ColdTable)
     held: HeldContents = field(factory=HeldContents)
     capacity: RelayCapacity = field(factory=RelayCapacity)
+    losses: LossJudge = field(factory=LossJudge)
     version: int = 0
     presets: EraPosition = START
     directory: EraPosition = START
@@ -303,7 +306,13 @@
             effects += self.servers.apply_peer_gone(report, now)
         self.pauses.apply_peer_pauses(digest.paused, now)
         effects += self.quarantine.apply_digest(digest, now)
-        self._apply_crashes(digest, now)
+        if digest.reach >= MIN_REACH:
+            self._apply_crashes(digest, now)
+        else:
+            self.crashes.withdraw(digest.sender.name, now - WITHDRAWN_S)
+            if digest.crashes:
+                ignored = len(digest.crashes)
+                effects.append(IncrementCounter("peers.crash_of_links", ignored))
         self._check_behind(peer, now)
         return effects
 
@@ -510,6 +519,7 @@
             cold=self.cold.own_reports(now),
             held=self.held.own_reports(now),
             room=self.capacity.room(now) if self._is_room_asked(now) else None,
+            reach=self.losses.reach(now),
             peers=tuple(
                 active[(self._digest_number + index) % len(active)].address
                 for index in range(min(PEERS_PER_DIGEST, len(active)))
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestcodec.py
@@ -87,6 +87,7 @@
         encode_cold(digest.cold),
         encode_held(digest.held),
         _encode_room(digest.room),
+        [round(digest.reach, 3)] if digest.reach < 1 else None,
     ]
     while optional and not optional[-1]:
         optional.pop()
@@ -144,6 +145,7 @@
     cold: list | None = None,
     held: list | None = None,
     room: list | None = None,
+    reach: list | None = None,
     *_,
 ) -> dict:
     """Return the fields that were added to digests later.
@@ -167,7 +169,11 @@
         "evacuations": evacuation_reports,
         "cold": cold_reports,
         "invalid_reports": invalid_evacuations + invalid_cold,
-        **_merge_dropped(_decode_held_field(held), _decode_room_field(room)),
+        **_merge_dropped(
+            _decode_held_field(held),
+            _decode_room_field(room),
+            _decode_reach_field(reach),
+        ),
     }
 
 
@@ -207,6 +213,19 @@
         return {"dropped_fields": ("room",)}
 
 
+def _decode_reach_field(reach: list | None) -> dict:
+    """Return the sender's share of reached servers; an invalid one is dropped."""
+    if reach is None:
+        return {}
+    try:
+        [share] = reach
+        if not 0 <= _decode_number(share) <= 1:
+            raise ValueError("share out of bounds")
+    except (TypeError, ValueError):
+        return {"dropped_fields": ("reach",)}
+    return {"reach": float(share)}
+
+
 def _decode_services(services: list) -> tuple[str, ...]:
     if not isinstance(services, list):
         raise ValueError("not a list of services")
