--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -193,7 +193,9 @@
             if accepting_servers
             else None
         )
-        no_place = self._find_no_place(routed, placement, accepting_servers, now)
+        no_place = placement and self._find_no_place(
+            routed, placement, accepting_servers, now
+        )
         if no_place:
             return self._refuse_without_place(routed, no_place, now)
         if (
@@ -218,13 +220,13 @@
     def _find_no_place(
         self,
         routed: RoutedRequest,
-        placement: Placement | None,
+        placement: Placement,
         servers: list[KnownServer],
         now: float,
     ) -> NoPlace | None:
-        if routed.is_head_relayed or not routed.is_prompt or not servers:
+        if routed.is_head_relayed or not routed.is_prompt:
             return None
-        if placement and self.load.of(placement.lead, now).read_s <= MIN_BACKLOG_S:
+        if self.load.of(placement.lead, now).read_s <= MIN_BACKLOG_S:
             return None
         names = [server.entry.name for server in servers]
         loads = {name: self.load.of(name, now) for name in names}
--- a/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/placement.py
@@ -23,7 +23,6 @@
     "Placement",
     "Prompt",
     "max_prompt_tokens",
-    "max_read_engines",
     "place_plain_request",
     "place_prompt",
 ]
@@ -488,11 +487,6 @@
     return usable_tokens * min(engines, MAX_HELPERS + 1)
 
 
-def max_read_engines(profile: EngineProfile, tokens: int) -> int:
-    """Return the largest number of engines that read a prompt together."""
-    return 1 if profile.read_s(tokens) <= MIN_SPLIT_READ_S else MAX_HELPERS + 1
-
-
 def place_prompt(
     profile: EngineProfile, candidates: list[Candidate], prompt: Prompt
 ) -> Placement | None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/queueing/feasibility.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/queueing/feasibility.py
@@ -1,4 +1,4 @@
-"""Decides whether a prompt still is of use to its caller if it is placed or waits.
+"""Decides whether a prompt that may be placed still is of use to its caller.
 
 Answers a short crowd of long prompts. Engines that accept more reading than they finish
 in time spend it on callers who leave, and go on to do so after the crowd has ended.
@@ -10,13 +10,9 @@
 from attrs import frozen
 
 from briarrelay_core.ports.digest import ServerLoad
-from briarrelay_core.routes.placement import (
-    LATE_LOSS_FRACTION,
-    Placement,
-    max_read_engines,
-)
+from briarrelay_core.routes.placement import LATE_LOSS_FRACTION, Placement
 from briarrelay_core.routes.requeststate import RoutedRequest
-from briarrelay_core.routes.waiting import caller_timeout_s, remaining_wait_s
+from briarrelay_core.routes.waiting import caller_timeout_s
 
 __all__ = ["MIN_BACKLOG_S", "NoPlace", "NoPlaceReason", "find_no_place"]
 
@@ -26,8 +22,7 @@
 
 LATE_FACTOR = 2.0
 """Multiple of the target latency up to which a late first event is still served,
-whatever it costs others, if the reading ahead ends while the prompt may wait; a short
-burst is then served in full."""
+whatever it costs others; a short burst is then served in full."""
 
 MIN_BACKLOG_S = 0.5
 """Seconds of reading queued ahead of a prompt up to which nothing is short."""
@@ -60,7 +55,7 @@
 
 def find_no_place(
     routed: RoutedRequest,
-    placement: Placement | None,
+    placement: Placement,
     loads: Mapping[str, ServerLoad],
     now: float,
 ) -> NoPlace | None:
@@ -70,39 +65,29 @@
     either case. A prompt that is late without any backlog is refused only if its
     caller could not get the response at all.
 
-    :param placement: the best one now, None if the prompt waits for memory or a slot.
+    :param placement: the best one now.
     :param loads: current loads of all engines that accept prompts, by name. One without
         a free slot counts too, since a slot may become free before others have read.
     """
     if not _is_refusable(routed):
         return None
+    engines = (placement.lead, *placement.helpers)
     # As many engines as read the prompt, those with the least reading.
-    if placement is None:
-        count = max_read_engines(routed.profile, routed.request.prompt_tokens)
-        read_s = routed.profile.read_s(
-            routed.request.prompt_tokens, min(count, len(loads))
-        )
-    else:
-        count, read_s = 1 + len(placement.helpers), placement.read_s
-    least_busy = sorted(loads, key=lambda name: loads[name].read_s)[:count]
-    engines = least_busy if placement is None else (placement.lead, *placement.helpers)
-    backlog_s = loads[least_busy[-1]].read_s
+    backlogs_s = sorted(load.read_s for load in loads.values())
+    backlog_s = backlogs_s[min(len(engines), len(backlogs_s)) - 1]
     if backlog_s <= MIN_BACKLOG_S:
         return None
     # The slowdown in the expected time is left out: one slow response raises it.
     waited_s = now - routed.arrived_at
-    read_by_s = waited_s + backlog_s + read_s
-    first_event_s = waited_s + ERROR_FACTOR * (backlog_s + read_s)
-    stays_busy_s = ERROR_FACTOR * backlog_s - MIN_BACKLOG_S
-    ends_in_wait = stays_busy_s <= remaining_wait_s(routed, now)
-    serve_until_s = routed.route.target_latency_s * (LATE_FACTOR if ends_in_wait else 1)
+    read_by_s = waited_s + backlog_s + placement.read_s
+    first_event_s = waited_s + ERROR_FACTOR * (backlog_s + placement.read_s)
     reason = None
     if first_event_s > caller_timeout_s(routed):
         reason = NoPlaceReason.CALLER_LEAVES
     elif first_event_s + _generation_s(routed) > routed.deadline - routed.arrived_at:
         reason = NoPlaceReason.DEADLINE
-    elif first_event_s > serve_until_s and _costs_others_more(
-        routed, read_s, [loads[name] for name in engines]
+    elif _costs_others_more(
+        routed, placement, first_event_s, [loads[name] for name in engines]
     ):
         reason = NoPlaceReason.COSTS_OTHERS_MORE
     if reason is None:
@@ -123,14 +108,18 @@
 
 
 def _costs_others_more(
-    routed: RoutedRequest, read_s: float, loads: Iterable[ServerLoad]
+    routed: RoutedRequest,
+    placement: Placement,
+    first_event_s: float,
+    loads: Iterable[ServerLoad],
 ) -> bool:
     """Return whether a late prompt costs streams more than its caller gains from it.
 
-    :param read_s: seconds that each engine spends on reading it.
+    :param first_event_s: seconds after arrival, at the earliest.
     """
-    if read_s > routed.route.target_latency_s:
+    target_s = routed.route.target_latency_s
+    if first_event_s <= LATE_FACTOR * target_s or placement.read_s > target_s:
         return False
     weight = sum(weight for load in loads for _, weight in load.streams)
-    cost = weight * read_s / STREAM_LIFE_S
+    cost = weight * placement.read_s / STREAM_LIFE_S
     return cost > (1.0 - LATE_LOSS_FRACTION) * routed.weight
