Test of a later field of digests: put it after the last one again

Two fields were added, the room and the reach of the sender, so the field of a later release stood in the place of the first, which decodes it as an invalid room. It stands after the last field again, as strict as before.

--- a/features/properties/test_quarantine.py
+++ b/features/properties/test_quarantine.py
@@ -799,8 +799,9 @@
         fields = json.loads(encode_digest(digest))
         self.assertEqual((len(fields), fields[11]), (13, {}))
         self.assertEqual(fields[:11], json.loads(encode_digest(make_digest())))
-        # limits, services out of reach, evacuations, cold servers, held prompts
-        absent = [None] * 5
+        # limits, services out of reach, evacuations, cold servers, held prompts, room
+        # and reach of the sender
+        absent = [None] * 7
         further = json.dumps([*fields, *absent, {"later": 1}]).encode()
         self.assertEqual(decode_digest(further), digest)
 
