Log by which response a version was learnt, and how long the store was unheard

Lacking: configuration_in_force said 'store' for a listing, a long poll and a read beside a long poll alike, and not how long the long poll had been silent, so a lost response could not be told from a calm change. preset_in_force the same.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -52,6 +52,8 @@
         None if each is applied with its own page.
     :ivar is_listed: a listing has been completed.
     :ivar last_response_at: time of the platform's last response.
+    :ivar heard_at: time of its last response to a listing, a read or a long poll; those
+        to reads beside a long poll do not count.
     :ivar failing_since: time of the first of the current consecutive failures, None
         without any.
     :ivar recovered_at: time of the first response after the last failures.
@@ -75,6 +77,7 @@
     last_type: type | None = None
     is_listed: bool = False
     last_response_at: float = float("-inf")
+    heard_at: float = float("-inf")
     failing_since: float | None = None
     recovered_at: float = float("-inf")
     generation: int = 0
@@ -236,7 +239,7 @@
         return [ReadTopic(self.topic, self._next_offset, self.wait_s, self.generation)]
 
     def _record_response(self, now: float) -> list:
-        self.last_response_at = now
+        self.last_response_at = self.heard_at = now
         self._failures = 0
         if self.failing_since is None:
             return []
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -4,6 +4,8 @@
 """
 
 from collections.abc import Callable
+from enum import Enum
+from math import isfinite
 
 from attrs import define, field
 
@@ -42,7 +44,7 @@
 from briarrelay_core.routes.storeera import StoreEra
 from briarrelay_core.timers import TimerService
 
-__all__ = ["UpdateHandler"]
+__all__ = ["Source", "UpdateHandler"]
 
 CONFIGURATION_WAIT_S = 8.0
 """Seconds that a long poll of the configuration waits; each read is charged. Multiplied
@@ -80,6 +82,20 @@
 """Seconds between attempts to register this instance."""
 
 
+class Source(Enum):
+    """How a configuration or presets were learnt, as logs and the record name it.
+
+    ``LISTING``, ``READ`` and ``CHECK`` are responses of the store: to a listing, to a
+    long poll, and to a read beside a long poll.
+    """
+
+    LISTING = "listing"
+    READ = "read"
+    CHECK = "check"
+    PEER = "peer"
+    RESTORED = "restored"
+
+
 def _make_followers(timers: TimerService, news_s: float) -> dict[Topic, TopicFollower]:
     return {
         Topic.CONFIGURATION: TopicFollower(
@@ -205,7 +221,7 @@
             message.has_more and message.changes
         )
         changes, follow_up = follower.on_listed(message, now)
-        effects += follow_up + self._apply(message, changes, now)
+        effects += follow_up + self._apply(message, changes, Source.LISTING, now)
         if is_first:
             # a listed offset is that of the key's newest record, perhaps just a renewal
             self.peers.directory = EraPosition(self.era.value, 0)
@@ -225,7 +241,7 @@
         """Apply the changes that a read returned."""
         effects = self._observe_response(message, now)
         changes, follow_up = self.followers[message.topic].on_read(message, now)
-        effects += follow_up + self._apply(message, changes, now)
+        effects += follow_up + self._apply(message, changes, Source.READ, now)
         return effects + self._on_topic_read(message.topic, now)
 
     def _on_topic_read(self, topic: Topic, now: float) -> list:
@@ -259,7 +275,7 @@
             return effects
         follower.on_polled(now)
         self.update_staleness(now)
-        return effects + self._apply(message, list(message.changes), now)
+        return effects + self._apply(message, list(message.changes), Source.CHECK, now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
         """List a topic again, since the store has not the records to read next."""
@@ -297,7 +313,7 @@
         if message.era is not None and message.era >= self.era.value:
             effects = self.observe_era(message.era, now)
         if message.is_done and message.collection.era == self.era.value:
-            effects += self.apply_presets(message.collection, "restored", now)
+            effects += self.apply_presets(message.collection, Source.RESTORED, now)
         return effects + self.restorer.on_replaced(message, now)
 
     def on_quarantine_written(self, message: QuarantineWritten, now: float) -> list:
@@ -317,9 +333,9 @@
         for change in message.changes:
             value = change.value
             if isinstance(value, RouteConfiguration):
-                effects += self.apply_configuration(value, "peer", now)
+                effects += self.apply_configuration(value, Source.PEER, now)
             elif isinstance(value, PresetCollection):
-                effects += self.apply_presets(value, "peer", now)
+                effects += self.apply_presets(value, Source.PEER, now)
             elif isinstance(value, ServerEntry):
                 if not self.followers[Topic.SERVERS].is_listed:
                     effects += self._apply_server(value, now)
@@ -339,7 +355,9 @@
         self.followers[Topic.SERVERS].max_skip_s = MAX_SKIP_S * factor
         self.admission.may_be_stale = follower.may_be_stale(now, STALE_AFTER_S)
 
-    def _apply(self, message, changes: list[TopicChange], now: float) -> list:
+    def _apply(
+        self, message, changes: list[TopicChange], source: Source, now: float
+    ) -> list:
         """Apply changes that a response of the store holds."""
         topic, effects = message.topic, []
         for change in changes:
@@ -355,10 +373,10 @@
                 position = EraPosition(self._era_of(message), change.position)
                 effects += self.evacuations.apply(change, position, now)
             elif topic is Topic.CONFIGURATION and change.value is not None:
-                effects += self.apply_configuration(change.value, "store", now)
+                effects += self.apply_configuration(change.value, source, now)
             elif topic is Topic.PRESETS and change.value is not None:
                 self.restorer.stored = change.value
-                effects += self.apply_presets(change.value, "store", now)
+                effects += self.apply_presets(change.value, source, now)
             elif topic is Topic.PRESETS:
                 self.restorer.stored = None
             elif topic is Topic.ENTRIES:
@@ -420,7 +438,7 @@
             self.peers.remove(change.key)
 
     def apply_configuration(
-        self, configuration: RouteConfiguration, source: str, now: float
+        self, configuration: RouteConfiguration, source: Source, now: float
     ) -> list:
         """Put a configuration in force if it is newer than the current one."""
         old = self.admission.configuration
@@ -432,11 +450,12 @@
         fields = (
             ("version", str(configuration.version)),
             ("before", str(old.version) if old else ""),
-            ("source", source),
+            ("source", source.value),
+            ("unheard_s", self._unheard_text(Topic.CONFIGURATION, now)),
             ("routes", str(len(configuration.routes))),
             ("workspaces", str(len(configuration.holders))),
         )
-        self._record_change(f"configuration-{configuration.version}", source, now)
+        self._record_change(f"configuration-{configuration.version}", source.value, now)
         effects = [LogEvent("info", "configuration_in_force", fields=fields)]
         if old is None:
             # The entries of servers may have been read before.
@@ -451,7 +470,7 @@
                 ]
         return effects + self.peers.on_changed(now)
 
-    def apply_presets(self, new: PresetCollection, source: str, now: float) -> list:
+    def apply_presets(self, new: PresetCollection, source: Source, now: float) -> list:
         """Put presets in force if they are newer than the current ones."""
         old = self.admission.preset_collection
         if new.position <= old.position:
@@ -468,13 +487,22 @@
             ("revision", str(new.revision)),
             ("era", str(new.era)),
             ("author", new.author),
-            ("source", source),
+            ("source", source.value),
+            ("unheard_s", self._unheard_text(Topic.PRESETS, now)),
         )
-        why = f"{new.active or 'built-in'} by {new.author}, {source}"
+        why = f"{new.active or 'built-in'} by {new.author}, {source.value}"
         self._record_change(f"presets-{new.revision}", why, now)
         effects = [LogEvent("info", "preset_in_force", fields=fields)]
         return effects + self.peers.on_changed(now)
 
+    def _unheard_text(self, topic: Topic, now: float) -> str:
+        """Return the seconds since a response to a listing or a long poll of a topic.
+
+        It is for logs, and empty before the first response.
+        """
+        heard_at = self.followers[topic].heard_at
+        return f"{now - heard_at:.2f}" if isfinite(heard_at) else ""
+
     def _record_change(self, subject: str, why: str, now: float) -> None:
         entry = Entry(
             at=round(now, 3),
