Fleet of the tests: draw no port of an instance that all instances share

Cause: the ports for peers are those of the first instance on every host; the other ports of a later instance were drawn without regard to them, and entry-2 drew the same number for its readiness. Rare, some 1 in 5,000 an instance. Ruled out: another run, since its network was reserved. Fix: ports that all share are drawn first and left out for each instance.

--- a/features/properties/test_fleet_networks.py
+++ b/features/properties/test_fleet_networks.py
@@ -1,7 +1,11 @@
 """Fleets of test runs beside each other use different addresses."""
 
 import unittest
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest.mock import patch
 
+from standins.fleet import Fleet
 from standins.networks import reserve_network
 
 SUBNET = "1.199"
@@ -26,5 +30,21 @@
         self.assertEqual(again, SUBNET)
 
 
+class SharedPortTest(unittest.TestCase):
+    def test_port_that_all_instances_share_is_no_other_port_of_any(self):
+        """Else an instance cannot bind its address, and the fleet does not start."""
+        drawn = [[1, 2], [3, 4, 5, 6], [2, 1, 7, 8]]
+        fleet = Fleet(entries=2)
+        fleet.store_address = ("127.0.0.1", 9)
+        with TemporaryDirectory() as folder, patch("standins.fleet.free_ports") as draw:
+            draw.side_effect = drawn
+            fleet.folder = Path(folder)
+            for number in (1, 2):
+                fleet.instances.append(fleet._make_entry(number))
+        second = fleet.instances[1]
+        self.assertEqual((1, 2), (second.control_port, second.load_digest_port))
+        self.assertEqual((7, 8), (second.front_port, second.ready_port))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/features/standins/fleet.py
+++ b/features/standins/fleet.py
@@ -167,6 +167,8 @@
     :param checkout: folder of the build that the entry instances run.
     :param map_address: called with a stand-in's host and port; returns the address that
         entry instances connect to instead, such as that of a proxy.
+    :ivar _shared_ports: ports for queries and digests of peers, which are the same for
+        all entry instances.
     """
 
     engines: int = 3
@@ -184,6 +186,7 @@
     server_names: list[str] = field(factory=list)
     processes: list[subprocess.Popen] = field(factory=list)
     _network_lock: socket.socket | None = None
+    _shared_ports: tuple[int, ...] = ()
 
     def __enter__(self) -> "Fleet":
         self.folder = Path(tempfile.mkdtemp(prefix="fleet-"))
@@ -260,17 +263,19 @@
 
     def _make_entry(self, number: int) -> EntryInstance:
         host = f"127.{self.subnet}.{10 + number}"
-        front_port, ready_port, control_port, digest_port = free_ports(host, 4)
         name = f"entry-{number}"
-        first = self.instances[0] if self.instances else None
+        control_port, digest_port = self._shared_ports or free_ports(host, 2)
+        self._shared_ports = (control_port, digest_port)
+        own_ports = [p for p in free_ports(host, 4) if p not in self._shared_ports]
+        front_port, ready_port = own_ports[:2]
         entry = EntryInstance(
             name=name,
             host=host,
             data_centre="ab"[number % 2],
             front_port=front_port,
             ready_port=ready_port,
-            control_port=first.control_port if first else control_port,
-            load_digest_port=first.load_digest_port if first else digest_port,
+            control_port=control_port,
+            load_digest_port=digest_port,
             settings_file=self.folder / f"{name}.toml",
             log=self.folder / f"{name}.log",
             checkout=self.checkout,
