--- /dev/null
+++ b/features/properties/test_unheard_configuration.py
@@ -0,0 +1,100 @@
+"""A version is in force in time though the store's responses to long polls are lost."""
+
+import time
+import unittest
+
+from standins.fleet import Fleet, configuration
+from standins.proxy import Proxy
+
+from properties.directoryworld import DirectoryWorld
+
+APPLY_S = 2.0
+"""Seconds within which an accepted configuration must be in force on all instances."""
+
+PHASES = 12
+"""Moments of publication that are tried within MOMENTS_S."""
+
+MOMENTS_S = 3.0
+"""Seconds over which they are spread, some intervals of the store's reads."""
+
+
+class LostLongPollTest(unittest.TestCase):
+    """All instances in virtual time; the responses to all long polls are lost."""
+
+    def is_in_force(self, world: DirectoryWorld, version: int) -> bool:
+        """Publish a version; return whether all instances use it in time."""
+        world.configure(version, is_lost=True)
+        world.advance(APPLY_S)
+        return set(world.active_versions()) == {version}
+
+    def test_version_is_in_force_in_time_at_any_moment(self):
+        late = []
+        for phase in range(PHASES):
+            world = DirectoryWorld(5, 6, seed=phase)
+            world.advance(5.0 + MOMENTS_S * phase / PHASES)
+            if not self.is_in_force(world, 60):
+                late.append(phase)
+        self.assertEqual([], late)
+
+    def test_each_version_of_a_series_is_in_force_in_time(self):
+        world = DirectoryWorld(5, 6)
+        world.advance(5.0)
+        late = []
+        for version in range(60, 66):
+            if not self.is_in_force(world, version):
+                late.append(version)
+            world.advance(0.37)
+        self.assertEqual([], late)
+
+    def test_version_is_in_force_in_time_on_many_instances(self):
+        late = []
+        for phase in range(4):
+            world = DirectoryWorld(60, 12, seed=phase)
+            world.advance(6.0 + MOMENTS_S * phase / 4)
+            if not self.is_in_force(world, 60):
+                late.append(phase)
+        self.assertEqual([], late)
+
+
+class SilentConnectionTest(unittest.TestCase):
+    """Real instances whose open connections to the store fall silent."""
+
+    def test_version_is_in_force_in_time_on_each_instance(self):
+        proxies: list[Proxy] = []
+
+        def map_address(host: str, port: int) -> tuple[str, int]:
+            if (host, port) != fleet.store_address:
+                return host, port
+            if not proxies:
+                proxies.append(Proxy((host, port), 1))
+            return proxies[0].address
+
+        seen = []
+        fleet = Fleet(engines=2, entries=4, subnet="1.45", map_address=map_address)
+        self.addCleanup(lambda: [proxy.close() for proxy in proxies])
+        with fleet:
+            for version in (2, 4, 6):
+                fleet.put("keyed.op", "config", configuration(version))
+                fleet.wait(lambda v=version: _versions(fleet) == {v})
+                proxies[0].stall(1.0, ("down",))
+                fleet.put("keyed.op", "config", configuration(version + 1))
+                time.sleep(APPLY_S)
+                seen.append((version + 1, _versions(fleet)))
+        self.assertEqual([(v, {v}) for v in (3, 5, 7)], seen)
+
+
+def _versions(fleet: Fleet) -> set[int]:
+    return set(map(_version, fleet.instances))
+
+
+def _version(entry) -> int:
+    """Return the version that an instance logged last."""
+    return max(
+        int(line["version"])
+        for line in entry.log_entries()
+        if line["event"] == "configuration_in_force"
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
