Put a version in force in its time though long polls get no response

Cause: a long poll without a response was taken for 'no change' for up to 9.2 s. The read beside it came at the earliest 2 s after the last response and only with a read of the servers, each 0.9 s: 2.7 s, then 0.3 s until peers ask. Fix: an instance announces a read of the store to its peers only once it has read the configuration too; if no peer has announced one for 0.45 of the smaller of drain-ms and config-apply-ms, the next by name reads both. So the bound follows from the settings, and any instance that reaches the store replaces one that does not. A read that shows what a long poll has not brought replaces that long poll; a version learnt from a peer makes an instance check its own. A short read without a response for 0.4 s is repeated on a new connection, since the pooled ones may be silent as well. The presets follow the same way, checked each 4 s instead of each 10 s.

--- a/features/properties/directoryworld.py
+++ b/features/properties/directoryworld.py
@@ -164,7 +164,10 @@
     def _respond_to_poll(self, n: int, effect: PollTopic) -> None:
         if effect.topic is Topic.CONFIGURATION:
             changes = self._configurations(effect.start)
-            self.deliver(n, TopicPolled(effect.topic, changes))
+            end = effect.start + len(changes)
+            self.deliver(
+                n, TopicPolled(effect.topic, changes, effect.generation, end=end)
+            )
 
     def _respond_to_read(self, n: int, effect) -> None:
         if n in self.refused_by_store:
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -182,14 +182,16 @@
 
 @frozen(slots=True)
 class PollTopic:
-    """Effect: read changes without waiting, concurrently with a long poll.
+    """Effect: read changes without waiting, concurrently with another read.
 
     :param generation: copied to the response.
+    :param needs_new_connection: the open ones may be dead without notice.
     """
 
     topic: Topic
     start: int
     generation: int = 0
+    needs_new_connection: bool = False
 
 
 @frozen(slots=True)
@@ -197,12 +199,14 @@
     """Response to PollTopic.
 
     :param era: era of the store, None if it does not report one.
+    :param end: offset at which to continue, None if it is unknown.
     """
 
     topic: Topic
     changes: tuple[TopicChange, ...]
     generation: int = 0
     era: int | None = None
+    end: int | None = None
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -6,15 +6,17 @@
 
 from briarrelay_core.ports.directory import (
     ListTopic,
+    PollTopic,
     ReadTopic,
     Topic,
     TopicChange,
     TopicExpired,
     TopicFailed,
     TopicListed,
+    TopicPolled,
     TopicRead,
 )
-from briarrelay_core.ports.telemetry import LogEvent
+from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.timers import Timer, TimerService
 
 __all__ = ["MAX_SKIP_S", "TopicFollower"]
@@ -30,6 +32,10 @@
 PEER_CHECK_S = 0.2
 """Maximum seconds between checks whether peers still make a read unnecessary."""
 
+OVERDUE_S = 0.4
+"""Seconds without a response after which a read that does not wait is repeated beside
+the first one; a slow store takes some hundred ms."""
+
 RELIST_AFTER_S = 5.0
 """Seconds without a read after which listing the topic is cheaper than reading all
 changes."""
@@ -61,6 +67,7 @@
     :ivar _is_listing_copy: the current listing is the first after the store returned to
         a copy.
     :ivar _timer: start of the next request, None if none is scheduled.
+    :ivar _overdue_timer: when the request in flight is overdue, None if it may wait.
     :ivar _next_offset: offset of the next record to read, None before a listing.
     :ivar _listed_keys: keys on the pages of the current listing so far.
     :ivar _held: changes of the listing so far that are applied with its last page.
@@ -83,6 +90,7 @@
     generation: int = 0
     _is_listing_copy: bool = False
     _timer: Timer | None = None
+    _overdue_timer: Timer | None = None
     _next_offset: int | None = None
     _listed_keys: set[str] = field(factory=set)
     _held: list[TopicChange] = field(factory=list)
@@ -103,11 +111,16 @@
 
     def _list_anew(self) -> list:
         """List the topic, and ignore the responses to earlier requests."""
+        self._start_generation()
+        return [self._list()]
+
+    def _start_generation(self) -> None:
+        """Ignore the responses to earlier requests, and send no scheduled one."""
         self.generation += 1
+        self._cancel_overdue()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        return [self._list()]
 
     def _list(self, after: str = "") -> ListTopic:
         if not after:
@@ -157,13 +170,17 @@
         if read.generation != self.generation:
             return [], []
         effects = self._record_response(now)
-        self._next_offset = read.end
-        for change in read.changes:
+        self._advance(read.changes, read.end)
+        return list(read.changes), effects + self._schedule_read(now)
+
+    def _advance(self, changes: tuple[TopicChange, ...], end: int) -> None:
+        """Go on after changes that were read."""
+        self._next_offset = end
+        for change in changes:
             if change.value is None:
                 self._known_keys.discard(change.key)
             else:
                 self._known_keys.add(change.key)
-        return list(read.changes), effects + self._schedule_read(now)
 
     @property
     def known_keys(self) -> frozenset[str]:
@@ -175,9 +192,46 @@
         """Offset of the next record to read, None if a listing has to come first."""
         return self._next_offset if self.is_listed else None
 
-    def on_polled(self, now: float) -> None:
-        """Handle the response to a read that was sent beside a long poll."""
+    def on_polled(
+        self, polled: TopicPolled, now: float
+    ) -> tuple[list[TopicChange], list]:
+        """Handle the response to a read that was sent beside another one.
+
+        If it has changes, the response to the other, mostly a long poll, is lost or
+        late. Then a new request takes its place, so that later changes are not missed
+        as well.
+
+        :returns: changes to apply and effects.
+        """
+        if polled.generation != self.generation:
+            return [], []
         self.last_response_at = now
+        changes = list(polled.changes)
+        if not changes or polled.end is None:
+            return changes, []
+        if self._next_offset is None or polled.end <= self._next_offset:
+            return [], []  # the other was faster
+        self._start_generation()
+        self._advance(polled.changes, polled.end)
+        fields = (
+            ("topic", self.topic.value),
+            ("unheard_s", f"{now - self.heard_at:.2f}"),
+        )
+        return changes, [
+            LogEvent("warning", "store_read_replaced", fields=fields),
+            IncrementCounter("store.read_replaced"),
+            *self._schedule_read(now),
+        ]
+
+    def repeat_read(self, now: float) -> list:
+        """Read on a new connection beside a read that has no response.
+
+        Nothing is sent before the first listing, or while the store fails.
+        """
+        if self.next_offset is None or self.failing_since is not None:
+            return []
+        poll = PollTopic(self.topic, self._next_offset, self.generation, True)
+        return [IncrementCounter("store.read_repeated"), poll]
 
     def on_expired(self, expired: TopicExpired, now: float) -> list:
         """List the topic again, since the store has not the records to read next.
@@ -195,6 +249,7 @@
         """Schedule a retry with exponential backoff."""
         if failed.generation != self.generation:
             return []
+        self._cancel_overdue()
         effects = []
         if self.failing_since is None:
             self.failing_since = now
@@ -236,9 +291,17 @@
     def _send_request(self, now: float) -> list:
         if self._next_offset is None or not self.is_listed:
             return [self._list()]
+        if not self.wait_s:
+            self._overdue_timer = self.timers.at(now + OVERDUE_S, self.repeat_read)
         return [ReadTopic(self.topic, self._next_offset, self.wait_s, self.generation)]
 
+    def _cancel_overdue(self) -> None:
+        if self._overdue_timer is not None:
+            self._overdue_timer.cancel()
+            self._overdue_timer = None
+
     def _record_response(self, now: float) -> list:
+        self._cancel_overdue()
         self.last_response_at = self.heard_at = now
         self._failures = 0
         if self.failing_since is None:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/instance.py
@@ -87,6 +87,7 @@
     :param hold_s: seconds that an engine keeps reserved memory without a renewal.
     :param max_unused_s: seconds for which reserved memory may stay unused.
     :param news_s: seconds within which a leaving server must get no new requests.
+    :param apply_s: seconds within which an accepted configuration must be in force.
     :param seeds: addresses of the peers to contact at the start.
     :param relay_limits: what it can relay, from its settings.
     :param retention: how long the audit record is kept after the store has it.
@@ -99,6 +100,7 @@
     hold_s: float
     max_unused_s: float = 8.0
     news_s: float = 2.0
+    apply_s: float = 2.0
     seeds: tuple[PeerAddress, ...] = ()
     retention: Retention = Retention()
     relay_limits: RelayLimits = RelayLimits()
@@ -175,6 +177,7 @@
             self.peers,
             self.timers,
             self.news_s,
+            self.apply_s,
             self.outbox.on_log_returned,
         )
         self.resumption = ResumptionGuard(self.updates.followers)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -114,7 +114,8 @@
     :param version: version of its configuration in force.
     :param presets: position of its presets.
     :param directory: position after the newest server change that it has read.
-    :param directory_at: time of its last read of the servers topic.
+    :param directory_at: time at which it was last known to have all changes of the
+        servers and of the configuration.
     :param members: number of instances that it knows, itself included.
     :param cut_off: services whose backend servers it can not reach.
     :param room: what it may be given, None if it did not say.
@@ -142,7 +143,8 @@
     :param version: version of the configuration in force.
     :param presets: position of the presets.
     :param directory: position after the newest server change that was read.
-    :param directory_at: time of this instance's last read of the servers topic.
+    :param directory_at: time at which this instance was last known to have all changes
+        of the servers and of the configuration.
     :ivar _digest_number: sequence number of the last digest.
     :ivar _remote_round: number of digests that were sent to remote peers.
     :ivar _last_remote_at: time of the last digest to remote peers.
@@ -364,22 +366,31 @@
         ]
         if any(peer.directory > position for peer in fresh):
             return 0.0
-        newest = max((peer.directory_at for peer in fresh), default=float("-inf"))
+        newest = _newest_read(fresh)
         rank = sum(peer.address.name < self.address.name for peer in fresh)
         return newest + max_age_s + RANK_DELAY_S * min(rank, MAX_RANK) - now
 
-    def on_directory_read(self, now: float) -> list:
-        """Record a read of the servers topic, and announce it to spare peers theirs.
+    def is_read_due(self, era: int, max_age_s: float, now: float) -> bool:
+        """Return whether no peer has read the store as recently as one has to.
+
+        :param era: era of the store; reads of an earlier one do not count.
+        :param max_age_s: largest allowed age in seconds of the newest read.
+        """
+        fresh = [p for p in self._recent_peers(now) if p.directory.era >= era]
+        return now - _newest_read(fresh) >= max_age_s
+
+    def on_directory_read(self, at: float, now: float) -> list:
+        """Record a read of the store, and announce it to spare peers theirs.
 
         If there are more peers than a digest has receivers, and none of them has read
         lately, all learn of it at once. After a change, when all read, and with fewer
         peers, the usual digests are enough.
+
+        :param at: time at which this instance had all changes of the servers and of the
+            configuration.
         """
-        newest = max(
-            (peer.directory_at for peer in self._recent_peers(now)),
-            default=float("-inf"),
-        )
-        self.directory_at = now
+        newest = _newest_read(self._recent_peers(now))
+        self.directory_at = at
         if len(self._peers) <= MAX_RECEIVERS or now - newest < ANNOUNCE_AFTER_S:
             return self.on_changed(now)
         return self._send(now, self.addresses())
@@ -563,6 +574,11 @@
         return [QueryPeer(peers[attempt % len(peers)])] if peers else []
 
 
+def _newest_read(peers: list[_Peer]) -> float:
+    """Return the time of the newest read of the store by one of the peers."""
+    return max((peer.directory_at for peer in peers), default=float("-inf"))
+
+
 def _rotate(peers: list[_Peer], turn: int) -> list[_Peer]:
     """Return at most MAX_RECEIVERS of the peers, in rotation if there are more.
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -52,9 +52,9 @@
 at its maximum."""
 
 READ_INTERVAL_FRACTION = 0.45
-"""Interval between reads of the servers topic, as a fraction of the time within which a
-leaving server must be noticed; the rest is left for a slow response. Each read is
-charged."""
+"""Interval between reads of the servers and of the configuration, as a fraction of the
+time within which a change must be noticed; the rest is left for a slow response and for
+the peers that learn of it from the reader. Each read is charged."""
 
 ENTRIES_PAUSE_S = 30.0
 """Seconds between reads of the entries topic, multiplied by the size factor; digests
@@ -64,11 +64,15 @@
 """Seconds that a long poll of the presets waits, below the store's limit of 30. Changes
 are answered at once, and peers announce newer presets meanwhile."""
 
-LONG_POLL_CHECK_S = {Topic.CONFIGURATION: 2.0, Topic.PRESETS: 10.0}
-"""Seconds without a response to a topic's long poll after which a second read, which
-does not wait, is sent beside it. The responses to all long polls may be lost, which is
-detected only when their wait is over. Only the instance that reads the servers topic
-sends this read, so it costs one call per deployment instead of one per instance."""
+LONG_POLL_CHECK_S = {Topic.CONFIGURATION: 0.1, Topic.PRESETS: 4.0}
+"""Seconds without a response of a topic after which a second read, which does not wait,
+is sent beside its long poll. The responses to all long polls may be lost, which is
+detected only when their wait is over. Only the instance whose turn it is to read the
+servers sends this read, so it costs one call per deployment instead of one per
+instance."""
+
+CURRENT_TOPICS = (Topic.SERVERS, Topic.CONFIGURATION)
+"""Topics that an instance has read when it announces a read to its peers."""
 
 STALE_AFTER_S = 2.0
 """Seconds by which the response to a read may be overdue before the data may be out of
@@ -96,7 +100,9 @@
     RESTORED = "restored"
 
 
-def _make_followers(timers: TimerService, news_s: float) -> dict[Topic, TopicFollower]:
+def _make_followers(
+    timers: TimerService, interval_s: float
+) -> dict[Topic, TopicFollower]:
     return {
         Topic.CONFIGURATION: TopicFollower(
             Topic.CONFIGURATION,
@@ -105,9 +111,7 @@
             CONFIGURATION_WAIT_S,
             last_type=RouteConfiguration,
         ),
-        Topic.SERVERS: TopicFollower(
-            Topic.SERVERS, timers, READ_INTERVAL_FRACTION * news_s, 0.0
-        ),
+        Topic.SERVERS: TopicFollower(Topic.SERVERS, timers, interval_s, 0.0),
         Topic.ENTRIES: TopicFollower(Topic.ENTRIES, timers, ENTRIES_PAUSE_S, 0.0),
         Topic.PRESETS: TopicFollower(Topic.PRESETS, timers, 0.0, PRESETS_WAIT_S),
     }
@@ -118,6 +122,7 @@
     """Follows the platform's topics, and applies their updates and those of peers.
 
     :param news_s: seconds within which a leaving server must get no new requests.
+    :param apply_s: seconds within which an accepted configuration must be in force.
     :param on_store_returned: called with the time when the store has returned to a
         copy; returns effects.
     :ivar restorer: writes the presets in force again if the store has older ones.
@@ -134,6 +139,7 @@
     peers: PeerExchange
     timers: TimerService
     news_s: float
+    apply_s: float
     on_store_returned: Callable[[float], list] = lambda now: []
     era: StoreEra = field(factory=StoreEra)
     restorer: PresetRestorer = field(init=False)
@@ -146,7 +152,7 @@
     _logged_problems: dict[tuple[Topic, str], str] = field(factory=dict)
 
     def __attrs_post_init__(self):
-        self.followers = _make_followers(self.timers, self.news_s)
+        self.followers = _make_followers(self.timers, self._read_interval_s)
         self.followers[Topic.SERVERS].read_delay_s = self._read_delay_s
         self.restorer = PresetRestorer(
             self.admission,
@@ -167,12 +173,13 @@
         """Admission, which holds the configuration and the presets in force."""
         return self.controller.admission
 
+    @property
+    def _read_interval_s(self) -> float:
+        return READ_INTERVAL_FRACTION * min(self.news_s, self.apply_s)
+
     def _read_delay_s(self, offset: int, now: float) -> float:
-        return self.peers.directory_read_delay_s(
-            EraPosition(self.era.value, offset),
-            READ_INTERVAL_FRACTION * self.news_s,
-            now,
-        )
+        position = EraPosition(self.era.value, offset)
+        return self.peers.directory_read_delay_s(position, self._read_interval_s, now)
 
     def start(self, now: float) -> list:
         """Start to follow the topics, and register this instance."""
@@ -245,16 +252,35 @@
         return effects + self._on_topic_read(message.topic, now)
 
     def _on_topic_read(self, topic: Topic, now: float) -> list:
+        effects = []
         if topic is Topic.PRESETS:
-            return self.restorer.check(now)
-        return self._on_servers_read(now) if topic is Topic.SERVERS else []
+            effects += self.restorer.check(now)
+        if topic is Topic.SERVERS:
+            effects += self._check_long_polls(now)
+        return effects + self._announce_read(topic, now)
+
+    def _announce_read(self, topic: Topic, now: float) -> list:
+        """Announce a read of the store, so that peers can skip theirs.
 
-    def _on_servers_read(self, now: float) -> list:
-        """Announce a read of the servers topic, so that peers can skip theirs."""
-        return self._check_long_polls(now) + self.peers.on_directory_read(now)
+        It is not announced until the configuration has been read as well: then peers
+        read, since this instance may have missed a version.
+
+        :param topic: topic of the response that has arrived.
+        """
+        if topic not in CURRENT_TOPICS:
+            return []
+        at = min(self.followers[topic].last_response_at for topic in CURRENT_TOPICS)
+        if now - at > self._read_interval_s / 2 or at <= self.peers.directory_at:
+            return []
+        return self.peers.on_directory_read(at, now)
 
     def _check_long_polls(self, now: float) -> list:
-        """Read beside long polls that had no response within LONG_POLL_CHECK_S."""
+        """Read beside the long polls if it is this instance's turn to read the store.
+
+        A read of the servers after a change is made by all instances.
+        """
+        if not self.peers.is_read_due(self.era.value, self._read_interval_s, now):
+            return []
         effects = []
         for topic, period_s in LONG_POLL_CHECK_S.items():
             follower = self.followers[topic]
@@ -268,14 +294,12 @@
         return effects
 
     def on_polled(self, message: TopicPolled, now: float) -> list:
-        """Apply changes that were read beside a long poll."""
+        """Apply changes that were read beside another read."""
         effects = self._observe_response(message, now)
-        follower = self.followers[message.topic]
-        if message.generation != follower.generation:
-            return effects
-        follower.on_polled(now)
+        changes, follow_up = self.followers[message.topic].on_polled(message, now)
         self.update_staleness(now)
-        return effects + self._apply(message, list(message.changes), Source.CHECK, now)
+        effects += self._apply(message, changes, Source.CHECK, now) + follow_up
+        return effects + self._on_topic_read(message.topic, now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
         """List a topic again, since the store has not the records to read next."""
@@ -327,15 +351,22 @@
         """Apply what a peer returned.
 
         Configuration and presets are applied if they are newer than those in force,
-        servers only while the servers topic has not been listed yet.
+        servers only while the servers topic has not been listed yet. What the peer knew
+        first should have come from the store, so the long poll may be dead.
         """
         effects = self.peers.on_response(message)
         for change in message.changes:
             value = change.value
             if isinstance(value, RouteConfiguration):
-                effects += self.apply_configuration(value, Source.PEER, now)
+                applied = self.apply_configuration(value, Source.PEER, now)
+                if applied:
+                    applied += self.followers[Topic.CONFIGURATION].repeat_read(now)
+                effects += applied
             elif isinstance(value, PresetCollection):
-                effects += self.apply_presets(value, Source.PEER, now)
+                applied = self.apply_presets(value, Source.PEER, now)
+                if applied:
+                    applied += self.followers[Topic.PRESETS].repeat_read(now)
+                effects += applied
             elif isinstance(value, ServerEntry):
                 if not self.followers[Topic.SERVERS].is_listed:
                     effects += self._apply_server(value, now)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -205,6 +205,7 @@
         hold_s=settings.hold_s,
         max_unused_s=settings.max_unused_s,
         news_s=settings.news_s,
+        apply_s=settings.apply_s,
         seeds=settings.seeds,
         retention=settings.retention,
         relay_limits=settings.relay_limits,
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routesettings.py
@@ -36,6 +36,7 @@
     :param max_unused_s: seconds for which reserved memory may stay unused.
     :param news_s: seconds within which all instances must stop sending new requests
         to a server that leaves.
+    :param apply_s: seconds within which an accepted configuration must be in force.
     :param seeds: peers to contact at the start.
     :param memory_bytes: memory of the process, None if it is not known.
     :param relay_limits: what it can relay.
@@ -56,6 +57,7 @@
     hold_s: float
     max_unused_s: float
     news_s: float
+    apply_s: float = 2.0
     seeds: tuple[PeerAddress, ...] = ()
     memory_bytes: int | None = None
     relay_limits: RelayLimits = RelayLimits()
