Send a digest to the other peers though the address of one is impossible

Cause: only OSError was handled in the loop over the receivers. Fix: the peer is counted in peer.digest_not_sent, as one that cannot be reached. test_peer_with_an_impossible_port_keeps_no_digest_from_others failed before (OverflowError).

--- a/features/properties/test_digest_port.py
+++ b/features/properties/test_digest_port.py
@@ -5,7 +5,9 @@
 from time import monotonic
 from types import SimpleNamespace
 
-from briarrelay_core.ports.digest import DigestReceived, LoadDigest
+from attrs import evolve
+
+from briarrelay_core.ports.digest import DigestReceived, LoadDigest, SendDigest
 from briarrelay_core.ports.directory import PeerAddress
 from briarrelay_daemon.digestcodec import encode_digest
 from briarrelay_daemon.digestport import READ_PAUSE_S, DigestPort
@@ -21,6 +23,7 @@
     def __init__(self, reactor: Reactor, size_factor: float):
         peers = SimpleNamespace(size_factor=size_factor)
         self.core = SimpleNamespace(peers=peers)
+        self.counters = SimpleNamespace(add=lambda name: None)
         self.reactor = reactor
         self.received: list[tuple[DigestReceived, float]] = []
 
@@ -60,6 +63,19 @@
         gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
         self.assertGreater(sum(gap > 0.001 for gap in gaps), 10)
 
+    def test_peer_with_an_impossible_port_keeps_no_digest_from_others(self):
+        reactor = Reactor(monotonic)
+        host = RecordingHost(reactor, 1.0)
+        pages = SimpleNamespace(add=lambda path, serve: None)
+        port = DigestPort(host, None, pages, LOCAL_ADDRESS)
+        self.addCleanup(port._sock.close)
+        odd = evolve(PEER, digest_port=70_000)
+        sound = evolve(PEER, host="127.0.0.1", digest_port=port._sock.getsockname()[1])
+        digest = LoadDigest(sender=PEER, incarnation=1, number=1, version=1)
+        port._send(SendDigest(digest, (odd, sound)))
+        run_reactor(reactor, lambda: host.received)
+        self.assertEqual(1, len(host.received))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/digestport.py
@@ -68,7 +68,7 @@
         for peer in effect.peers:
             try:
                 self._sock.sendto(body, (peer.host, peer.digest_port))
-            except OSError:
+            except (OSError, OverflowError):  # no way to it, or no valid address
                 self._host.counters.add("peer.digest_not_sent")
 
     def _on_ready(self, _: int) -> None:
