Read the servers although one of their entries is odd

Cause: the message about a field of the wrong type held repr() of its value. A value that is nested some 950 levels deep (the parser takes 1,024) raises RecursionError there, which no part expected: the response was dropped without an outcome, and the topic was never read again. The presets' JSON parser raises it by itself.

--- a/packages/briarrelay-core/src/briarrelay_core/mappings.py
+++ b/packages/briarrelay-core/src/briarrelay_core/mappings.py
@@ -5,6 +5,8 @@
 import cattrs
 from cattrs import Converter, transform_error
 
+from briarrelay_core.descriptions import describe
+
 __all__ = ["MappingError", "from_mapping", "to_mapping"]
 
 
@@ -26,7 +28,7 @@
 def _make_type_check(kind: type):
     def structure(value, _):
         if type(value) is not kind and not (kind is float and type(value) is int):
-            raise TypeError(f"given {value!r}, expected {kind.__name__}")
+            raise TypeError(f"given {describe(value)}, expected {kind.__name__}")
         return kind(value)
 
     return structure
@@ -39,7 +41,8 @@
 def _structure_enum(value, cls):
     allowed = [member.value for member in cls]
     if value not in allowed:
-        raise TypeError(f"given {value!r}, expected one of {', '.join(allowed)}")
+        problem = f"given {describe(value)}, expected one of {', '.join(allowed)}"
+        raise TypeError(problem)
     return cls(value)
 
 
@@ -72,7 +75,8 @@
     :raises MappingError: for the first invalid field.
     """
     if not isinstance(mapping, dict):
-        raise MappingError(source, "$", f"given {mapping!r}, expected an object")
+        problem = f"given {describe(mapping)}, expected an object"
+        raise MappingError(source, "$", problem)
     try:
         return _CONVERTER.structure(mapping, cls)
     except Exception as error:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/presets.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/presets.py
@@ -112,6 +112,6 @@
     """
     try:
         mapping = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise MappingError(source, "$", f"not JSON ({error})") from error
     return from_mapping(PresetCollection, mapping, source)
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/settings.py
@@ -1,6 +1,6 @@
 """Settings of briarrelayd, read from JSON with comments and validated."""
 
-from ipaddress import ip_address
+from ipaddress import IPv4Address
 from pathlib import Path
 
 import jsonc
@@ -18,7 +18,7 @@
 
 def _validate_ip(_, attribute, value) -> None:
     try:
-        ip_address(value)
+        IPv4Address(value)
     except ValueError:
         raise ValueError(f"given {value!r}, expected an IP number") from None
 
