Take a response without an id for none on a connection that carried another call

Here: a request that ran was taken for refused and run once more (a repeatable one; others use connections of their own), or answered 503 although it ran. Cause: requests and orders to an engine share kept connections. The refusal of an order bears no id; written once more, it was read as the refusal of the next request, since a response without an id counted as that of the request in progress. In the same way an order took the late response to a request for its own, and memory for reserved. Evidence: test_repeated_refusals, a server that writes its first response on a connection once more before each later one. Fix: on a connection that has carried another call, a response without an id proves nothing: it may have run.

--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -73,12 +73,14 @@
 class _Connection:
     """A socket and the bytes still to be written to it.
 
+    :param is_reused: it has carried another call.
     :param usable_until: time of the reactor's clock, in seconds, until which an idle
         connection may be reused.
     """
 
     sock: socket.socket
     is_connected: bool = False
+    is_reused: bool = False
     unsent: memoryview = field(default=memoryview(b""))
     usable_until: float = 0.0
 
@@ -120,6 +122,11 @@
         """Whether the response has neither a length nor chunks."""
         return self._reader.ends_at_close
 
+    @property
+    def is_on_reused_connection(self) -> bool:
+        """Whether the connection may bring the response to an earlier call again."""
+        return self._connection.is_reused
+
     def begin(self, connection: _Connection, message: bytes, timeout: float) -> None:
         """Send the encoded request on a connection."""
         reactor = self._client.reactor
@@ -445,6 +452,7 @@
         idle = self._idle.setdefault(address, [])
         if is_reusable and keep_alive_s > 0 and len(idle) < MAX_IDLE_PER_ADDRESS:
             connection.usable_until = self.reactor.clock() + keep_alive_s
+            connection.is_reused = True
             idle.append(connection)
         else:
             connection.sock.close()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from time import perf_counter
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from briarrelay_core.outcomes import Failed, NotRun
 from briarrelay_core.ports.route import (
@@ -100,6 +100,10 @@
     def is_response_to(self, headers: dict[str, str], exchange: RawExchange) -> bool:
         """Return whether a response belongs to a request, by the id that it repeats."""
 
+    @abstractmethod
+    def has_request_id(self, headers: dict[str, str]) -> bool:
+        """Return whether a response repeats the id of its request."""
+
     @abstractmethod
     def read_head(
         self, status: int, headers: dict[str, str], attempt_id: int
@@ -152,11 +156,24 @@
     def on_head(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
         head = self._port.dialect.read_head(status, headers, self._forward.attempt_id)
+        if self._may_be_earlier(headers):
+            head = evolve(head, kind=ResponseKind.UNPROVEN)
         if head.kind is ResponseKind.SUCCESS and head.is_stream:
             self._splitter = EventSplitter()
             self.max_body_bytes = None
         self._notify_core(head)
 
+    def _may_be_earlier(self, headers: dict[str, str]) -> bool:
+        """Return whether a response may be that to an earlier request or order.
+
+        A faulty server may write one again. Peers do not, and give no id in refusals.
+        """
+        return (
+            isinstance(self._forward, ForwardRequest)
+            and self.call.is_on_reused_connection
+            and not self._port.dialect.has_request_id(headers)
+        )
+
     def on_data(self, data: bytes) -> None:
         if self.is_over:
             return
