Test that an error of the next engine is not written into a begun stream

By reading: only events of a sealed stream are relayed, the rest of a begun response is cut (give_up) or resumed. The soak draws this fault as well (resume_error).

--- a/features/properties/test_operator_faults.py
+++ b/features/properties/test_operator_faults.py
@@ -219,6 +219,25 @@
                 self.assertEqual(event_ids(stream), list(range(1, 9)))
                 self.assertTrue(stream.is_complete)
 
+    def test_error_of_the_next_engine_is_not_written_into_a_begun_stream(self):
+        with Fleet(engines=3, plain_servers=1, entries=1, subnet="1.48") as fleet:
+            endings = set()
+            for number in range(30):
+                faults = {"break": 0.2, "resume_error": 0.7, "unframed": number % 2}
+                self.set_fault(fleet, "engine", **faults)
+                attempt = f"e-{number}"
+                stream = call(fleet.instances[0], "/chat/x", attempt, tokens="1000,8")
+                count = len(event_ids(stream))
+                events = [
+                    f"id: {n}\ndata: {attempt} {n}\n\n" for n in range(1, count + 1)
+                ]
+                is_whole = stream.status == 200 and stream.is_complete
+                if stream.status == 200:
+                    self.assertEqual("".join(events).encode(), stream.body)
+                    self.assertEqual(is_whole, count == 8, stream)
+                endings.add((is_whole, count > 0))
+            self.assertLessEqual({(True, True), (False, True)}, endings)
+
     def test_work_of_a_server_that_stops_reporting_is_not_moved(self):
         """The entry of the server disappears while it writes a stream."""
         with Fleet(engines=2, plain_servers=1, entries=1, subnet="1.25") as fleet:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -387,6 +387,7 @@
     may have neither a length nor chunks.
     """
     kinds = ("cut", "break", "shed", "pause", "mute", "error", "flood", "crumble")
+    kinds += ("resume_error",)
     rates = {rng.choice(kinds): rng.choice((0.05, 0.3))}
     rates["unframed"] = rng.choice((0.0, 0.5))
     soak.fleet.send_command(
--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -29,6 +29,21 @@
 """Seconds after which the store drops the entry of a server that is silent."""
 
 
+ERROR_TEXT = b"id: 7\ndata: internal error\n\n"
+"""Body of an error that looks like an event."""
+
+RESUME_ERRORS = (
+    (500, b"text/plain", True),
+    (500, b"text/event-stream", True),
+    (404, b"text/event-stream", True),
+    (503, b"text/event-stream", False),
+    (200, b"text/event-stream", False),
+    (200, b"application/json", True),
+)
+"""Status and type of errors in response to a resumed stream, and whether each is
+sealed."""
+
+
 class RunningStream:
     """A streaming request that a server is executing."""
 
@@ -64,7 +79,8 @@
     :ivar fault_rates: probability of each fault (``shed``, ``pause``, ``cut``,
         ``mute``, ``error``, ``flood``, ``half``, ``double`` and ``unframed`` for each
         request, ``slow``, ``trickle`` and ``crumble`` for each stream, ``break`` for
-        each of its events). An ``unframed`` response has neither a length nor chunks;
+        each of its events; ``resume_error`` for each stream that goes on here). An
+        ``unframed`` response has neither a length nor chunks;
         one that is to ``crumble`` closes in order inside an event.
     """
 
@@ -239,6 +255,8 @@
             kind = b"text/event-stream" if exchange.header("x-token-counts") else b"a/b"
             exchange.begin(200, [(b"Content-Type", kind), *headers])
             self.flood(exchange)
+        elif exchange.header("last-event-id") and self.draw_fault("resume_error"):
+            self.reply_error(exchange, echo, headers)
         elif exchange.header("x-token-counts"):
             self.start_stream(exchange, attempt, headers)
         elif self.group.is_crash_request(exchange):
@@ -266,6 +284,12 @@
         self.last_replies[connection] = b"\r\n".join([*lines, b"", b""]) + body
         exchange.reply(200, headers, body)
 
+    def reply_error(self, exchange, echo: list, sealed: list) -> None:
+        """Answer a stream that began at another server with some error."""
+        status, kind, is_sealed = self.group.random.choice(RESUME_ERRORS)
+        headers = [(b"Content-Type", kind), *(sealed if is_sealed else echo)]
+        exchange.reply(status, headers, ERROR_TEXT)
+
     def crash_later(self, exchange, attempt: str) -> None:
         """Crash in a moment, unless another request crashes this process before."""
         restarts, target = self.restarts, exchange.target.decode()
