End the threads of a test's servers before their sockets are closed

Found by reading: the servers of the test were closed while their threads still read or wrote; a thread that had taken the descriptor's number just before then used the next socket with that number, such as the next caller's. Evidence: ServerTest failed before (the thread is alive after close) and passes now.

--- a/features/properties/test_answers_of_processes.py
+++ b/features/properties/test_answers_of_processes.py
@@ -7,6 +7,7 @@
 import socket
 import unittest
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import product
 from struct import pack
 from threading import Thread
@@ -185,7 +186,13 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         self._sockets = [self._listener]
-        Thread(target=self._accept, daemon=True).start()
+        self.threads: list[Thread] = []
+        self._start(self._accept)
+
+    def _start(self, target: Callable, *arguments) -> None:
+        thread = Thread(target=target, args=arguments, daemon=True)
+        self.threads.append(thread)
+        thread.start()
 
     def _accept(self) -> None:
         while True:
@@ -194,7 +201,7 @@
             except OSError:
                 return
             self._sockets.append(sock)
-            Thread(target=self._serve, args=(sock,), daemon=True).start()
+            self._start(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
         try:
@@ -213,9 +220,22 @@
             pass  # the caller has ended
 
     def close(self) -> None:
+        """End the threads, then close the sockets.
+
+        A thread could otherwise use a descriptor that is another socket's by then.
+        """
+        self._end(self._sockets[:1], self.threads[:1])  # it starts the others
+        self._end(self._sockets[1:], self.threads[1:])
         for sock in self._sockets:
             sock.close()
 
+    def _end(self, sockets: list[socket.socket], threads: list[Thread]) -> None:
+        for sock in sockets:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        for thread in threads:
+            thread.join()
+
 
 class _Reader:
     """Reads one response from a caller's connection.
@@ -250,6 +270,16 @@
             self.end = "closed"
 
 
+class ServerTest(unittest.TestCase):
+    def test_no_thread_uses_a_descriptor_after_it_is_closed(self):
+        server = _Server(GOOD, [], 0.0)
+        with socket.create_connection(("127.0.0.1", server.port)) as sock:
+            sock.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            self.assertTrue(sock.recv(65_536))
+            server.close()
+        self.assertEqual([], [t for t in server.threads if t.is_alive()])
+
+
 class AnswerTest(unittest.TestCase):
     def start(self, service: str, *servers: _Server) -> None:
         self.reactor = Reactor(SteadyClock())
