Read the store in time after a change of the servers, and keep what a check brings

One that had read just before its turn then paused a whole interval, so the configuration was checked up to 1.8 s late.

--- a/features/properties/test_unheard_configuration.py
+++ b/features/properties/test_unheard_configuration.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from functools import partial
 
 from standins.fleet import Fleet, configuration
 from standins.proxy import Proxy
@@ -46,6 +47,23 @@
             world.advance(0.37)
         self.assertEqual([], late)
 
+    def test_version_is_in_force_in_time_while_servers_change(self):
+        """All instances read the servers after a change, not only the one in turn."""
+        late = []
+        for seed in range(PHASES):
+            world = DirectoryWorld(5, 6, seed=seed)
+            for number in range(60):
+                slots = 2 + number % 2
+                world.schedule(
+                    4.0 + number * (0.15 + 0.07 * seed),
+                    partial(world.update, "engine-1", slots=slots),
+                )
+            world.advance(5.0 + MOMENTS_S * seed / PHASES)
+            for version in (60, 61, 62):
+                if not self.is_in_force(world, version):
+                    late.append((seed, version))
+        self.assertEqual([], late)
+
     def test_version_is_in_force_in_time_on_many_instances(self):
         late = []
         for phase in range(4):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -176,6 +176,9 @@
     def _advance(self, changes: tuple[TopicChange, ...], end: int) -> None:
         """Go on after changes that were read."""
         self._next_offset = end
+        self._record_keys(changes)
+
+    def _record_keys(self, changes: tuple[TopicChange, ...]) -> None:
         for change in changes:
             if change.value is None:
                 self._known_keys.discard(change.key)
@@ -209,7 +212,10 @@
         changes = list(polled.changes)
         if not changes or polled.end is None:
             return changes, []
-        if self._next_offset is None or polled.end <= self._next_offset:
+        if self._next_offset is None:  # it is being listed again
+            self._record_keys(polled.changes)
+            return changes, []
+        if polled.end <= self._next_offset:
             return [], []  # the other was faster
         self._start_generation()
         self._advance(polled.changes, polled.end)
@@ -272,7 +278,12 @@
     def _schedule_read(self, now: float) -> list:
         if not self.pause_s:
             return self._send_request(now)
-        self._timer = self.timers.at(now + self.pause_s, self._read_if_needed)
+        pause_s = self.pause_s
+        if self.read_delay_s is not None:
+            delay_s = self.read_delay_s(self._next_offset, now)
+            # A read of peers that ages earlier makes a read necessary earlier.
+            pause_s = min(pause_s, delay_s) if delay_s > 0 else pause_s
+        self._timer = self.timers.at(now + pause_s, self._read_if_needed)
         return []
 
     def _read_if_needed(self, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -56,6 +56,9 @@
 time within which a change must be noticed; the rest is left for a slow response and for
 the peers that learn of it from the reader. Each read is charged."""
 
+MIN_READ_INTERVAL_S = 0.2
+"""Shortest interval in seconds between these reads, whatever the settings ask for."""
+
 ENTRIES_PAUSE_S = 30.0
 """Seconds between reads of the entries topic, multiplied by the size factor; digests
 announce new instances sooner."""
@@ -175,7 +178,8 @@
 
     @property
     def _read_interval_s(self) -> float:
-        return READ_INTERVAL_FRACTION * min(self.news_s, self.apply_s)
+        interval_s = READ_INTERVAL_FRACTION * min(self.news_s, self.apply_s)
+        return max(MIN_READ_INTERVAL_S, interval_s)
 
     def _read_delay_s(self, offset: int, now: float) -> float:
         position = EraPosition(self.era.value, offset)
@@ -269,7 +273,7 @@
         """
         if topic not in CURRENT_TOPICS:
             return []
-        at = min(self.followers[topic].last_response_at for topic in CURRENT_TOPICS)
+        at = min(self.followers[read].last_response_at for read in CURRENT_TOPICS)
         if now - at > self._read_interval_s / 2 or at <= self.peers.directory_at:
             return []
         return self.peers.on_directory_read(at, now)
