--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -13,7 +13,6 @@
 from briarrelay_core.ports.directory import (
     EntryPublished,
     PeerAddress,
-    PollTopic,
     PresetsReplaced,
     PublishEntry,
     ServerEntry,
@@ -42,6 +41,7 @@
 from briarrelay_core.routes.quarantinekeeper import QuarantineKeeper
 from briarrelay_core.routes.servers import REREGISTER_S
 from briarrelay_core.routes.storeera import StoreEra
+from briarrelay_core.routes.storereads import StoreReads, read_interval_s
 from briarrelay_core.timers import TimerService
 
 __all__ = ["Source", "UpdateHandler"]
@@ -51,14 +51,6 @@
 by the size factor, since peers announce newer versions; below the store's limit of 30
 at its maximum."""
 
-READ_INTERVAL_FRACTION = 0.45
-"""Interval between reads of the servers and of the configuration, as a fraction of the
-time within which a change must be noticed; the rest is left for a slow response and for
-the peers that learn of it from the reader. Each read is charged."""
-
-MIN_READ_INTERVAL_S = 0.2
-"""Shortest interval in seconds between these reads, whatever the settings ask for."""
-
 ENTRIES_PAUSE_S = 30.0
 """Seconds between reads of the entries topic, multiplied by the size factor; digests
 announce new instances sooner."""
@@ -67,16 +59,6 @@
 """Seconds that a long poll of the presets waits, below the store's limit of 30. Changes
 are answered at once, and peers announce newer presets meanwhile."""
 
-LONG_POLL_CHECK_S = {Topic.CONFIGURATION: 0.1, Topic.PRESETS: 4.0}
-"""Seconds without a response of a topic after which a second read, which does not wait,
-is sent beside its long poll. The responses to all long polls may be lost, which is
-detected only when their wait is over. Only the instance whose turn it is to read the
-servers sends this read, so it costs one call per deployment instead of one per
-instance."""
-
-CURRENT_TOPICS = (Topic.SERVERS, Topic.CONFIGURATION)
-"""Topics that an instance has read when it announces a read to its peers."""
-
 STALE_AFTER_S = 2.0
 """Seconds by which the response to a read may be overdue before the data may be out of
 date."""
@@ -130,10 +112,10 @@
         copy; returns effects.
     :ivar restorer: writes the presets in force again if the store has older ones.
     :ivar evacuations: applies what operators ask for data centres.
+    :ivar reads: shares the reads of the store with the peers.
     :ivar keeper: keeps the quarantined contents in the store.
     :ivar _query_count: number of queries to peers while reads of the store fail.
     :ivar _has_listed_servers: servers that are new from now on have started since.
-    :ivar _polled_at: time of the last read beside a topic's long poll.
     :ivar _logged_problems: by topic and key, the last logged problem of an entry that
         is used in spite of it.
     """
@@ -149,14 +131,15 @@
     keeper: QuarantineKeeper = field(init=False)
     evacuations: EvacuationHandler = field(init=False)
     followers: dict[Topic, TopicFollower] = field(init=False)
+    reads: StoreReads = field(init=False)
     _query_count: int = 0
     _has_listed_servers: bool = False
-    _polled_at: dict[Topic, float] = field(factory=dict)
     _logged_problems: dict[tuple[Topic, str], str] = field(factory=dict)
 
     def __attrs_post_init__(self):
-        self.followers = _make_followers(self.timers, self._read_interval_s)
-        self.followers[Topic.SERVERS].read_delay_s = self._read_delay_s
+        interval_s = read_interval_s(self.news_s, self.apply_s)
+        self.followers = _make_followers(self.timers, interval_s)
+        self.reads = StoreReads(self.followers, self.peers, self.era, interval_s)
         self.restorer = PresetRestorer(
             self.admission,
             self.followers[Topic.PRESETS],
@@ -176,15 +159,6 @@
         """Admission, which holds the configuration and the presets in force."""
         return self.controller.admission
 
-    @property
-    def _read_interval_s(self) -> float:
-        interval_s = READ_INTERVAL_FRACTION * min(self.news_s, self.apply_s)
-        return max(MIN_READ_INTERVAL_S, interval_s)
-
-    def _read_delay_s(self, offset: int, now: float) -> float:
-        position = EraPosition(self.era.value, offset)
-        return self.peers.directory_read_delay_s(position, self._read_interval_s, now)
-
     def start(self, now: float) -> list:
         """Start to follow the topics, and register this instance."""
         effects = []
@@ -256,46 +230,9 @@
         return effects + self._on_topic_read(message.topic, now)
 
     def _on_topic_read(self, topic: Topic, now: float) -> list:
-        effects = []
         if topic is Topic.PRESETS:
-            effects += self.restorer.check(now)
-        if topic is Topic.SERVERS:
-            effects += self._check_long_polls(now)
-        return effects + self._announce_read(topic, now)
-
-    def _announce_read(self, topic: Topic, now: float) -> list:
-        """Announce a read of the store, so that peers can skip theirs.
-
-        It is not announced until the configuration has been read as well: then peers
-        read, since this instance may have missed a version.
-
-        :param topic: topic of the response that has arrived.
-        """
-        if topic not in CURRENT_TOPICS:
-            return []
-        at = min(self.followers[read].last_response_at for read in CURRENT_TOPICS)
-        if now - at > self._read_interval_s / 2 or at <= self.peers.directory_at:
-            return []
-        return self.peers.on_directory_read(at, now)
-
-    def _check_long_polls(self, now: float) -> list:
-        """Read beside the long polls if it is this instance's turn to read the store.
-
-        A read of the servers after a change is made by all instances.
-        """
-        if not self.peers.is_read_due(self.era.value, self._read_interval_s, now):
-            return []
-        effects = []
-        for topic, period_s in LONG_POLL_CHECK_S.items():
-            follower = self.followers[topic]
-            last = max(
-                follower.last_response_at, self._polled_at.get(topic, float("-inf"))
-            )
-            if follower.next_offset is None or now - last < period_s:
-                continue
-            self._polled_at[topic] = now
-            effects.append(PollTopic(topic, follower.next_offset, follower.generation))
-        return effects
+            return self.restorer.check(now)
+        return self.reads.on_response(topic, now)
 
     def on_polled(self, message: TopicPolled, now: float) -> list:
         """Apply changes that were read beside another read."""
