--- a/features/properties/directoryworld.py
+++ b/features/properties/directoryworld.py
@@ -43,6 +43,7 @@
 
     Instances are numbered from 0.
 
+    :param apply_s: seconds within which an accepted configuration must be in force.
     :ivar server_reads: number of reads of the server directory, by instance.
     :ivar partitioned: instances whose datagrams are lost in both directions.
     :ivar refused_by_store: instances whose requests the store refuses.
@@ -53,7 +54,13 @@
     :ivar pending_reads: reads of the configuration that wait for a change.
     """
 
-    def __init__(self, instance_count: int, server_count: int, seed: int = 0):
+    def __init__(
+        self,
+        instance_count: int,
+        server_count: int,
+        seed: int = 0,
+        apply_s: float = 2.0,
+    ):
         self.now = 1_000.0
         self.random = Random(seed)
         self.entry_log: list[tuple[str, object]] = []
@@ -86,6 +93,7 @@
                 grace_s=8.0,
                 hold_s=3.2,
                 news_s=DRAIN_NOTICE_S,
+                apply_s=apply_s,
                 seeds=tuple(addresses),
             )
             for address in addresses
--- a/features/properties/test_unheard_configuration.py
+++ b/features/properties/test_unheard_configuration.py
@@ -7,11 +7,16 @@
 from standins.fleet import Fleet, configuration
 from standins.proxy import Proxy
 
+from briarrelay_core.agreement.configuration import Preset
+from briarrelay_core.routes.presets import PresetCollection
 from properties.directoryworld import DirectoryWorld
 
 APPLY_S = 2.0
 """Seconds within which an accepted configuration must be in force on all instances."""
 
+PRESETS_S = 6.0
+"""Seconds within which new presets must be in force on all instances."""
+
 PHASES = 12
 """Moments of publication that are tried within MOMENTS_S."""
 
@@ -77,7 +82,8 @@
 class SilentConnectionTest(unittest.TestCase):
     """Real instances whose open connections to the store fall silent."""
 
-    def test_version_is_in_force_in_time_on_each_instance(self):
+    def start(self, subnet: str) -> tuple[Fleet, list[Proxy]]:
+        """Start a fleet whose instances reach the store through a proxy."""
         proxies: list[Proxy] = []
 
         def map_address(host: str, port: int) -> tuple[str, int]:
@@ -87,19 +93,41 @@
                 proxies.append(Proxy((host, port), 1))
             return proxies[0].address
 
-        seen = []
-        fleet = Fleet(engines=2, entries=4, subnet="1.45", map_address=map_address)
+        fleet = Fleet(engines=2, entries=4, subnet=subnet, map_address=map_address)
         self.addCleanup(lambda: [proxy.close() for proxy in proxies])
-        with fleet:
-            for version in (2, 4, 6):
-                fleet.put("keyed.op", "config", configuration(version))
-                fleet.wait(lambda v=version: _versions(fleet) == {v})
-                proxies[0].stall(1.0, ("down",))
-                fleet.put("keyed.op", "config", configuration(version + 1))
-                time.sleep(APPLY_S)
-                seen.append((version + 1, _versions(fleet)))
+        fleet.__enter__()
+        self.addCleanup(fleet.__exit__)
+        return fleet, proxies
+
+    def test_version_is_in_force_in_time_on_each_instance(self):
+        fleet, (proxy,) = self.start("1.45")
+        seen = []
+        for version in (2, 4, 6):
+            fleet.put("keyed.op", "config", configuration(version))
+            fleet.wait(lambda v=version: _versions(fleet) == {v})
+            proxy.stall(1.0, ("down",))
+            fleet.put("keyed.op", "config", configuration(version + 1))
+            time.sleep(APPLY_S)
+            seen.append((version + 1, _versions(fleet)))
         self.assertEqual([(v, {v}) for v in (3, 5, 7)], seen)
 
+    def test_presets_are_in_force_on_each_instance_in_seconds(self):
+        fleet, (proxy,) = self.start("1.49")
+        time.sleep(0.5)
+        proxy.stall(1.0, ("down",))
+        presets = PresetCollection(revision=1, presets={"day": Preset()}, active="day")
+        fleet.put("keyed.presets", "presets", presets.to_mapping())
+        time.sleep(PRESETS_S)
+        active = [
+            [
+                e["preset"]
+                for e in entry.log_entries()
+                if e["event"] == "preset_in_force"
+            ]
+            for entry in fleet.instances
+        ]
+        self.assertEqual([["day"]] * 4, active)
+
 
 def _versions(fleet: Fleet) -> set[int]:
     return set(map(_version, fleet.instances))
