Share the threaded server of two tests

Cause: test_repeated_refusals accepted connections in threads as test_answers_of_processes does, and closed its listener while a thread still used it, the fault that ended in the other. Both use ThreadServer now, which ends its threads before it closes their sockets.

--- a/features/properties/test_answers_of_processes.py
+++ b/features/properties/test_answers_of_processes.py
@@ -7,10 +7,8 @@
 import socket
 import unittest
 from collections.abc import Callable
-from contextlib import suppress
 from itertools import product
 from struct import pack
-from threading import Thread
 from time import monotonic, sleep
 
 from httptools import HttpResponseParser
@@ -49,6 +47,7 @@
 from briarrelay_platform.dialect import PlatformDialect
 from properties.routeworld import HOST, KEY, make_configuration, make_entry
 from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
+from properties.threadserver import ThreadServer
 
 TIME_LIMIT_S = 0.6
 ANSWER_MARGIN_S = 0.5
@@ -176,65 +175,27 @@
 }
 
 
-class _Server:
+class _Server(ThreadServer):
     """A server with faults for its first requests; later ones get a good answer."""
 
     def __init__(self, response: bytes, faults: list[Callable], pause_s: float = 0.0):
         self.faults = faults
         self.response = response
         self.pause_s = pause_s
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
-        self._sockets = [self._listener]
-        self.threads: list[Thread] = []
-        self._start(self._accept)
-
-    def _start(self, target: Callable, *arguments) -> None:
-        thread = Thread(target=target, args=arguments, daemon=True)
-        self.threads.append(thread)
-        thread.start()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            self._sockets.append(sock)
-            self._start(self._serve, sock)
-
-    def _serve(self, sock: socket.socket) -> None:
-        try:
-            if self.faults:
-                self.faults.pop()(sock)
-                return
-            while request := read_request(sock):
-                is_head = request.startswith(b"HEAD ")
-                response = GOOD_TO_HEAD if is_head else self.response
-                # a stream pauses after its first event
-                head, event, rest = response.partition(CHUNK)
-                sock.sendall(head + event)
-                sleep(self.pause_s)
-                sock.sendall(rest)
-        except OSError:
-            pass  # the caller has ended
+        super().__init__()
 
-    def close(self) -> None:
-        """End the threads, then close the sockets.
-
-        A thread could otherwise use a descriptor that is another socket's by then.
-        """
-        self._end(self._sockets[:1], self.threads[:1])  # it starts the others
-        self._end(self._sockets[1:], self.threads[1:])
-        for sock in self._sockets:
-            sock.close()
-
-    def _end(self, sockets: list[socket.socket], threads: list[Thread]) -> None:
-        for sock in sockets:
-            with suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-        for thread in threads:
-            thread.join()
+    def serve(self, sock: socket.socket) -> None:
+        if self.faults:
+            self.faults.pop()(sock)
+            return
+        while request := read_request(sock):
+            is_head = request.startswith(b"HEAD ")
+            response = GOOD_TO_HEAD if is_head else self.response
+            # a stream pauses after its first event
+            head, event, rest = response.partition(CHUNK)
+            sock.sendall(head + event)
+            sleep(self.pause_s)
+            sock.sendall(rest)
 
 
 class _Reader:
--- a/features/properties/test_repeated_refusals.py
+++ b/features/properties/test_repeated_refusals.py
@@ -1,7 +1,6 @@
 """A server writes an earlier refusal once more on a connection that is kept open."""
 
 import socket
-import threading
 import unittest
 from time import monotonic
 
@@ -26,11 +25,12 @@
 from briarrelay_platform.dialect import PlatformDialect
 from briarrelay_platform.orders import OrderPort
 from properties.test_http_connections import LOCAL_ADDRESS, run_reactor
+from properties.threadserver import ThreadServer
 
 MAX_ATTEMPTS = 3
 
 
-class _RepeatingServer:
+class _RepeatingServer(ThreadServer):
     """Writes its first response on a connection once more before each later one.
 
     It refuses the first request or order, and runs the others.
@@ -43,28 +43,14 @@
         self.with_id = with_id
         self.runs: list[bytes] = []
         self._has_refused = False
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self) -> None:
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
-
-    def _serve(self, sock: socket.socket) -> None:
+        super().__init__()
+
+    def serve(self, sock: socket.socket) -> None:
         first = b""
-        with sock:
-            while (request_id := _read_id(sock)) is not None:
-                response = self._respond(request_id)
-                sock.sendall(first + response)
-                first = first or response
+        while (request_id := _read_id(sock)) is not None:
+            response = self._respond(request_id)
+            sock.sendall(first + response)
+            first = first or response
 
     def _respond(self, request_id: bytes) -> bytes:
         echo = b"X-Attempt-Id: %b\r\n" % request_id if request_id else b""
@@ -96,10 +82,7 @@
     reader = Reader()
     parser = HttpRequestParser(reader)
     while not reader.is_complete:
-        try:
-            data = sock.recv(65_536)
-        except OSError:
-            return None
+        data = sock.recv(65_536)
         if not data:
             return None
         parser.feed_data(data)
--- a/features/properties/test_unheard_configuration.py
+++ b/features/properties/test_unheard_configuration.py
@@ -118,15 +118,13 @@
         presets = PresetCollection(revision=1, presets={"day": Preset()}, active="day")
         fleet.put("keyed.presets", "presets", presets.to_mapping())
         time.sleep(PRESETS_S)
-        active = [
-            [
-                e["preset"]
-                for e in entry.log_entries()
-                if e["event"] == "preset_in_force"
-            ]
-            for entry in fleet.instances
-        ]
-        self.assertEqual([["day"]] * 4, active)
+        self.assertEqual([["day"]] * 4, list(map(_presets, fleet.instances)))
+
+
+def _presets(entry) -> list[str]:
+    """Return the presets that were in force on an instance, in order."""
+    lines = entry.log_entries()
+    return [line["preset"] for line in lines if line["event"] == "preset_in_force"]
 
 
 def _versions(fleet: Fleet) -> set[int]:
