Review: a key that needs escaping ends the listing of servers for good

Case 1, with the stand-ins of all cases. Another writer's entries lie in the store when all processes are killed; none gets ready again.

--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, of engines and of consumers for the cases."""
