Let peers read what changed before a process that reads for them started

Cause: after the first listing of a process its digests announced a fresh read and position 0, that is no change, so peers skipped their reads. What changed before the listing is not in it. Why it works: the end of the first listing counts as a change, so peers that have read less read. A new era of the store starts anew in the same way. Ruled out: lost digests, stale responses.

--- /dev/null
+++ b/features/properties/test_reads_for_all.py
@@ -0,0 +1,72 @@
+"""One instance reads the servers for all; none may miss what it did not read."""
+
+import unittest
+
+from briarrelay_core.ports.digest import DigestReceived, LoadDigest
+from properties.directoryworld import DRAIN_NOTICE_S, DirectoryWorld
+
+PHASES = 10
+"""Moments of an event that are tried within PHASES_S."""
+
+PHASES_S = 1.2
+"""Seconds over which they are spread, more than an interval between reads."""
+
+
+class RestartedReaderTest(unittest.TestCase):
+    """The first instance by name, which reads for all, starts again."""
+
+    def find_late(self, page_size: int) -> list[tuple[int, list[int]]]:
+        """Let a server leave just before the listing of a process that starts.
+
+        :returns: the moments at which instances use it after the notice period, and
+            these instances.
+        """
+        late = []
+        for phase in range(PHASES):
+            world = DirectoryWorld(4, 6, seed=phase)
+            world.page_size = page_size
+            world.advance(6.0 + PHASES_S * phase / PHASES)
+            world.remove("engine-1")
+            world.restart(0)
+            world.advance(DRAIN_NOTICE_S)
+            if using := world.instances_using("engine-1"):
+                late.append((phase, using))
+        return late
+
+    def test_server_that_left_before_the_first_listing_gets_no_requests(self):
+        """Peers skipped their reads, as if nothing had changed before the listing."""
+        self.assertEqual([], self.find_late(500))
+
+    def test_restarts_one_after_another_cause_few_reads(self):
+        """If all read after each restart, reads would grow with the square of them."""
+        world = DirectoryWorld(40, 12)
+        world.advance(6.0)
+        before = sum(world.server_reads)
+        for n in range(20):
+            world.restart(n)
+            world.advance(0.5)
+        reads = sum(world.server_reads) - before
+        self.assertLess(reads, 20 + 2 * 40)
+
+    def test_peer_of_an_earlier_build_that_names_no_change_spares_no_read(self):
+        """Such a peer announces reads after its first listing, and no position."""
+        world = DirectoryWorld(2, 6)
+        world.advance(6.0)
+        world.suspended = {0}
+        world.remove("engine-1")
+        for number in range(20):
+            digest = LoadDigest(
+                sender=world.addresses[0],
+                incarnation=10**9,
+                number=number,
+                version=1,
+                loads={},
+                directory_age_s=0.0,
+            )
+            world.deliver(1, DigestReceived(digest))
+            world.advance(DRAIN_NOTICE_S / 20)
+        self.assertEqual([], world.instances_using("engine-1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -344,8 +344,20 @@
             and now - peer.last_digest_at <= DIRECTORY_REPORT_FRESH_S
         ]
 
+    def _readers(self, era: int, now: float) -> list[_Peer]:
+        """Return the peers heard lately on whose reads of the store others may rely.
+
+        Those in an earlier era do not count, nor those that name no position: what
+        changed before they started is unknown to them.
+        """
+        return [
+            peer
+            for peer in self._recent_peers(now)
+            if peer.directory.era >= era and peer.directory.number
+        ]
+
     def directory_read_delay_s(
-        self, position: EraPosition, max_age_s: float, now: float
+        self, position: EraPosition, max_age_s: float, now: float, is_last: bool = False
     ) -> float:
         """Return the seconds until this instance has to read the servers topic itself.
 
@@ -353,31 +365,26 @@
         digests allow the others to skip theirs. If it stops, the next by name takes
         over after a short delay. The result is 0 or negative if a read is due now.
 
-        Reads of an earlier era of the store do not count.
-
         :param position: position up to which this instance has read.
         :param max_age_s: largest allowed age in seconds of the newest read by any
             instance.
+        :param is_last: this instance takes over after all others.
         """
-        fresh = [
-            peer
-            for peer in self._recent_peers(now)
-            if peer.directory.era >= position.era
-        ]
-        if any(peer.directory > position for peer in fresh):
+        if any(peer.directory > position for peer in self._recent_peers(now)):
             return 0.0
-        newest = _newest_read(fresh)
-        rank = sum(peer.address.name < self.address.name for peer in fresh)
-        return newest + max_age_s + RANK_DELAY_S * min(rank, MAX_RANK) - now
+        readers = self._readers(position.era, now)
+        newest = _newest_read(readers)
+        rank = sum(peer.address.name < self.address.name for peer in readers)
+        rank = MAX_RANK if is_last else min(rank, MAX_RANK)
+        return newest + max_age_s + RANK_DELAY_S * rank - now
 
     def is_read_due(self, era: int, max_age_s: float, now: float) -> bool:
         """Return whether no peer has read the store as recently as one has to.
 
-        :param era: era of the store; reads of an earlier one do not count.
+        :param era: era of the store.
         :param max_age_s: largest allowed age in seconds of the newest read.
         """
-        fresh = [p for p in self._recent_peers(now) if p.directory.era >= era]
-        return now - _newest_read(fresh) >= max_age_s
+        return now - _newest_read(self._readers(era, now)) >= max_age_s
 
     def on_directory_read(self, at: float, now: float) -> list:
         """Record a read of the store, and announce it to spare peers theirs.
--- a/packages/briarrelay-core/src/briarrelay_core/routes/storereads.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/storereads.py
@@ -1,13 +1,14 @@
 """Shares the reads of the store that keep servers and configuration current.
 
-One instance reads for all, and announces it; the others read when its announcements
-grow old.
+One instance reads for all, and announces it with the position of the newest change
+that it knows. The others read when that position is beyond theirs, and when the
+announcements grow old.
 """
 
 from attrs import define, field
 
 from briarrelay_core.ports.directory import PollTopic, Topic
-from briarrelay_core.ports.position import EraPosition
+from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.routes.follower import TopicFollower
 from briarrelay_core.routes.peers import PeerExchange
 from briarrelay_core.routes.storeera import StoreEra
@@ -47,8 +48,16 @@
 class StoreReads:
     """Tells when this instance reads the store, checks its long polls and announces it.
 
+    An instance does not know what changed before its first listing, so the end of that
+    listing counts as a change. It leaves the reads to the others until each of them has
+    read as far, since all would have to read at once otherwise.
+
     :param interval_s: seconds after which the newest read by any instance is too old.
     :ivar _polled_at: time of the last read beside a topic's long poll.
+    :ivar _newest_change: position after the newest change of the servers.
+    :ivar _listed_at: time at which the first listing of the servers in this era of the
+        store was complete, None before.
+    :ivar _is_new: peers do not rely on the reads of this instance.
     """
 
     followers: dict[Topic, TopicFollower]
@@ -56,13 +65,43 @@
     era: StoreEra
     interval_s: float
     _polled_at: dict[Topic, float] = field(factory=dict)
+    _newest_change: EraPosition = START
+    _listed_at: float | None = None
+    _is_new: bool = True
 
     def __attrs_post_init__(self):
         self.followers[Topic.SERVERS].read_delay_s = self._read_delay_s
 
     def _read_delay_s(self, offset: int, now: float) -> float:
         position = EraPosition(self.era.value, offset)
-        return self.peers.directory_read_delay_s(position, self.interval_s, now)
+        return self.peers.directory_read_delay_s(
+            position, self.interval_s, now, self._is_new
+        )
+
+    def on_new_era(self) -> None:
+        """Start over, since offsets are unrelated to those of the earlier era."""
+        self._is_new = True
+        self._listed_at = None
+        self._newest_change = self.peers.directory = EraPosition(self.era.value, 0)
+
+    def on_listed(self, end: int, now: float) -> None:
+        """Record that a listing of the servers is complete.
+
+        :param end: offset after the newest record at the time of the listing.
+        """
+        if self._listed_at is None:
+            self._listed_at = now
+            self.record_change(end)
+
+    def record_change(self, offset: int) -> None:
+        """Record a change of the servers.
+
+        :param offset: offset after its record.
+        """
+        position = EraPosition(self.era.value, offset)
+        self._newest_change = max(self._newest_change, position)
+        if not self._is_new:
+            self.peers.directory = self._newest_change
 
     def on_response(self, topic: Topic, now: float) -> list:
         """Handle a response of a topic: check the long polls, and announce the read."""
@@ -80,8 +119,24 @@
         at = min(self.followers[topic].last_response_at for topic in CURRENT_TOPICS)
         if now - at > self.interval_s / 2 or at <= self.peers.directory_at:
             return []
+        if self._is_new and not self._may_announce(now):
+            return []
+        self._is_new = False
+        self.peers.directory = self._newest_change
         return self.peers.on_directory_read(at, now)
 
+    def _may_announce(self, now: float) -> bool:
+        """Return whether a new instance may read for its peers.
+
+        It may when no other does, or when they have all read since its listing. For an
+        interval after the listing it may not have heard who does.
+        """
+        if self._listed_at is None or now - self._listed_at < self.interval_s:
+            return False
+        max_skip_s = self.followers[Topic.SERVERS].max_skip_s
+        is_read_due = self.peers.is_read_due(self.era.value, self.interval_s, now)
+        return is_read_due or now - self._listed_at > max_skip_s
+
     def _check_long_polls(self, now: float) -> list:
         """Read beside the long polls if it is this instance's turn to read the store.
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -179,8 +179,7 @@
         for follower in self.followers.values():
             effects += follower.restart()
         effects += self.keeper.restart()
-        # offsets of the new era are unrelated to those known so far
-        self.peers.directory = EraPosition(self.era.value, 0)
+        self.reads.on_new_era()
         effects.append(PublishEntry(self.peers.address, True))
         return effects + self.on_store_returned(now)
 
@@ -201,17 +200,14 @@
         if message.topic is Topic.QUARANTINE:
             return effects + self.keeper.on_listed(message, now)
         follower = self.followers[message.topic]
-        is_first = not follower.is_listed
         is_complete = message.generation == follower.generation and not (
             message.has_more and message.changes
         )
         changes, follow_up = follower.on_listed(message, now)
         effects += follow_up + self._apply(message, changes, Source.LISTING, now)
-        if is_first:
-            # a listed offset is that of the key's newest record, perhaps just a renewal
-            self.peers.directory = EraPosition(self.era.value, 0)
         if is_complete and message.topic is Topic.SERVERS:
             self._has_listed_servers = True
+            self.reads.on_listed(message.end, now)
         if is_complete and message.topic is Topic.CONFIGURATION:
             end = EraPosition(self._era_of(message), follower.next_offset)
             evacuations = self.controller.servers.evacuations
@@ -338,8 +334,7 @@
                 continue
             if topic is Topic.SERVERS:
                 if self.controller.servers.is_change(change):
-                    position = EraPosition(self.era.value, change.position)
-                    self.peers.directory = max(self.peers.directory, position)
+                    self.reads.record_change(change.position)
                 effects += self._apply_server_change(change, now)
             elif isinstance(change.value, Evacuation):
                 position = EraPosition(self._era_of(message), change.position)
