Announce a read of the servers only when its listing is complete

Cause: the time of the announced read was that of the last response, also of a first page; changes on later pages, or since the first, were not known by then. Why it works: the follower tells up to when all changes are known; for a listing that is its first page, once the last has come.

--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -3,6 +3,13 @@
 import unittest
 
 from briarrelay_core.ports.digest import DigestReceived, LoadDigest
+from briarrelay_core.ports.directory import (
+    Topic,
+    TopicChange,
+    TopicListed,
+    TopicPolled,
+)
+from briarrelay_core.routes.instance import RouteInstance
 from properties.directoryworld import DRAIN_NOTICE_S, DirectoryWorld
 
 PHASES = 10
@@ -12,6 +19,11 @@
 """Seconds over which they are spread, more than an interval between reads."""
 
 
+def find_reader(world: DirectoryWorld) -> RouteInstance:
+    """Return the instance that announced the newest read."""
+    return max(world.instances, key=lambda instance: instance.peers.directory_at)
+
+
 class RestartedReaderTest(unittest.TestCase):
     """The first instance by name, which reads for all, starts again."""
 
@@ -68,5 +80,37 @@
         self.assertEqual([], world.instances_using("engine-1"))
 
 
+class IncompleteListingTest(unittest.TestCase):
+    def test_page_of_a_listing_is_announced_as_no_read(self):
+        """Peers waited for the next read, although the other pages never came."""
+        world = DirectoryWorld(2, 6)
+        world.advance(6.0)
+        reader = find_reader(world)
+        follower = reader.updates.followers[Topic.SERVERS]
+        follower.restart()
+        announced_at = reader.peers.directory_at
+        entries = world.current_entries.items()
+        page = tuple(TopicChange(name, entry) for name, (_, entry) in entries)[:2]
+        listed = TopicListed(Topic.SERVERS, page, 6, True, follower.generation)
+        world.advance(0.3)
+        reader.handle(listed, world.now)
+        polled = TopicPolled(Topic.CONFIGURATION, (), end=1)
+        reader.handle(polled, world.now)
+        self.assertEqual(announced_at, reader.peers.directory_at)
+
+    def test_first_listing_of_another_topic_keeps_the_announced_change(self):
+        """It was announced that the servers had not changed."""
+        world = DirectoryWorld(2, 6)
+        world.advance(6.0)
+        world.remove("engine-1")
+        world.advance(2.0)
+        reader = find_reader(world)
+        peers = reader.peers
+        before = peers.directory
+        reader.handle(TopicListed(Topic.ENTRIES, (), 9, False), world.now)
+        self.assertGreater(before.number, 0)
+        self.assertEqual(before, peers.directory)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -60,6 +60,8 @@
         None if each is applied with its own page.
     :ivar is_listed: a listing has been completed.
     :ivar last_response_at: time of the platform's last response.
+    :ivar current_at: time up to which all changes are known; for a listing that of its
+        first page, once it is complete.
     :ivar heard_at: time of its last response to a listing, a read or a long poll; those
         to reads beside a long poll do not count.
     :ivar failing_since: time of the first of the current consecutive failures, None
@@ -71,6 +73,7 @@
     :ivar _timer: start of the next request, None if none is scheduled.
     :ivar _overdue_timer: when the request in flight is overdue, None if it may wait.
     :ivar _next_offset: offset of the next record to read, None before a listing.
+    :ivar _listing_at: time of the first page of the current listing.
     :ivar _listed_keys: keys on the pages of the current listing so far.
     :ivar _held: changes of the listing so far that are applied with its last page.
     :ivar _known_keys: keys that exist, as of the last response.
@@ -86,6 +89,7 @@
     last_type: type | None = None
     is_listed: bool = False
     last_response_at: float = float("-inf")
+    current_at: float = float("-inf")
     heard_at: float = float("-inf")
     failing_since: float | None = None
     recovered_at: float = float("-inf")
@@ -94,6 +98,7 @@
     _timer: Timer | None = None
     _overdue_timer: Timer | None = None
     _next_offset: int | None = None
+    _listing_at: float = float("-inf")
     _listed_keys: set[str] = field(factory=set)
     _held: list[TopicChange] = field(factory=list)
     _known_keys: set[str] = field(factory=set)
@@ -137,7 +142,7 @@
             return [], []
         effects = self._record_response(now)
         if self._next_offset is None:
-            self._next_offset = page.end
+            self._next_offset, self._listing_at = page.end, now
         changes = list(page.changes)
         self._listed_keys.update(change.key for change in changes)
         if page.has_more and changes:
@@ -152,6 +157,7 @@
         self._known_keys = self._listed_keys
         self._listed_keys = set()
         self.is_listed = True
+        self.current_at = self._listing_at
         return changes, effects + self._schedule_read(now)
 
     def _hold(self, changes: list[TopicChange]) -> list[TopicChange]:
@@ -172,6 +178,7 @@
         if read.generation != self.generation:
             return [], []
         effects = self._record_response(now)
+        self.current_at = now
         self._advance(read.changes, read.end)
         return list(read.changes), effects + self._schedule_read(now)
 
@@ -211,7 +218,7 @@
         """
         if polled.generation != self.generation:
             return [], []
-        self.last_response_at = now
+        self.last_response_at = self.current_at = now
         changes = list(polled.changes)
         if not changes or polled.end is None:
             return changes, []
@@ -271,6 +278,10 @@
         self._timer = self.timers.at(now + pause, self._send_request)
         return effects
 
+    def mark_stale(self) -> None:
+        """Treat what is known as out of date."""
+        self.last_response_at = self.current_at = float("-inf")
+
     def may_be_stale(self, now: float, margin_s: float) -> bool:
         """Return whether changes may have been missed.
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/storereads.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/storereads.py
@@ -116,7 +116,7 @@
         It is not announced until the configuration has been read as well: then peers
         read, since this instance may have missed a version.
         """
-        at = min(self.followers[topic].last_response_at for topic in CURRENT_TOPICS)
+        at = min(self.followers[topic].current_at for topic in CURRENT_TOPICS)
         if now - at > self.interval_s / 2 or at <= self.peers.directory_at:
             return []
         if self._is_new and not self._may_announce(now):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -312,7 +312,7 @@
     def mark_stale(self) -> None:
         """Treat all data from the store as stale, after the process was suspended."""
         for follower in self.followers.values():
-            follower.last_response_at = float("-inf")
+            follower.mark_stale()
 
     def update_staleness(self, now: float) -> None:
         """Update whether the configuration may be out of date."""
