Announce no read from before a suspension

What callers could see: new requests at a server that left while the reading instance was suspended: after it woke, its digests gave its last read an age without the suspension, which the steady clock does not count, and peers skipped their reads. Why it works: data is stale after a suspension, and so is the time of the announced read; the reads that follow are announced again. Evidence: test_read_before_a_suspension_is_announced_no_more failed before (an age of 0.7 s was announced).

--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from briarrelay_core.ports.digest import DigestReceived, LoadDigest
+from briarrelay_core.ports.control import ProcessResumed
+from briarrelay_core.ports.digest import UNKNOWN_AGE_S, DigestReceived, LoadDigest
 from briarrelay_core.ports.directory import (
     Topic,
     TopicChange,
@@ -112,5 +113,16 @@
         self.assertEqual(before, peers.directory)
 
 
+class SuspendedReaderTest(unittest.TestCase):
+    def test_read_before_a_suspension_is_announced_no_more(self):
+        """The clock does not count a suspension, so the read seemed to be recent."""
+        world = DirectoryWorld(2, 6)
+        world.advance(6.0)
+        reader = find_reader(world)
+        reader.handle(ProcessResumed(4.0), world.now)
+        (effect,) = reader.peers.announce(world.now)
+        self.assertEqual(UNKNOWN_AGE_S, effect.digest.directory_age_s)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -313,6 +313,8 @@
         """Treat all data from the store as stale, after the process was suspended."""
         for follower in self.followers.values():
             follower.mark_stale()
+        # its age, by a clock that stood, would seem small to peers
+        self.peers.directory_at = float("-inf")
 
     def update_staleness(self, now: float) -> None:
         """Update whether the configuration may be out of date."""
