Learn from a peer's read what changed before the first listing

Change: the newest change that a peer announces with a read sent after the listing is the newest before the listing as well, so 2.5 s later the instance reads for all.

--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -61,6 +61,16 @@
         reads = sum(world.server_reads) - before
         self.assertLess(reads, 20 + 2 * 40)
 
+    def test_restarted_instance_soon_reads_for_all_again(self):
+        """For 15 s the others would read at times when it has the newest changes."""
+        world = DirectoryWorld(4, 6)
+        world.advance(6.0)
+        world.restart(0)
+        world.advance(6.0)
+        before = world.server_reads[0]
+        world.advance(3.0)
+        self.assertGreater(world.server_reads[0], before + 1)
+
     def test_peer_of_an_earlier_build_that_names_no_change_spares_no_read(self):
         """Such a peer announces reads after its first listing, and no position."""
         world = DirectoryWorld(2, 6)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -386,6 +386,20 @@
         """
         return now - _newest_read(self._readers(era, now)) >= max_age_s
 
+    def newest_change(self, era: int, since: float, now: float) -> EraPosition | None:
+        """Return the position after the newest change that the peers' reads show.
+
+        :param era: era of the store.
+        :param since: earliest time of a read that counts.
+        :returns: None if there is no such read.
+        """
+        reads = [
+            peer.directory
+            for peer in self._readers(era, now)
+            if peer.directory_at >= since
+        ]
+        return max(reads, default=None)
+
     def on_directory_read(self, at: float, now: float) -> list:
         """Record a read of the store, and announce it to spare peers theirs.
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/storereads.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/storereads.py
@@ -23,6 +23,11 @@
 MIN_READ_INTERVAL_S = 0.2
 """Shortest interval in seconds between these reads, whatever the settings ask for."""
 
+COVERING_READ_S = 2.5
+"""Seconds after a listing from which the response to a peer's read shows all that the
+listing was too late for: the store takes 1.2 s to respond at most, and a digest may be
+late as well."""
+
 LONG_POLL_CHECK_S = {Topic.CONFIGURATION: 0.1, Topic.PRESETS: 4.0}
 """Seconds without a response of a topic after which a second read, which does not wait,
 is sent beside its long poll. The responses to all long polls may be lost, which is
@@ -48,13 +53,15 @@
 class StoreReads:
     """Tells when this instance reads the store, checks its long polls and announces it.
 
-    An instance does not know what changed before its first listing, so the end of that
-    listing counts as a change. It leaves the reads to the others until each of them has
-    read as far, since all would have to read at once otherwise.
+    An instance does not know what changed before its first listing. It learns the
+    newest such change from a peer that read the store after that listing, and leaves
+    the reads to the others until then. If no other reads, it takes the end of the
+    listing for a change, so that all read once.
 
     :param interval_s: seconds after which the newest read by any instance is too old.
     :ivar _polled_at: time of the last read beside a topic's long poll.
-    :ivar _newest_change: position after the newest change of the servers.
+    :ivar _newest_change: position after the newest change since the first listing.
+    :ivar _base: position after the newest change before it, or after all of them.
     :ivar _listed_at: time at which the first listing of the servers in this era of the
         store was complete, None before.
     :ivar _is_new: peers do not rely on the reads of this instance.
@@ -66,6 +73,7 @@
     interval_s: float
     _polled_at: dict[Topic, float] = field(factory=dict)
     _newest_change: EraPosition = START
+    _base: EraPosition = START
     _listed_at: float | None = None
     _is_new: bool = True
 
@@ -73,6 +81,7 @@
         self.followers[Topic.SERVERS].read_delay_s = self._read_delay_s
 
     def _read_delay_s(self, offset: int, now: float) -> float:
+        self._learn_base(now)
         position = EraPosition(self.era.value, offset)
         return self.peers.directory_read_delay_s(
             position, self.interval_s, now, self._is_new
@@ -82,7 +91,8 @@
         """Start over, since offsets are unrelated to those of the earlier era."""
         self._is_new = True
         self._listed_at = None
-        self._newest_change = self.peers.directory = EraPosition(self.era.value, 0)
+        start = EraPosition(self.era.value, 0)
+        self._newest_change = self._base = self.peers.directory = start
 
     def on_listed(self, end: int, now: float) -> None:
         """Record that a listing of the servers is complete.
@@ -91,17 +101,34 @@
         """
         if self._listed_at is None:
             self._listed_at = now
-            self.record_change(end)
+            self._base = EraPosition(self.era.value, end)
 
     def record_change(self, offset: int) -> None:
         """Record a change of the servers.
 
         :param offset: offset after its record.
         """
+        if self._listed_at is None:
+            return  # a part of the first listing
         position = EraPosition(self.era.value, offset)
         self._newest_change = max(self._newest_change, position)
         if not self._is_new:
-            self.peers.directory = self._newest_change
+            self._publish_change()
+
+    def _publish_change(self) -> None:
+        self.peers.directory = max(self._base, self._newest_change)
+
+    def _learn_base(self, now: float) -> None:
+        """Learn from a peer what changed before the first listing."""
+        if not self._is_new or self._listed_at is None:
+            return
+        since = self._listed_at + COVERING_READ_S
+        position = self.peers.newest_change(self.era.value, since, now)
+        if position is not None:
+            self._is_new = False
+            self._base = min(self._base, position)
+            self._newest_change = max(self._newest_change, position)
+            self._publish_change()
 
     def on_response(self, topic: Topic, now: float) -> list:
         """Handle a response of a topic: check the long polls, and announce the read."""
@@ -121,21 +148,19 @@
             return []
         if self._is_new and not self._may_announce(now):
             return []
-        self._is_new = False
-        self.peers.directory = self._newest_change
+        if self._is_new:
+            self._is_new = False
+            self._publish_change()
         return self.peers.on_directory_read(at, now)
 
     def _may_announce(self, now: float) -> bool:
-        """Return whether a new instance may read for its peers.
+        """Return whether a new instance has to read for its peers, as no other does.
 
-        It may when no other does, or when they have all read since its listing. For an
-        interval after the listing it may not have heard who does.
+        For an interval after the listing it may not have heard who does.
         """
         if self._listed_at is None or now - self._listed_at < self.interval_s:
             return False
-        max_skip_s = self.followers[Topic.SERVERS].max_skip_s
-        is_read_due = self.peers.is_read_due(self.era.value, self.interval_s, now)
-        return is_read_due or now - self._listed_at > max_skip_s
+        return self.peers.is_read_due(self.era.value, self.interval_s, now)
 
     def _check_long_polls(self, now: float) -> list:
         """Read beside the long polls if it is this instance's turn to read the store.
