Tell peers of removals that only a listing shows

Cause: a key that is missing from a listing was a change without a position, so the next reader's digests announced fresh reads and no change. It is the same when the store has deleted the records that say who left. Why it works: the record that deleted the key comes before the end of the listing, so that end is the position of the change; peers that have read less read at once. Ruled out: lost digests, since the block of 2.5 s shows that they came.

--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -91,6 +91,49 @@
         self.assertEqual([], world.instances_using("engine-1"))
 
 
+class MissingFromListingTest(unittest.TestCase):
+    """The reader learns by a listing that a server has left, not by a record."""
+
+    def find_late(self, begin) -> list[tuple[int, list[int]]]:
+        """Let a server leave at many moments; return those at which it is used late.
+
+        :param begin: called with the world when the server has left; makes the reading
+            instance list the servers.
+        """
+        late = []
+        for phase in range(PHASES):
+            world = DirectoryWorld(4, 6, seed=phase)
+            world.advance(24.0 + PHASES_S * phase / PHASES)
+            world.remove("engine-1")
+            begin(world)
+            world.advance(DRAIN_NOTICE_S)
+            using = set()
+            for _ in range(3):
+                using.update(world.instances_using("engine-1"))
+                world.advance(1.0)
+            if using:
+                late.append((phase, sorted(using)))
+        return late
+
+    def test_server_that_left_while_the_reader_was_lost_gets_no_requests(self):
+        """The next reader listed; peers used the server again after 2.5 s."""
+
+        def lose_reader(world: DirectoryWorld) -> None:
+            reader = find_reader(world)
+            n = world.instances.index(reader)
+            world.suspended, world.partitioned = {n}, {n}
+
+        self.assertEqual([], self.find_late(lose_reader))
+
+    def test_server_whose_record_the_store_has_deleted_gets_no_requests(self):
+        """Reads of deleted records make the reader list the servers."""
+
+        def delete_records(world: DirectoryWorld) -> None:
+            world.first_offset = len(world.entry_log)
+
+        self.assertEqual([], self.find_late(delete_records))
+
+
 class IncompleteListingTest(unittest.TestCase):
     def test_page_of_a_listing_is_announced_as_no_read(self):
         """Peers waited for the next read, although the other pages never came."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -150,7 +150,8 @@
             return self._mark_copy(self._hold(changes)), [*effects, next_page]
         changes = self._hold(changes)
         gone = self._known_keys - self._listed_keys
-        changes += [TopicChange(key, None) for key in sorted(gone)]
+        # Each record that deleted one of them comes before the end.
+        changes += [TopicChange(key, None, position=page.end) for key in sorted(gone)]
         changes = self._mark_copy(changes + self._held)
         self._held = []
         self._is_listing_copy = False
