Keep a server that a peer reports gone unused until the store was read

What callers could see: an instance that can not read the store sent requests to a server that had left, 2.5 s after its peers had reported it gone. Cause: the report was forgotten after GONE_BLOCK_S, as if each instance had read by then. Evidence: test_server_is_not_used_again_while_the_store_can_not_be_read failed before (instance 2), holds for 20 s after. test_server_that_registers_again_is_used_after_the_ next_read guards the other direction and passed before. Why it works: the block ends with an own read up to the position that the peer named.

--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from attrs import evolve
+
 from briarrelay_core.ports.control import ProcessResumed
 from briarrelay_core.ports.digest import UNKNOWN_AGE_S, DigestReceived, LoadDigest
 from briarrelay_core.ports.directory import (
@@ -134,6 +136,35 @@
         self.assertEqual([], self.find_late(delete_records))
 
 
+class ReportedGoneTest(unittest.TestCase):
+    """An instance that the store refuses hears from its peers that a server is gone."""
+
+    def begin(self) -> DirectoryWorld:
+        world = DirectoryWorld(4, 6)
+        world.advance(6.0)
+        world.refused_by_store = {2}
+        world.advance(1.0)
+        world.remove("engine-1")
+        return world
+
+    def test_server_is_not_used_again_while_the_store_can_not_be_read(self):
+        """The report was forgotten after 2.5 s."""
+        world = self.begin()
+        for _ in range(10):
+            world.advance(DRAIN_NOTICE_S)
+            self.assertEqual([], world.instances_using("engine-1"))
+
+    def test_server_that_registers_again_is_used_after_the_next_read(self):
+        world = self.begin()
+        entry = world.current_entries["engine-2"][1]
+        world.advance(6.0)
+        world.register(evolve(entry, name="engine-1"))
+        world.advance(6.0)
+        world.refused_by_store.clear()
+        world.advance(2.0)
+        self.assertEqual([0, 1, 2, 3], world.instances_using("engine-1"))
+
+
 class IncompleteListingTest(unittest.TestCase):
     def test_page_of_a_listing_is_announced_as_no_read(self):
         """Peers waited for the next read, although the other pages never came."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -305,7 +305,7 @@
         for report in digest.leaving:
             effects += self.servers.apply_peer_leaving(report, now)
         for report in digest.gone:
-            effects += self.servers.apply_peer_gone(report, now)
+            effects += self.servers.apply_peer_gone(report, digest.directory, now)
         self.pauses.apply_peer_pauses(digest.paused, now)
         effects += self.quarantine.apply_digest(digest, now)
         if digest.reach >= MIN_REACH:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from briarrelay_core.ports.directory import ServerEntry, ServerState, TopicChange
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.allowances.evacuations import EvacuationTable
 
@@ -24,9 +25,9 @@
 returns to is some seconds old."""
 
 GONE_BLOCK_S = 2.5
-"""Seconds for which a server gets no requests after a peer reported its entry gone, and
-for which this instance reports such servers. By then each instance has read whether
-the entry exists."""
+"""Seconds for which a server gets no requests at least after a peer reported its entry
+gone, and for which this instance reports such servers. By then each instance that
+reaches the store has read whether the entry exists."""
 
 LEAVING_ANNOUNCE_S = 8.0
 """Seconds for which a leaving server is announced to peers."""
@@ -47,6 +48,8 @@
         entry.
     :param blocked_until: time until which it gets no requests, after a peer reported
         its entry gone.
+    :param gone_before: position up to which this instance has to read the store before
+        it gets requests again, None if no peer reported its entry gone since.
     """
 
     entry: ServerEntry
@@ -55,6 +58,7 @@
     is_leaving: bool = False
     is_address_reused: bool = False
     blocked_until: float = float("-inf")
+    gone_before: EraPosition | None = None
 
     @property
     def incarnation(self) -> str:
@@ -65,6 +69,8 @@
         """Return whether it may get new requests."""
         if self.is_leaving or self.is_address_reused or now < self.blocked_until:
             return False
+        if self.gone_before is not None:
+            return False
         return self.expires_at is None or now < self.expires_at
 
 
@@ -77,6 +83,8 @@
     :ivar _gone: by name, the ``born`` value of a server whose entry is gone and the
         time at which that was detected.
     :ivar _gone_for_peers: the same for servers that peers reported as gone.
+    :ivar _reported_gone: names of servers that peers reported as gone, and which this
+        instance has not confirmed yet.
     :ivar has_urgent_change: a server announced its shutdown to this instance, and peers
         have not been notified yet.
     :param evacuations: the data centres whose servers get no new requests; they stay
@@ -89,6 +97,7 @@
     _leaving: dict[str, tuple[float, float]] = field(factory=dict)
     _gone: dict[str, tuple[float, float]] = field(factory=dict)
     _gone_for_peers: dict[str, tuple[float, float]] = field(factory=dict)
+    _reported_gone: set[str] = field(factory=set)
     has_urgent_change: bool = False
 
     def __len__(self) -> int:
@@ -182,6 +191,8 @@
         server.is_leaving = entry.state is ServerState.DRAINING or (
             leaving is not None and leaving[0] == entry.born
         )
+        if known is not None and not is_new:
+            server.gone_before = known.gone_before
         self._gone.pop(entry.name, None)
         self._gone_for_peers.pop(entry.name, None)
         self._servers[entry.name] = server
@@ -271,15 +282,37 @@
         known.is_leaving = True
         return self._mark_leaving(known.entry, "peer", now)
 
-    def apply_peer_gone(self, report: str, now: float) -> list:
-        """Apply a peer's report, ``name@born``, that a server's entry is gone."""
+    def apply_peer_gone(self, report: str, position: EraPosition, now: float) -> list:
+        """Apply a peer's report, ``name@born``, that a server's entry is gone.
+
+        It holds until this instance has read as far itself, however late that is.
+
+        :param position: position after the newest change that the peer has read.
+        """
         known = self._find_registered(report)
         if known is None or now < known.blocked_until:
             return []
         known.blocked_until = now + GONE_BLOCK_S
+        if known.gone_before is not None:
+            return []
+        known.gone_before = position
+        self._reported_gone.add(known.entry.name)
         self._gone_for_peers[known.entry.name] = (known.entry.born, now)
         return [_make_log_event("server_gone", known.entry, "peer")]
 
+    def confirm_registered(self, position: EraPosition) -> None:
+        """Record that the store was read; the entries that are left exist.
+
+        :param position: position up to which it was read.
+        """
+        for name in list(self._reported_gone):
+            known = self._servers.get(name)
+            if known is None or known.gone_before is None:
+                self._reported_gone.discard(name)
+            elif known.gone_before <= position:
+                known.gone_before = None
+                self._reported_gone.discard(name)
+
     def _find_registered(self, report: str) -> KnownServer | None:
         """Return the registered server that a report, ``name@born``, refers to."""
         name, _, born_text = report.rpartition("@")
