--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -12,6 +12,7 @@
     TopicListed,
     TopicPolled,
 )
+from briarrelay_core.ports.position import EraPosition
 from briarrelay_core.routes.instance import RouteInstance
 from properties.directoryworld import DRAIN_NOTICE_S, DirectoryWorld
 
@@ -164,6 +165,18 @@
         world.advance(2.0)
         self.assertEqual([0, 1, 2, 3], world.instances_using("engine-1"))
 
+    def test_report_older_than_the_last_read_blocks_for_a_moment_only(self):
+        """The server had registered again; it was kept out until the next read."""
+        world = DirectoryWorld(2, 6)
+        world.advance(8.0)
+        entry = world.current_entries["engine-1"][1]
+        n = world.instances.index(find_reader(world))
+        report = f"engine-1@{entry.born}"
+        servers = world.instances[1 - n].controller.servers
+        servers.apply_peer_gone(report, EraPosition(0, 1), world.now)
+        world.advance(3.0)
+        self.assertIn(1 - n, world.instances_using("engine-1"))
+
 
 class IncompleteListingTest(unittest.TestCase):
     def test_page_of_a_listing_is_announced_as_no_read(self):
--- a/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/servers.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from briarrelay_core.ports.directory import ServerEntry, ServerState, TopicChange
-from briarrelay_core.ports.position import EraPosition
+from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import LogEvent
 from briarrelay_core.routes.allowances.evacuations import EvacuationTable
 
@@ -85,6 +85,7 @@
     :ivar _gone_for_peers: the same for servers that peers reported as gone.
     :ivar _reported_gone: names of servers that peers reported as gone, and which this
         instance has not confirmed yet.
+    :ivar _read_until: position up to which this instance has read the store.
     :ivar has_urgent_change: a server announced its shutdown to this instance, and peers
         have not been notified yet.
     :param evacuations: the data centres whose servers get no new requests; they stay
@@ -98,6 +99,7 @@
     _gone: dict[str, tuple[float, float]] = field(factory=dict)
     _gone_for_peers: dict[str, tuple[float, float]] = field(factory=dict)
     _reported_gone: set[str] = field(factory=set)
+    _read_until: EraPosition = START
     has_urgent_change: bool = False
 
     def __len__(self) -> int:
@@ -295,8 +297,9 @@
         known.blocked_until = now + GONE_BLOCK_S
         if known.gone_before is not None:
             return []
-        known.gone_before = position
-        self._reported_gone.add(known.entry.name)
+        if position > self._read_until:
+            known.gone_before = position
+            self._reported_gone.add(known.entry.name)
         self._gone_for_peers[known.entry.name] = (known.entry.born, now)
         return [_make_log_event("server_gone", known.entry, "peer")]
 
@@ -305,6 +308,7 @@
 
         :param position: position up to which it was read.
         """
+        self._read_until = position
         for name in list(self._reported_gone):
             known = self._servers.get(name)
             if known is None or known.gone_before is None:
