Remove servers learnt from a peer that the first listing lacks

Cause: what a listing lacks is found among the keys of earlier responses of the store; servers of a peer's response were in the table without being among them. Why it works: keys learnt from a peer count as known until a listing shows otherwise. Ruled out: the peers' reports that the server is gone, which came.

--- a/features/properties/test_reads_for_all.py
+++ b/features/properties/test_reads_for_all.py
@@ -178,6 +178,28 @@
         self.assertIn(1 - n, world.instances_using("engine-1"))
 
 
+class LearntFromPeerTest(unittest.TestCase):
+    """An instance starts while the store refuses it, and learns servers from a peer."""
+
+    def test_server_that_left_before_the_first_listing_is_removed(self):
+        """The listing lacked it, but only keys of earlier responses were compared."""
+        for page_size in (500, 2):
+            with self.subTest(page_size=page_size):
+                world = DirectoryWorld(4, 6)
+                world.page_size = page_size
+                world.advance(6.0)
+                world.refused_by_store = {1}
+                world.restart(1)
+                world.advance(2.0)
+                self.assertIn(1, world.instances_using("engine-1"))
+                world.remove("engine-1")
+                world.advance(1.0)
+                world.refused_by_store.clear()
+                for _ in range(5):
+                    world.advance(DRAIN_NOTICE_S)
+                    self.assertEqual([], world.instances_using("engine-1"))
+
+
 class IncompleteListingTest(unittest.TestCase):
     def test_page_of_a_listing_is_announced_as_no_read(self):
         """Peers waited for the next read, although the other pages never came."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -76,7 +76,8 @@
     :ivar _listing_at: time of the first page of the current listing.
     :ivar _listed_keys: keys on the pages of the current listing so far.
     :ivar _held: changes of the listing so far that are applied with its last page.
-    :ivar _known_keys: keys that exist, as of the last response.
+    :ivar _known_keys: keys that exist, as of the last response, and before the first
+        listing those that peers know.
     :ivar _failures: number of consecutive failures.
     """
 
@@ -196,6 +197,10 @@
             else:
                 self._known_keys.add(change.key)
 
+    def add_known_key(self, key: str) -> None:
+        """Record a key that was learnt from a peer, so that a listing can lack it."""
+        self._known_keys.add(key)
+
     @property
     def known_keys(self) -> frozenset[str]:
         """Keys that exist, as of the last complete response."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -318,7 +318,9 @@
                     applied += self.followers[Topic.PRESETS].repeat_read(now)
                 effects += applied
             elif isinstance(value, ServerEntry):
-                if not self.followers[Topic.SERVERS].is_listed:
+                follower = self.followers[Topic.SERVERS]
+                if not follower.is_listed:
+                    follower.add_known_key(value.name)
                     effects += self._apply_server(value, now)
         return effects
 
