Ignore a peer's report of an evacuation that the own listing shows as ended

What callers could see: after a restart an instance sent nothing to a data centre whose evacuation had been taken back, if a late digest still called it asked for. Cause: reports are ordered by their position in the store, but what a listing lacks has no statement to compare with. Why it works: a report no later than what this instance has read of the store is no news. Evidence: test_report_older_than_a_listing_that_lacks_it_is_ignored failed before. A first form ignored withdrawals as well; test_copy_without_it_does_not_end_it showed that one from the new era of the store is news there, so only requests are ignored.

--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/evacuations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/evacuations.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 
 from briarrelay_core.ports.evacuation import MAX_EVACUATION_REPORTS, EvacuationReport
-from briarrelay_core.ports.position import EraPosition
+from briarrelay_core.ports.position import START, EraPosition
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 
 __all__ = ["EvacuationTable"]
@@ -43,12 +43,14 @@
     :ivar has_urgent_change: a change was read from the store, and peers have not been
         notified of it.
     :ivar in_force: the evacuated data centres.
+    :ivar _read_until: position up to which this instance has read the store.
     :ivar _changes: changes for the audit record, each a data centre and its outcome.
     """
 
     has_urgent_change: bool = False
     in_force: frozenset[str] = frozenset()
     _known: dict[str, _Known] = field(factory=dict)
+    _read_until: EraPosition = START
     _changes: list[tuple[str, str, str]] = field(factory=list)
 
     # Statements
@@ -77,14 +79,28 @@
         return effects
 
     def apply_reports(self, reports: Iterable[EvacuationReport], now: float) -> list:
-        """Apply a peer's reports; return effects."""
+        """Apply a peer's reports; return effects.
+
+        An evacuation that was asked for no later than this instance has read the store
+        is no news: it is known, or was taken back.
+        """
         effects = []
         for report in reports:
+            if report.is_asked and self._has_read(report.position):
+                continue
             effects += self._set(
                 report.data_centre, report.is_asked, report.position, "peer", now
             )
         return effects
 
+    def _has_read(self, position: EraPosition) -> bool:
+        read_until = self._read_until
+        return position.era == read_until.era and position <= read_until
+
+    def record_read(self, position: EraPosition) -> None:
+        """Record that all statements in the store up to a position are known."""
+        self._read_until = max(self._read_until, position)
+
     def apply_listing(
         self, listed_keys: set[str], end: EraPosition, now: float
     ) -> list:
@@ -102,6 +118,7 @@
                 continue
             if known.position < end:
                 effects += self.apply(data_centre, False, end, now, known.key)
+        self.record_read(end)
         return effects
 
     def _set(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -208,7 +208,7 @@
         if is_complete and message.topic is Topic.SERVERS:
             self._has_listed_servers = True
             self.reads.on_listed(message.end, now)
-            self._confirm_servers(message, follower.next_offset)
+            self._confirm_read(message, follower.next_offset)
         if is_complete and message.topic is Topic.CONFIGURATION:
             end = EraPosition(self._era_of(message), follower.next_offset)
             evacuations = self.controller.servers.evacuations
@@ -224,18 +224,23 @@
         effects = self._observe_response(message, now)
         changes, follow_up = self.followers[message.topic].on_read(message, now)
         effects += follow_up + self._apply(message, changes, Source.READ, now)
-        self._confirm_servers(message, message.end)
+        self._confirm_read(message, message.end)
         return effects + self._on_topic_read(message.topic, now)
 
-    def _confirm_servers(self, message, end: int | None) -> None:
-        """Record up to where the servers have been read.
+    def _confirm_read(self, message, end: int | None) -> None:
+        """Record up to where the store has been read, so that older reports are known.
 
         :param end: offset after the last record, None if it is unknown.
         """
         is_current = message.generation == self.followers[message.topic].generation
-        if message.topic is Topic.SERVERS and is_current and end is not None:
-            position = EraPosition(self._era_of(message), end)
-            self.controller.servers.confirm_registered(position)
+        if not is_current or end is None:
+            return
+        position = EraPosition(self._era_of(message), end)
+        servers = self.controller.servers
+        if message.topic is Topic.SERVERS:
+            servers.confirm_registered(position)
+        elif message.topic is Topic.CONFIGURATION:
+            servers.evacuations.record_read(position)
 
     def _on_topic_read(self, topic: Topic, now: float) -> list:
         if topic is Topic.PRESETS:
@@ -248,7 +253,7 @@
         changes, follow_up = self.followers[message.topic].on_polled(message, now)
         self.update_staleness(now)
         effects += self._apply(message, changes, Source.CHECK, now) + follow_up
-        self._confirm_servers(message, message.end)
+        self._confirm_read(message, message.end)
         return effects + self._on_topic_read(message.topic, now)
 
     def on_expired(self, message: TopicExpired, now: float) -> list:
