Forget instances that have stopped though digests of others named them

What callers could see: servers that name a limit, and cold ones, got less than they may with each instance that had stopped, since turns are shared among all that are known. Cause: an instance that deregistered was removed, then added again by a digest of another that still named it; no read of the store removes what is in none of its responses. Why it works: a peer that is not heard and that two reads of the entries in a row lack is removed; a registered one still counts though it is not heard. Evidence: test_instance_that_stopped_does_not_count_for_good failed before (3 members, not 2).

--- a/features/properties/test_what_peers_know.py
+++ b/features/properties/test_what_peers_know.py
@@ -8,6 +8,7 @@
     Topic,
     TopicChange,
     TopicListed,
+    TopicRead,
 )
 from briarrelay_core.ports.position import EraPosition
 from properties.routeworld import RouteWorld, make_configuration
@@ -44,5 +45,49 @@
         self.assertEqual({"a"}, evacuations.in_force)
 
 
+class StoppedInstanceTest(unittest.TestCase):
+    """An instance has stopped, and digests of others still name it."""
+
+    READ_S = 30.0
+
+    def begin(self) -> RouteWorld:
+        world = RouteWorld()
+        peers = [TopicChange(peer.host, peer, position=2) for peer in (PEER, STOPPED)]
+        world.deliver(TopicListed(Topic.ENTRIES, tuple(peers), 2, False))
+        return world
+
+    def read_entries(self, world: RouteWorld, *changes: TopicChange) -> None:
+        start = world.instance.updates.followers[Topic.ENTRIES].next_offset
+        end = start + len(changes)
+        world.deliver(TopicRead(Topic.ENTRIES, changes, end))
+
+    def test_instance_that_stopped_does_not_count_for_good(self):
+        """Each one lowered what the others may send to limited servers."""
+        world = self.begin()
+        self.read_entries(world, TopicChange(STOPPED.host, None, position=3))
+        for number in range(1, 5):
+            peers = (STOPPED,) if number == 1 else ()
+            world.deliver(make_digest(number, peers=peers))
+            world.advance(self.READ_S)
+            self.read_entries(world)
+        self.assertEqual((2, 0), world.instance.peers.members())
+
+    def test_instance_that_is_registered_counts_although_it_is_not_heard(self):
+        world = self.begin()
+        for _ in range(4):
+            world.advance(self.READ_S)
+            self.read_entries(world)
+            self.assertEqual((3, 0), world.instance.peers.members())
+
+    def test_instance_that_is_heard_counts_although_it_is_not_registered(self):
+        world = self.begin()
+        self.read_entries(world, TopicChange(STOPPED.host, None, position=3))
+        for number in range(4):
+            world.advance(self.READ_S)
+            world.deliver(make_digest(number, STOPPED))
+            self.read_entries(world)
+            self.assertEqual((3, 0), world.instance.peers.members())
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/allowances/evacuations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/allowances/evacuations.py
@@ -118,7 +118,6 @@
                 continue
             if known.position < end:
                 effects += self.apply(data_centre, False, end, now, known.key)
-        self.record_read(end)
         return effects
 
     def _set(
--- a/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/peers.py
@@ -145,6 +145,8 @@
     :param directory: position after the newest server change that was read.
     :param directory_at: time at which this instance was last known to have all changes
         of the servers and of the configuration.
+    :ivar _missing: hosts of peers that the last read of the store lacked, and that
+        were not heard.
     :ivar _digest_number: sequence number of the last digest.
     :ivar _remote_round: number of digests that were sent to remote peers.
     :ivar _last_remote_at: time of the last digest to remote peers.
@@ -173,6 +175,7 @@
     directory: EraPosition = START
     directory_at: float = float("-inf")
     _peers: dict[str, _Peer] = field(factory=dict)
+    _missing: set[str] = field(factory=set)
     _digest_number: int = 0
     _last_sent_at: float = float("-inf")
     _is_send_scheduled: bool = False
@@ -256,6 +259,22 @@
         if peer is not None:
             self.load.forget_peer(peer.address.name)
 
+    def forget_unregistered(self, registered: frozenset[str]) -> None:
+        """Remove the peers that two reads of the store in a row lack, unless heard.
+
+        Digests of others may name an instance that has stopped, or started lately.
+
+        :param registered: hosts of the registered instances.
+        """
+        missing = {
+            host
+            for host, peer in self._peers.items()
+            if peer.last_digest_at is None and host not in registered
+        }
+        for host in missing & self._missing:
+            self.remove(host)
+        self._missing = missing - self._missing
+
     def on_digest(self, message: DigestReceived, now: float) -> list:
         """Apply a peer's digest, unless a newer one arrived before."""
         digest = message.digest
--- a/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/updates.py
@@ -208,6 +208,7 @@
         if is_complete and message.topic is Topic.SERVERS:
             self._has_listed_servers = True
             self.reads.on_listed(message.end, now)
+        if is_complete:
             self._confirm_read(message, follower.next_offset)
         if is_complete and message.topic is Topic.CONFIGURATION:
             end = EraPosition(self._era_of(message), follower.next_offset)
@@ -241,6 +242,9 @@
             servers.confirm_registered(position)
         elif message.topic is Topic.CONFIGURATION:
             servers.evacuations.record_read(position)
+        elif message.topic is Topic.ENTRIES:
+            known_keys = self.followers[Topic.ENTRIES].known_keys
+            self.peers.forget_unregistered(known_keys)
 
     def _on_topic_read(self, topic: Topic, now: float) -> list:
         if topic is Topic.PRESETS:
