Do not write released contents to the store again after a start without it

What callers could see: a content that the operators had released was refused again by instances that started later. Cause: what the first instance by name holds and a listing lacks is written, as after a return of the store to a copy; an instance that the store refused at its start held what peers had reported before the release. Evidence: test_content_that_the_first_listing_lacks_is_not_written failed before; test_content_that_a_copy_of_the_store_lacks_is_written guards the other case.

--- a/features/properties/test_what_peers_know.py
+++ b/features/properties/test_what_peers_know.py
@@ -1,16 +1,22 @@
 """What an instance learns from peers gives way to what the store shows later."""
 
 import unittest
+from types import SimpleNamespace
 
 from briarrelay_core.ports.digest import DigestReceived, EvacuationReport, LoadDigest
 from briarrelay_core.ports.directory import (
     PeerAddress,
     Topic,
     TopicChange,
+    TopicFailed,
     TopicListed,
     TopicRead,
 )
 from briarrelay_core.ports.position import EraPosition
+from briarrelay_core.ports.quarantine import WriteQuarantine
+from briarrelay_core.routes.quarantinekeeper import QuarantineKeeper
+from briarrelay_core.routes.storeera import StoreEra
+from briarrelay_core.timers import TimerService
 from properties.routeworld import RouteWorld, make_configuration
 
 PEER = PeerAddress(name="entry-2", host="10.9.0.2", question_port=1, digest_port=2)
@@ -89,5 +95,35 @@
             self.assertEqual((3, 0), world.instance.peers.members())
 
 
+class QuarantineReportTest(unittest.TestCase):
+    """The store refuses an instance that starts; a peer reports a quarantine."""
+
+    def list_without(self, keeper: QuarantineKeeper) -> list:
+        page = TopicListed(Topic.QUARANTINE, (), 0, False, keeper.generation)
+        effects = keeper.on_listed(page, 3.0)
+        return [effect for effect in effects if isinstance(effect, WriteQuarantine)]
+
+    def begin(self) -> QuarantineKeeper:
+        quarantine = SimpleNamespace(contents=("part",), is_own=lambda content: False)
+        timers = TimerService()
+        keeper = QuarantineKeeper(quarantine, StoreEra(), timers, lambda now: 0)
+        keeper.start(1.0)
+        keeper.check(1.0)
+        keeper.on_failed(TopicFailed(Topic.QUARANTINE), 1.0)
+        timers.run_due(2.0)
+        return keeper
+
+    def test_content_that_the_first_listing_lacks_is_not_written(self):
+        """It had been released, and came back for all that read the store later."""
+        self.assertEqual([], self.list_without(self.begin()))
+
+    def test_content_that_a_copy_of_the_store_lacks_is_written(self):
+        keeper = self.begin()
+        self.list_without(keeper)
+        keeper.restart()
+        (write,) = self.list_without(keeper)
+        self.assertEqual("part", write.content)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/quarantinekeeper.py
@@ -70,6 +70,7 @@
     :ivar generation: number of listings that were begun; responses to earlier ones are
         ignored.
     :ivar _is_listing: a listing has begun and is not complete.
+    :ivar _has_listed: a listing has been completed.
     :ivar _listed_at: time at which the last listing was complete, or at which the first
         content was quarantined since then.
     :ivar _listed: contents on the pages of the current listing so far.
@@ -89,6 +90,7 @@
     rank: Callable[[float], int]
     generation: int = 0
     _is_listing: bool = False
+    _has_listed: bool = False
     _listed_at: float = float("-inf")
     _listed: set[str] = field(factory=set)
     _held_before: frozenset[str] = frozenset()
@@ -158,11 +160,16 @@
         return self.quarantine.restore(content, now)
 
     def _write_missing(self, now: float) -> None:
-        """Write the contents that the store lacks, in one or two instances."""
-        is_first = self.rank(now) == 0
+        """Write the contents that the store lacks, in one or two instances.
+
+        The first listing shows nothing lost: what it lacks and peers reported before
+        may have been released since.
+        """
+        writes_all = self._has_listed and self.rank(now) == 0
         for content in sorted((self._held & self._held_before) - self._listed):
-            if is_first or content in self._owned:
+            if writes_all or content in self._owned:
                 self._want(content, True)
+        self._has_listed = True
 
     def on_failed(self, failed: TopicFailed, now: float) -> list:
         """Schedule another listing."""
