Read on at once when a response of the store does not hold all changes

What callers could see: new requests at a server that had left, where some seconds of renewals are longer than a response of the store may be (about 1,000 servers). Cause: the end of the topic that each response names was not read, so a response cut at 1 MB counted as all changes, and was announced to peers, which skipped their reads. Why it works: the next read follows at once, and the announced time is that of the last. Evidence: test_read_that_does_not_hold_all_changes_goes_on_at_once and test_response_that_ends_before_its_topic_has_more failed before (the field was missing).

--- a/features/properties/test_store_reads.py
+++ b/features/properties/test_store_reads.py
@@ -17,6 +17,7 @@
 from briarrelay_core.routes.storereads import MIN_READ_INTERVAL_S, read_interval_s
 from briarrelay_core.timers import TimerService
 from briarrelay_daemon.settings import Address
+from briarrelay_platform.records import READ_HEADER, encode_keyed_record
 from briarrelay_platform.store import StorePort
 from properties.directoryworld import DirectoryWorld
 from properties.routeworld import make_entry
@@ -73,6 +74,14 @@
         self.assertEqual(([], []), follower.on_read(late, START_S))
         self.assertEqual(6, follower.next_offset)
 
+    def test_read_that_does_not_hold_all_changes_goes_on_at_once(self):
+        """It was announced as one after which all changes are known."""
+        follower = self.begin()
+        read = TopicRead(Topic.SERVERS, (change("engine-1"),), 6, has_more=True)
+        _, effects = follower.on_read(read, START_S + 1.0)
+        self.assertEqual([ReadTopic(Topic.SERVERS, 6, 0.0)], effects)
+        self.assertEqual(START_S, follower.current_at)
+
     def test_overdue_read_is_repeated_once_on_a_new_connection(self):
         follower = self.begin()
         (read,) = follower._send_request(START_S)
@@ -118,6 +127,24 @@
 
 
 class StorePortTest(unittest.TestCase):
+    def test_response_that_ends_before_its_topic_has_more(self):
+        """A response holds 1 MB; of hundreds of servers that is some seconds."""
+        for end, has_more in ((6, False), (9, True)):
+            host, sinks = _RaisingHost(), []
+
+            def call(address, method, target, sink, sinks=sinks, **_):
+                sinks.append(sink)
+                return SimpleNamespace(problem="")
+
+            settings = SimpleNamespace(address=Address("127.0.0.1", 9))
+            StorePort(host, SimpleNamespace(call=call), settings)
+            host.performers[ReadTopic](ReadTopic(Topic.SERVERS, 5, 0.0))
+            record = encode_keyed_record("engine-1", b"")
+            sinks[0].on_head(200, {})
+            sinks[0].on_data(READ_HEADER.pack(end, 0) + record)
+            sinks[0].on_end()
+            self.assertEqual(has_more, host.messages[0].has_more)
+
     def test_topic_whose_response_raises_is_read_again(self):
         """Without an outcome the follower would wait for ever."""
         host, sinks = _RaisingHost(), []
--- a/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
+++ b/packages/briarrelay-core/src/briarrelay_core/ports/directory.py
@@ -171,6 +171,7 @@
 
     :param end: offset at which to continue.
     :param era: era of the store, None if it does not report one.
+    :param has_more: the store had more changes than one response holds.
     """
 
     topic: Topic
@@ -178,6 +179,7 @@
     end: int
     generation: int = 0
     era: int | None = None
+    has_more: bool = False
 
 
 @frozen(slots=True)
@@ -200,6 +202,7 @@
 
     :param era: era of the store, None if it does not report one.
     :param end: offset at which to continue, None if it is unknown.
+    :param has_more: the store had more changes than one response holds.
     """
 
     topic: Topic
@@ -207,6 +210,7 @@
     generation: int = 0
     era: int | None = None
     end: int | None = None
+    has_more: bool = False
 
 
 @frozen(slots=True)
--- a/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/follower.py
@@ -180,8 +180,10 @@
         if read.generation != self.generation:
             return [], []
         effects = self._record_response(now)
-        self.current_at = now
         self._advance(read.changes, read.end)
+        if read.has_more:
+            return list(read.changes), effects + self._send_request(now)
+        self.current_at = now
         return list(read.changes), effects + self._schedule_read(now)
 
     def _advance(self, changes: tuple[TopicChange, ...], end: int) -> None:
@@ -224,7 +226,9 @@
         """
         if polled.generation != self.generation:
             return [], []
-        self.last_response_at = self.current_at = now
+        self.last_response_at = now
+        if not polled.has_more:
+            self.current_at = now
         changes = list(polled.changes)
         if not changes or polled.end is None:
             return changes, []
