Keep SIGHUP pending while a process is starting

Cause: the handler is installed when the event loop runs; until then the default action of the signal ends the process. Ruled out: an exception of the reload.

--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routedaemon.py
@@ -118,6 +118,8 @@
         signal.signal(signal.SIGTERM, self._on_stop_signal)
         signal.signal(signal.SIGINT, self._on_stop_signal)
         signal.signal(signal.SIGHUP, self._reloader.on_signal)
+        # It may have been blocked while the process started.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.host.start()
         self.host.logger.info("started", port=self.routes.server.port)
 
