Test that a response that ends within its head is none

Tried: fourteen kinds of response (with a length, without, of 0, before the seal, in chunks, closing, of HTTP/1.0, 204, streams in chunks and without a length, failures, refusals, after an interim response, after a copy of another response), each ended after every byte of its head, in order and by a reset: some 3,600 attempts, all lost, no head and no event passed on. Between two other responses on kept connections of callers, 64 cuts on four kinds of routes: 502, the other responses whole. By reading: a head counts only with its blank line, and only then can the end of a connection be that of a response. Requests that a peer passes on take the same way. The test before cut one kind of head after every seventh byte.

--- a/features/properties/test_answers_of_processes.py
+++ b/features/properties/test_answers_of_processes.py
@@ -198,6 +198,27 @@
             sock.sendall(rest)
 
 
+class _CuttingServer(ThreadServer):
+    """A server that ends within the head of its second response."""
+
+    def __init__(self, response: bytes, length: int, resets: bool):
+        self.response = response
+        self.length = length
+        self.resets = resets
+        self.requests = 0
+        super().__init__()
+
+    def serve(self, sock: socket.socket) -> None:
+        while read_request(sock):
+            self.requests += 1
+            if self.requests == 2:
+                sock.sendall(self.response[: self.length])
+                sleep(0.01)
+                reset(sock) if self.resets else sock.close()
+                return
+            sock.sendall(self.response)
+
+
 class _Reader:
     """Reads one response from a caller's connection.
 
@@ -206,6 +227,7 @@
 
     def __init__(self, is_head: bool):
         self.status = 0
+        self.body = b""
         self.end = ""
         self._is_head = is_head
         self._parser = HttpResponseParser(self)
@@ -215,6 +237,9 @@
         if self._is_head:
             self.end = "whole"
 
+    def on_body(self, data: bytes) -> None:
+        self.body += data
+
     def on_message_complete(self) -> None:
         self.end = "whole"
 
@@ -426,6 +451,42 @@
             ):
                 self.play(route, fault, method, body)
 
+    def test_head_that_is_cut_between_other_responses_is_no_response(self):
+        """Callers on kept connections could get it as a short or empty success."""
+        for route, cut, resets in product(
+            ("look", "book", "chat", "once"), range(0, 180, 13), (False, True)
+        ):
+            is_stream = route in ("chat", "once")
+            response, body = (STREAM, EVENT) if is_stream else (GOOD, b"ok")
+            if cut >= response.index(b"\r\n\r\n") + 4:
+                continue
+            with (
+                self.subTest(route=route, cut=cut, resets=resets),
+                NullHandler().applicationbound(),
+            ):
+                server = _CuttingServer(response, cut, resets)
+                readers = self.send_three(route, server)
+                whole = [(r.status, r.body) == (200, body) for r in readers]
+                self.assertEqual([True, True], [whole[0], whole[2]])
+                # the only server has failed, so nothing can be tried again
+                self.assertEqual(502, readers[1].status)
+
+    def send_three(self, route: str, server: _CuttingServer) -> list[_Reader]:
+        """Send three requests on one connection; return what the caller got."""
+        service = "llm" if route in ("chat", "once") else "desk"
+        try:
+            self.start(service, server)
+            address = ("127.0.0.1", self.port.server.port)
+            with socket.create_connection(address) as sock:
+                sock.setblocking(False)
+                return [
+                    self.send(sock, "POST", route, b"x", time_limit_s=3.0)[0]
+                    for _ in range(3)
+                ]
+        finally:
+            self.port.server._sock.close()
+            server.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/features/properties/test_unframed_responses.py
+++ b/features/properties/test_unframed_responses.py
@@ -5,6 +5,7 @@
 
 import socket
 import unittest
+from itertools import product
 from struct import pack
 from time import monotonic
 from types import SimpleNamespace
@@ -34,6 +35,37 @@
 COPY_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a0\r\nX-Response-Seal: seal.a0\r\n"
 LATE_COPY = COPY_HEAD + b"Content-Length: 3\r\n\r\nold"
 
+EVENT_CHUNK = b"10\r\nid: 1\ndata: a1\n\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM_HEAD = b"HTTP/1.1 100 Continue\r\n\r\n"
+WHOLE_RESPONSES = {
+    "with a length": PLAIN_HEAD + b"Content-Length: 2\r\n\r\nok",
+    "with no body": PLAIN_HEAD + b"Content-Length: 0\r\n\r\n",
+    "length before the seal": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+    + SEAL
+    + b"\r\n",
+    "in chunks": PLAIN_HEAD + CHUNKED + b"2\r\nok\r\n0\r\n\r\n",
+    "without a length": PLAIN_HEAD + b"\r\nok",
+    "closing": PLAIN_HEAD + b"Connection: close\r\n\r\nok",
+    "of an older version": b"HTTP/1.0 200 OK\r\n" + SEAL + b"\r\nok",
+    "without content": b"HTTP/1.1 204 No Content\r\n" + SEAL + b"\r\n",
+    "stream in chunks": STREAM_HEAD + CHUNKED + EVENT_CHUNK + b"0\r\n\r\n",
+    "stream without a length": STREAM_HEAD + b"\r\nid: 1\ndata: a1\n\n",
+    "failure": b"HTTP/1.1 500 No\r\n" + SEAL + b"Content-Length: 2\r\n\r\nno",
+    "refusal": b"HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "after an interim response": INTERIM_HEAD
+    + PLAIN_HEAD
+    + b"Content-Length: 2\r\n\r\nok",
+    "after a copy of another": LATE_COPY + PLAIN_HEAD + b"Content-Length: 2\r\n\r\nok",
+}
+"""Responses of all kinds, each with its head at its end or before a short body."""
+
+
+def find_head_end(response: bytes) -> int:
+    """Return the length of a response up to the end of its last head."""
+    start = response.rindex(b"HTTP/1.")
+    return response.index(b"\r\n\r\n", start) + 4
+
 
 def make_events(count: int, first: int = 1) -> list[bytes]:
     """Return the events of a stream."""
@@ -168,9 +200,20 @@
         self.assertEqual(self.play(head, b"ab"), "lost")
 
     def test_response_that_ends_within_its_head_is_lost(self):
-        for cut in range(len(PLAIN_HEAD)):
-            if cut % 7 == 0:
-                self.assertEqual(self.play(PLAIN_HEAD[:cut]), "lost")
+        """It would look like a response without a length that ended in order."""
+        for name, response in WHOLE_RESPONSES.items():
+            head = response[: find_head_end(response)]
+            for cut, resets in product(range(len(head)), (False, True)):
+                with self.subTest(name, cut=cut, resets=resets):
+                    ending = self.play(head[:cut], resets=resets, waits=False)
+                    self.assertEqual("lost", ending)
+                    self.assertEqual(([], []), (self.statuses, self.events))
+
+    def test_whole_responses_of_these_kinds_are_whole(self):
+        """So that the cuts, and nothing else, make them lost."""
+        for name, response in WHOLE_RESPONSES.items():
+            with self.subTest(name):
+                self.assertEqual("whole", self.play(response, waits=False))
 
     def test_copy_without_its_response_is_lost(self):
         self.assertEqual(self.play(LATE_COPY), "lost")
