Refuse requests that can not end before a planned stop does

Cause: a stopping instance takes requests until the balancer has noticed, and ends all that are left 0.6 s before the end of the grace time, whatever they take. Why it works: an instance remembers how long the responses of each route took (for prompts for each token that may be written). While it stops, a request that the longest of them would carry beyond the end is refused at once, untried, whether it comes, waits or would be sent again. Callers return to another instance. One whose deadline is earlier is sent.

--- a/features/standins/servers.py
+++ b/features/standins/servers.py
@@ -16,6 +16,10 @@
 EVENT_INTERVAL_S = 0.02
 FLOOD_INTERVAL_S = 0.002
 SLOW_INTERVAL_S = 0.5
+LONG_WORK_PREFIX = b"/booklong/"
+LONG_WORK_S = 1.5
+"""Seconds that plain servers take for a request of LONG_WORK_PREFIX."""
+
 TRICKLE_INTERVAL_S = 0.1
 PAUSE_S = 1.0
 
@@ -265,9 +269,9 @@
             exchange.reply(500, headers, b"failed")
         else:
             body = f"{attempt} {self.name}".encode() * 20
-            self.call_later(
-                EVENT_INTERVAL_S, lambda: self.reply(exchange, headers, body)
-            )
+            is_long = exchange.target.startswith(LONG_WORK_PREFIX)
+            takes_s = LONG_WORK_S if is_long else EVENT_INTERVAL_S
+            self.call_later(takes_s, lambda: self.reply(exchange, headers, body))
 
     def reply(self, exchange, headers: list, body: bytes) -> None:
         """Send a complete reply, perhaps after a second copy of the one before."""
--- a/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/admission.py
@@ -59,12 +59,15 @@
     :param may_be_stale: a newer configuration may exist that this instance has not
         read.
     :param is_closing: new requests are refused, since the process is about to end.
+    :param ends_at: time by which responses have to be complete, since the process ends
+        then.
     """
 
     configuration: RouteConfiguration | None = None
     preset_collection: PresetCollection = field(factory=PresetCollection)
     may_be_stale: bool = False
     is_closing: bool = False
+    ends_at: float = float("inf")
 
     @property
     def version(self) -> int:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/controller.py
@@ -17,7 +17,11 @@
 from briarrelay_core.ports.telemetry import IncrementCounter, LogEvent
 from briarrelay_core.reasons import FailureReason, RefusalReason, RetryReason
 from briarrelay_core.record.record import Entry, Recorder
-from briarrelay_core.routes.admission import NO_SERVER_RETRY_S, RouteAdmission
+from briarrelay_core.routes.admission import (
+    NO_SERVER_RETRY_S,
+    OTHER_INSTANCE_RETRY_S,
+    RouteAdmission,
+)
 from briarrelay_core.routes.attempts import AttemptTable
 from briarrelay_core.routes.budget import ServiceRetryBudget
 from briarrelay_core.routes.contents import (
@@ -71,6 +75,10 @@
 """Seconds after a request's deadline in which the server's own response is still
 awaited."""
 
+STOP_MARGIN_S = 0.2
+"""Seconds before the process ends by which a response has to be expected, since it may
+take a little longer than those before."""
+
 MAX_SOUND_SILENCE_S = 2.0
 """Silence in seconds after which a request may give up memory that its next attempt
 needs; the longest pause that was seen of a sound server is 1.6 s."""
@@ -174,6 +182,8 @@
         """
         if routed.deadline - now < MIN_ATTEMPT_TIME_S:
             return self.give_up(routed, now)
+        if self._is_too_late_to_end(routed, 0.0, now):
+            return self.give_up(routed, now, RefusalReason.DRAINING)
         content = self.quarantine.find(routed.contents, now)
         if content:
             return self._give_up_quarantined(routed, content, now)
@@ -203,6 +213,8 @@
             and not should_defer(routed, placement, now)
             and not self._must_wait_for_suspect(routed, now)
         ):
+            if self._is_too_late_to_end(routed, placement.expected_s, now):
+                return self.give_up(routed, now, RefusalReason.DRAINING)
             self._waiting.pop(routed.request.request_id, None)
             return self._start_attempt(routed, placement, now)
         if not eligible_servers and not self._can_wait_for_server(routed, now):
@@ -217,6 +229,22 @@
         self._waiting[routed.request.request_id] = routed
         return [IncrementCounter("route.waited")]
 
+    def _is_too_late_to_end(
+        self, routed: RoutedRequest, expected_s: float, now: float
+    ) -> bool:
+        """Return whether a response would not be complete before the process ends.
+
+        One that reaches its deadline before does not count, nor a begun stream, which
+        can no longer be refused.
+
+        :param expected_s: seconds until the first event is expected.
+        """
+        ends_at = self.admission.ends_at
+        if routed.is_head_relayed or routed.deadline <= ends_at:
+            return False
+        takes_s = expected_s + self.observations.times.longest_s(routed)
+        return now + takes_s + STOP_MARGIN_S > ends_at
+
     def _find_no_place(
         self,
         routed: RoutedRequest,
@@ -732,6 +760,8 @@
             return spread_return_s(routed.room_in_s, left_s, share)
         if reason in (RefusalReason.NO_ENGINE, RefusalReason.SERVERS_EVACUATED):
             return NO_SERVER_RETRY_S * jitter
+        if reason is RefusalReason.DRAINING:
+            return OTHER_INSTANCE_RETRY_S
         return max(MIN_RETRY_AFTER_S, routed.route.target_latency_s / 2) * jitter
 
     def _fail(self, routed: RoutedRequest, outcome: Failed, now: float) -> list:
--- a/packages/briarrelay-core/src/briarrelay_core/routes/gracefulstop.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/gracefulstop.py
@@ -46,20 +46,31 @@
         if self.is_begun:
             return []
         self.began_at = now
+        self._announce_end()
         fields = (("in_progress", str(len(self.controller.requests))),)
         return [LogEvent("info", "stopping", fields=fields)]
 
+    @property
+    def _ends_at(self) -> float:
+        """Time at which the process ends in any case."""
+        return self.began_at + self.grace_s - KILL_MARGIN_S
+
+    def _announce_end(self) -> None:
+        """Let requests be refused that can not be complete by the end."""
+        self.controller.admission.ends_at = self._ends_at
+
     def check(self, now: float) -> list:
         """Return the effects that are due, the last of which ends the process."""
         if not self.is_begun or self._is_over:
             return []
+        self._announce_end()  # the grace time may have changed
         elapsed = now - self.began_at
         effects = []
         if elapsed >= BALANCER_DETECTION_S and not self.controller.admission.is_closing:
             self.controller.admission.is_closing = True
             effects.append(CloseIdleConnections())
         idle = self.controller.admission.is_closing and not self.controller.requests
-        if not idle and elapsed < self.grace_s - KILL_MARGIN_S:
+        if not idle and now < self._ends_at:
             return effects
         self._is_over = True
         self.controller.admission.is_closing = True
--- a/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/observations.py
@@ -10,6 +10,7 @@
 from briarrelay_core.routes.losses.judge import Finding, LossJudge
 from briarrelay_core.routes.pauses import PauseTable
 from briarrelay_core.routes.reachability import ReachabilityTable
+from briarrelay_core.routes.responsetimes import ResponseTimes
 from briarrelay_core.routes.retention.contents import HeldContents
 from briarrelay_core.routes.servers import ServerTable
 from briarrelay_core.routes.slowdown import SlowdownTable
@@ -20,7 +21,7 @@
 
 @define(slots=True, eq=False)
 class ServerObservations:
-    """Health, slowdown, reachability, pauses, limits and content of servers.
+    """Health, slowdown, reachability, pauses, limits, content and times of servers.
 
     :param last_response_at: time of the last message from each server.
     """
@@ -36,6 +37,7 @@
     losses: LossJudge = field(factory=LossJudge)
     held_losses: HeldLosses = field(factory=HeldLosses)
     held: HeldContents = field(factory=HeldContents)
+    times: ResponseTimes = field(factory=ResponseTimes)
     last_response_at: dict[str, float] = field(factory=dict)
 
     @property
--- a/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/responses.py
@@ -218,6 +218,7 @@
         else:
             routed.first_event_at = now
             relay = [RelayFullResponse(request_id, attempt.attempt_id)]
+        request_controller.observations.times.record(routed, now)
         request_controller.load.remove(attempt.attempt_id)
         effects = request_controller.record_survival(routed, attempt, now)
         effects += [
