Await responses that take the usual time of their route

What callers saw: with answers of 4.6 s and a time limit of 5.5 s safe requests got a 504; they were given up as silent after 2.0 to 3.1 s and sent to another server with less time left than one answer takes. Cause: a safe request counted as lost after three times the target latency of its route, whatever its service takes, and the time that was left was not compared with anything. Why it works: none counts as lost before 1.5 times the median of the route's last responses, and none is sent elsewhere with less than that median left. Evidence: test_response_that_takes_the_usual_time_is_awaited and test_request_is_not_sent_again_with_less_time_than_a_response_takes failed before; test_silent_server_of_a_fast_service_is_left_in_time passed before and after.

--- a/features/properties/test_silent_servers.py
+++ b/features/properties/test_silent_servers.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from unittest.mock import patch
 
+from briarrelay_core.ports.directory import Topic, TopicChange
 from briarrelay_core.ports.route import (
     AbortAttempt,
     AbortResponse,
@@ -19,7 +20,7 @@
 )
 from briarrelay_core.routes.budget import RetryLimits
 from briarrelay_core.routes.controller import RequestController
-from properties.routeworld import RouteWorld, engine_names, start_response
+from properties.routeworld import RouteWorld, engine_names, make_entry, start_response
 
 SILENCE_S = 1.3
 """Silence in seconds of a server that goes on; longer than every timeout for a stream
@@ -102,6 +103,45 @@
         self.assertEqual(moved.resume_after, "1")
 
 
+class SlowServiceTest(unittest.TestCase):
+    """Plain services whose responses take far longer than their target latency."""
+
+    def begin(self, usual_s: float, time_limit_s: float) -> tuple[RouteWorld, list]:
+        """Let a service take some time; return the world and a request's forward."""
+        world = RouteWorld(plain_servers=1)
+        for _ in range(5):
+            (sent,) = world.forwards(world.request("look"))
+            world.advance(usual_s)
+            self.complete(world, sent.attempt_id)
+        others = [make_entry(f"desk-{number}", "desk") for number in (2, 3)]
+        changes = [TopicChange(entry.name, entry) for entry in others]
+        world.deliver_changes(Topic.SERVERS, *changes)
+        return world, world.forwards(world.request("look", time_limit_s=time_limit_s))
+
+    def complete(self, world: RouteWorld, attempt_id: int) -> list:
+        """Deliver the response to an attempt; return what the caller gets."""
+        head = ResponseHead(
+            attempt_id=attempt_id, kind=ResponseKind.SUCCESS, status=200
+        )
+        effects = world.deliver(head) + world.deliver(ResponseComplete(attempt_id))
+        return world.of_type(effects, RelayFullResponse)
+
+    def test_response_that_takes_the_usual_time_is_awaited(self):
+        """It was given up as silent, and sent again with too little time left."""
+        world, (sent,) = self.begin(4.6, 5.5)
+        self.assertEqual([], world.forwards(world.advance(4.6)))
+        self.assertEqual(1, len(self.complete(world, sent.attempt_id)))
+
+    def test_request_is_not_sent_again_with_less_time_than_a_response_takes(self):
+        world, (sent,) = self.begin(1.0, 2.0)
+        self.assertEqual([], world.forwards(world.advance(1.95)))
+        self.assertEqual(1, len(self.complete(world, sent.attempt_id)))
+
+    def test_silent_server_of_a_fast_service_is_left_in_time(self):
+        world, _ = self.begin(0.05, 2.0)
+        self.assertEqual(1, len(world.forwards(world.advance(1.2))))
+
+
 class DarkEngineTest(unittest.TestCase):
     """An engine that stays silent gets no new requests, whoever waits for it."""
 
--- a/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
+++ b/packages/briarrelay-core/src/briarrelay_core/routes/silence.py
@@ -36,6 +36,10 @@
 """Multiple of the target latency after which a request on a safe route counts as
 lost."""
 
+USUAL_TIME_FACTOR = 1.5
+"""Multiple of the usual time of a route's responses before which none counts as lost on
+a safe route, whatever its target latency."""
+
 MAX_FAILED_SEARCHES = 20
 """Requests of a check for which no other server is found before the rest waits for the
 next check; a search compares dozens of servers."""
@@ -107,7 +111,7 @@
                 continue  # a peer watches the server of a delegated request
             if not routed.route.is_repeatable or routed.reading_paused_at is not None:
                 continue
-            timeout_s = _silence_timeout_s(routed, attempt)
+            timeout_s = self._silence_timeout_s(routed, attempt)
             timeout_s += READING_FACTOR * self._read_allowance_s(attempt, now)
             silent_s = now - attempt.progress_at
             leaves_after_s = caller_timeout_s(routed)
@@ -118,6 +122,29 @@
                 found.append((routed, leaves_after_s - silent_s))
         return [pair for pair in found if pair[0].prepared_attempt is None]
 
+    def _silence_timeout_s(self, routed: RoutedRequest, attempt: AttemptState) -> float:
+        """Return seconds of silence after which an attempt counts as lost."""
+        if routed.route.kind is not RouteKind.STREAM:
+            usual_s = self.controller.observations.times.usual_s(routed)
+            target_s = routed.route.target_latency_s
+            return max(SAFE_TIMEOUT_FACTOR * target_s, USUAL_TIME_FACTOR * usual_s)
+        if not attempt.events:
+            unheld_s = attempt.expected_s + attempt.saved_s
+            return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * unheld_s
+        return max(
+            MIN_GAP_TIMEOUT_S, GAP_TIMEOUT_FACTOR * (routed.route.gap_limit_s or 0.0)
+        )
+
+    def _has_time_elsewhere(self, routed: RoutedRequest, now: float) -> bool:
+        """Return whether another server usually responds before the deadline.
+
+        The rest of a stream may take any part of the time of a whole one.
+        """
+        if routed.route.kind is RouteKind.STREAM:
+            return True
+        usual_s = self.controller.observations.times.usual_s(routed)
+        return now + usual_s <= routed.deadline
+
     def _read_allowance_s(self, attempt: AttemptState, now: float) -> float:
         """Return seconds for which an attempt may be silent while its engines read."""
         load = self.controller.load
@@ -143,6 +170,8 @@
 
         :param max_expected_s: seconds within which its first event must be expected.
         """
+        if not self._has_time_elsewhere(routed, now):
+            return []
         attempt = routed.active_attempt
         fields = (
             ("server", attempt.server),
@@ -162,18 +191,6 @@
         return [log_event, *self.controller.move(routed, placement, reason, now)]
 
 
-def _silence_timeout_s(routed: RoutedRequest, attempt: AttemptState) -> float:
-    """Return seconds of silence after which an attempt counts as lost."""
-    if routed.route.kind is not RouteKind.STREAM:
-        return SAFE_TIMEOUT_FACTOR * routed.route.target_latency_s
-    if not attempt.events:
-        unheld_s = attempt.expected_s + attempt.saved_s
-        return FIRST_EVENT_SLACK_S + FIRST_EVENT_FACTOR * unheld_s
-    return max(
-        MIN_GAP_TIMEOUT_S, GAP_TIMEOUT_FACTOR * (routed.route.gap_limit_s or 0.0)
-    )
-
-
 def _remaining_patience_s(routed: RoutedRequest, now: float) -> float:
     """Return seconds for which the caller is expected to wait for an event.
 
