--- a/features/properties/test_unheard_configuration.py
+++ b/features/properties/test_unheard_configuration.py
@@ -8,7 +8,14 @@
 from standins.proxy import Proxy
 
 from briarrelay_core.agreement.configuration import Preset
+from briarrelay_core.ports.directory import (
+    ListTopic,
+    PollTopic,
+    ReadTopic,
+    TopicFailed,
+)
 from briarrelay_core.routes.presets import PresetCollection
+from briarrelay_platform.store import RESPONSE_TIMEOUT_S
 from properties.directoryworld import DirectoryWorld
 
 APPLY_S = 2.0
@@ -79,6 +86,58 @@
         self.assertEqual([], late)
 
 
+class DarkenedWorld(DirectoryWorld):
+    """A store that falls silent: what is asked meanwhile has no answer, also later."""
+
+    is_silent = False
+
+    def fall_silent(self) -> None:
+        """Lose all pending reads, and what is asked from now on."""
+        self.is_silent = True
+        lost, self.pending_reads = self.pending_reads, []
+        for n, effect in lost:
+            self._lose(n, effect)
+
+    def _lose(self, n: int, effect: ListTopic | ReadTopic) -> None:
+        wait_s = effect.wait_s if isinstance(effect, ReadTopic) else 0.0
+        failed = TopicFailed(effect.topic, "timed out", effect.generation)
+        self.schedule(wait_s + RESPONSE_TIMEOUT_S, partial(self.deliver, n, failed))
+
+    def run_effects(self, n: int, effects: list) -> None:
+        if not self.is_silent:
+            super().run_effects(n, effects)
+            return
+        answered = []
+        for effect in effects:
+            if isinstance(effect, (ListTopic, ReadTopic)):
+                self._lose(n, effect)
+            elif not isinstance(effect, PollTopic):
+                answered.append(effect)
+        super().run_effects(n, answered)
+
+
+class DarkenedStoreTest(unittest.TestCase):
+    """A store that is silent for some seconds, and then answers again."""
+
+    def test_versions_after_a_silent_outage_are_in_force_in_time(self):
+        """Long polls sent in its last moments stay without an answer for 9 s."""
+        late = []
+        for phase in range(PHASES):
+            world = DarkenedWorld(5, 6, seed=phase)
+            world.advance(6.0)
+            world.fall_silent()
+            world.advance(3.0 + 1.2 * phase / PHASES)
+            world.is_silent = False
+            world.advance(3.0 + 0.1 * phase)
+            for version, pause_s in ((60, 2.0), (61, 0.0)):
+                world.configure(version, is_lost=False)
+                world.advance(APPLY_S)
+                if set(world.active_versions()) != {version}:
+                    late.append((phase, version))
+                world.advance(pause_s)
+        self.assertEqual([], late)
+
+
 class SilentConnectionTest(unittest.TestCase):
     """Real instances whose open connections to the store fall silent."""
 
