--- a/features/properties/test_config_check.py
+++ b/features/properties/test_config_check.py
@@ -398,7 +398,9 @@
                 {"key": key, "value": b64encode(orjson.dumps(value)).decode()}
                 for key, value in topics[topic]
             ]
-            return SimpleNamespace(status=200, body=orjson.dumps({"items": items}))
+            return SimpleNamespace(
+                status=200, body=orjson.dumps({"items": items, "has-more": False})
+            )
 
         reader = PlatformConfigurationReader(Address("127.0.0.1", 1))
         with patch.object(storeclient, "_call", respond):
--- a/features/properties/test_odd_entries.py
+++ b/features/properties/test_odd_entries.py
@@ -4,12 +4,18 @@
 import time
 import unittest
 from struct import pack
+from types import SimpleNamespace
+from urllib.parse import parse_qsl, urlsplit
 
 import orjson
+from hypothesis import example, given
+from hypothesis import strategies as st
 from standins.fleet import Fleet, call
 
-from briarrelay_core.ports.directory import Topic
-from briarrelay_platform.store import _decode_change
+from briarrelay_core.ports.directory import ListTopic, Topic
+from briarrelay_daemon.httpcall import HttpClient
+from briarrelay_daemon.settings import Address
+from briarrelay_platform.store import StorePort, _decode_change
 
 ENTRY = {
     "service": "desk",
@@ -104,6 +110,29 @@
                         self.assertLess(len(change.problem), 400)
 
 
+class OddKeyTest(unittest.TestCase):
+    @given(st.text(min_size=1))
+    @example("agent&host/0041")
+    @example("agent+host 0041")
+    @example("\u0430\u0433\u0435\u043d\u0442")
+    def test_listing_goes_on_after_any_key(self, key):
+        """A page came again for ever, so that no process got ready."""
+        targets = []
+
+        def call(address, method, target, sink, **_):
+            targets.append(HttpClient._encode(None, address, method, target, b"", ()))
+            return SimpleNamespace(problem="")
+
+        performers = {}
+        host = SimpleNamespace(register=performers.__setitem__)
+        settings = SimpleNamespace(address=Address("127.0.0.1", 9))
+        StorePort(host, SimpleNamespace(call=call), settings)
+        performers[ListTopic](ListTopic(Topic.SERVERS, key))
+        _, target, _ = targets[0].split(b"\r\n")[0].decode().split(" ")
+        query = dict(parse_qsl(urlsplit(target).query, strict_parsing=True))
+        self.assertEqual({"topic": "keyed.servers", "part": "0", "after": key}, query)
+
+
 class OddEntryTest(unittest.TestCase):
     """Real instances whose store holds odd entries of servers."""
 
--- a/features/standins/loop.py
+++ b/features/standins/loop.py
@@ -1,6 +1,7 @@
 """Event loop of the stand-ins."""
 
 from time import monotonic
+from urllib.parse import parse_qsl
 
 from circuits import Component
 from circuits.core.pollers import EPoll
@@ -47,8 +48,7 @@
 
 def read_query(exchange: RawExchange) -> dict[str, str]:
     """Return the query parameters of a request's target."""
-    text = exchange.target.partition(b"?")[2].decode()
-    return dict(part.split("=", 1) for part in text.split("&") if "=" in part)
+    return dict(parse_qsl(exchange.target.partition(b"?")[2].decode()))
 
 
 def read_path(exchange: RawExchange) -> str:
