Report calls for which no connection can be made as lost

What callers could see: after one moment without a free descriptor an instance did not read a topic of the store any more, so it went on using servers that left, or an old version. Cause: the exception of the call went to the loop; only requests of callers had a handler, and the follower of a topic waits for an outcome. Why it works: the client reports it to the sink of the call, as any other failure. Evidence: test_topic_is_read_again_when_no_connection_can_be_made failed before (the error reached the caller); 97 tests of connections and responses pass.

--- a/features/properties/test_store_reads.py
+++ b/features/properties/test_store_reads.py
@@ -1,7 +1,10 @@
 """Reads of the store beside others: when they come, and what their changes do."""
 
 import unittest
+from errno import EMFILE
+from time import monotonic
 from types import SimpleNamespace
+from unittest.mock import patch
 
 from briarrelay_core.ports.directory import (
     ListTopic,
@@ -16,6 +19,9 @@
 from briarrelay_core.routes.follower import OVERDUE_S, TopicFollower
 from briarrelay_core.routes.storereads import MIN_READ_INTERVAL_S, read_interval_s
 from briarrelay_core.timers import TimerService
+from briarrelay_daemon import httpcall
+from briarrelay_daemon.httpcall import HttpClient
+from briarrelay_daemon.reactor import Reactor
 from briarrelay_daemon.settings import Address
 from briarrelay_platform.records import READ_HEADER, encode_keyed_record
 from briarrelay_platform.store import StorePort
@@ -162,6 +168,19 @@
             sinks[0].on_end()
         self.assertIsInstance(host.messages[0], TopicFailed)
 
+    def test_topic_is_read_again_when_no_connection_can_be_made(self):
+        """No descriptor was free once, and the topic was not read any more."""
+        host, reactor = _RaisingHost(), Reactor(monotonic)
+        settings = SimpleNamespace(address=Address("127.0.0.1", 9))
+        StorePort(host, HttpClient(reactor), settings)
+        error = OSError(EMFILE, "too many open files")
+        with patch.object(httpcall.socket, "socket", side_effect=error):
+            host.performers[ReadTopic](ReadTopic(Topic.SERVERS, 5, 0.0))
+            reactor.run_deferred()
+        (failed,) = host.messages
+        self.assertIsInstance(failed, TopicFailed)
+        self.assertIn("too many open files", failed.problem)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/httpcall.py
@@ -394,11 +394,21 @@
         timeout: float,
         force_new_connection: bool = False,
     ) -> HttpCall:
-        """Start a call with an encoded request; see :meth:`call`."""
+        """Start a call with an encoded request; see :meth:`call`.
+
+        If no connection can be made at all, the sink is notified soon, as of other
+        failures: without an outcome nothing would repeat the call.
+        """
         call = HttpCall(self, address, sink, not message.startswith(b"HEAD "))
-        call.begin(
-            self._acquire_connection(address, force_new_connection), message, timeout
-        )
+        try:
+            connection = self._acquire_connection(address, force_new_connection)
+        except (OSError, OverflowError) as error:
+            # no descriptor is free, or the address is none
+            call.is_over = True
+            call.problem = f"connecting failed: {error}"
+            self.reactor.defer(lambda: sink.on_lost(False))
+            return call
+        call.begin(connection, message, timeout)
         return call
 
     def _sweep(self, now: float) -> list:
--- a/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
+++ b/packages/briarrelay-daemon/src/briarrelay_daemon/routeport.py
@@ -228,10 +228,6 @@
             )
         )
 
-    def report_unsent(self, problem: str) -> None:
-        """Report that the request could not be sent at all."""
-        self._notify_core(ResponseLost(self._forward.attempt_id, False, problem))
-
     def _notify_core(self, message) -> None:
         if not self.is_over:
             self._port.host.dispatch(message)
@@ -424,19 +420,13 @@
         self._attempts[effect.attempt_id] = attempt
         pending.attempt_ids.append(effect.attempt_id)
         message = write_request(exchange, effect)
-        try:
-            attempt.call = self._client.send(
-                Address(effect.host, effect.port),
-                message,
-                attempt,
-                timeout=effect.time_limit_s + 1.0,
-                force_new_connection=effect.needs_new_connection,
-            )
-        except (OSError, OverflowError) as error:
-            # No descriptor is free, or the address is none. Nothing was sent.
-            problem = f"connecting failed: {error}"
-            self.host.reactor.defer(lambda: attempt.report_unsent(problem))
-            return
+        attempt.call = self._client.send(
+            Address(effect.host, effect.port),
+            message,
+            attempt,
+            timeout=effect.time_limit_s + 1.0,
+            force_new_connection=effect.needs_new_connection,
+        )
         if pending.is_blocked:
             attempt.call.pause()
 
@@ -444,11 +434,9 @@
         attempt = self._attempts.get(effect.attempt_id)
         if attempt is None:
             return
-        if attempt.call is None:
-            attempt.is_over = True
-        elif not attempt.call.is_over:
-            attempt.is_over = True
+        if not attempt.call.is_over:
             attempt.call.cancel()
+        attempt.is_over = True
 
     # Responses
 
