Soak of planned work alone: restarts, signals, servers that leave

Nothing else fails, so no process ends by itself, no settled instance sends to a server 2 s after it left, and each request that ran has its whole answer.

--- a/features/properties/test_soak.py
+++ b/features/properties/test_soak.py
@@ -3,6 +3,7 @@
 import unittest
 
 from soak.callers import CRASH_LOOK, CRASH_PART, MAX_LATE_CRASH_REQUESTS
+from soak.planned import PlannedSoak
 from soak.run import Soak
 
 SEEDS = (3, 11)
@@ -11,6 +12,8 @@
 CRASH_SEED = 5
 CRASH_DURATION_S = 16.0
 FAULT_DURATION_S = 8.0
+PLANNED_SEED = 2
+PLANNED_DURATION_S = 15.0
 
 
 class SoakTest(unittest.TestCase):
@@ -40,6 +43,12 @@
         self.assertGreater(soak.served, 50)
         self.assertEqual(violations, [], soak.faults)
 
+    def test_planned_work_alone_harms_nobody(self):
+        """Restarts of the reader, signals at the start, stops with work in progress."""
+        soak = PlannedSoak(PLANNED_SEED, PLANNED_DURATION_S)
+        self.assertEqual(soak.run(), [], soak.work)
+        self.assertGreater(soak.served, 50)
+
 
 if __name__ == "__main__":
     unittest.main()
