Test a connection that can not be made with the client that reports it

The stand-in of the client in RoutePortTest raised from send, as the client did before; the client now reports it. The test uses the real client, in which no descriptor is left, and asks for the same: a 502, and one lost attempt that was not sent.

--- a/features/properties/test_unanswered_requests.py
+++ b/features/properties/test_unanswered_requests.py
@@ -20,6 +20,7 @@
 from briarrelay_core.timers import TimerService
 from briarrelay_daemon.callerserver import CallerServer
 from briarrelay_daemon.host import Host
+from briarrelay_daemon.httpcall import HttpClient
 from briarrelay_daemon.metrics import Metrics
 from briarrelay_daemon.reactor import Reactor
 from briarrelay_daemon.routeport import RoutePort
@@ -55,11 +56,9 @@
         return []
 
 
-class _NoSocketClient:
-    """Client that has no file descriptor left."""
-
-    def send(self, *_, **__):
-        raise OSError(errno.EMFILE, "Too many open files")
+def open_no_socket(*_):
+    """Fail as when no file descriptor is left."""
+    raise OSError(errno.EMFILE, "Too many open files")
 
 
 class RoutePortTest(unittest.TestCase):
@@ -68,7 +67,11 @@
         self.core = _OneAttemptCore()
         host = Host(self.core, self.reactor, Metrics(), Logger("test"))
         self.port = RoutePort(
-            host, _NoSocketClient(), LOCAL_ADDRESS, LOCAL_ADDRESS, PlatformDialect()
+            host,
+            HttpClient(self.reactor),
+            LOCAL_ADDRESS,
+            LOCAL_ADDRESS,
+            PlatformDialect(),
         )
         self.addCleanup(self.port.server._sock.close)
         self.sock = socket.create_connection(("127.0.0.1", self.port.server.port))
@@ -82,7 +85,8 @@
         return self.sock.recv(65_536)
 
     def test_request_is_answered_when_no_connection_can_be_opened(self):
-        self.assertIn(b"HTTP/1.1 502", self.exchange(REQUEST + b"\r\n"))
+        with mock.patch.object(HttpClient, "_acquire_connection", open_no_socket):
+            self.assertIn(b"HTTP/1.1 502", self.exchange(REQUEST + b"\r\n"))
         (lost,) = [m for m in self.core.messages if isinstance(m, ResponseLost)]
         self.assertFalse(lost.is_sent)
 
