Test bad records at whichever instance reads the servers

Traced: for some seconds after a start the first instance that listed reads for all, not always entry-0, and an entry that names no server is no change, so the others need not read it. The log line is the reader's. The test now asks that each of the four bad records, by key, is logged by some instance, in the same 1.2 s; before, four lines of one instance were enough, whatever their keys.

--- a/features/properties/test_platform_end_to_end.py
+++ b/features/properties/test_platform_end_to_end.py
@@ -135,8 +135,14 @@
         self.fleet.put("keyed.op", "config", {"version": "high"})
         time.sleep(1.2)
         self.assertEqual(call(self.entry, "/book/x", "k1").status, 200)
-        bad_entries = [e for e in self.entry.log_entries() if e["event"] == "entry_bad"]
-        self.assertGreaterEqual(len(bad_entries), 4)
+        # whichever instance reads the servers for all logs theirs
+        bad_keys = {
+            log_entry["key"]
+            for entry in self.fleet.instances
+            for log_entry in entry.log_entries()
+            if log_entry["event"] == "entry_bad"
+        }
+        self.assertLessEqual({"odd-0", "odd-1", "odd-2", "config"}, bad_keys)
 
     def test_configuration_is_followed_after_the_store_drops_its_history(self):
         post(*self.fleet.store_address, "/standin/forget")
